--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"sorrelcove/balance"
+	"cresshub/balance"
 )
 
 func Example() {
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"runtime/debug"
 
-	"sorrelcove/internal/wire"
+	"cresshub/internal/wire"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -12,7 +12,7 @@
 
 	"github.com/go-faster/jx"
 
-	"sorrelcove/balance"
+	"cresshub/balance"
 )
 
 // Kind names an event.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/go-faster/jx"
 
-	"sorrelcove/balance"
+	"cresshub/balance"
 )
 
 // Encoder writes replies. Nothing leaves it before the whole reply stands.
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"sorrelcove/balance"
+	"cresshub/balance"
 )
 
 // Host holds the instances by number.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/jx"
 
-	"sorrelcove/balance"
+	"cresshub/balance"
 )
 
 var effects = map[string]balance.Effect{
