--- /dev/null
+++ b/internal/decide/decide.go
@@ -0,0 +1,363 @@
+// Package decide puts a blocking face on the decisions of package balance. A request's goroutine asks
+// Pick what to do next and Reports how its attempts end; Tick lets time pass. Events, actions, the
+// lock, timers, ids and the clock stay in here, and nothing in here knows which protocol a request
+// came by.
+package decide
+
+import (
+	"container/heap"
+	"strconv"
+	"sync"
+	"time"
+
+	"cresshub/balance"
+)
+
+// travel is how long before its deadline a request is answered at the latest, so that the answer is
+// with the client in time also when the machine is busy.
+const travel = 20 * time.Millisecond
+
+// These are plain data that both sides of the facade share.
+type (
+	ServerID = balance.ServerID
+	Server   = balance.Server
+	Result   = balance.Result
+)
+
+// How an attempt or a probe ends.
+const (
+	Served       = balance.Done
+	ErrorAnswer  = balance.Error     // may have run
+	TurnedAway   = balance.Rejected  // unseen, so it never ran
+	TimedOut     = balance.TimedOut  // may have run
+	NoConnection = balance.Refused   // never ran
+	Broken       = balance.Reset     // may have run
+	Withdrawn    = balance.Cancelled // may have run
+	NotSent      = balance.Skipped   // never ran, and no server is to blame
+)
+
+// ResultNames are the words for the results, by their values.
+var ResultNames = []string{
+	"served", "error", "turned_away", "timed_out", "no_connection", "broken", "withdrawn", "not_sent",
+}
+
+// Network does what no request's goroutine does: both calls return at once, and what comes of them is
+// told with Probed and Listed or ListFailed.
+type Network interface {
+	Probe(ServerID)
+	Follow() // ask discovery for its changes from now on
+}
+
+// Waiter is how the goroutine of a request sleeps. Wait returns nil once Wake was called, or an error
+// when the client is gone. A Wake that comes first is not lost.
+type Waiter interface {
+	Wait() error
+	Wake()
+}
+
+// Request is one request of a client, whatever protocol it came by.
+type Request struct {
+	Class    int
+	Tenant   int
+	Key      uint64
+	HasKey   bool
+	Deadline time.Time // when the client gives up
+	Work     time.Duration
+	Repeat   bool
+}
+
+// StepKind says what the goroutine of a request has to do next.
+type StepKind uint8
+
+// The steps. All but the first two end the request.
+const (
+	Send   StepKind = iota // start attempt Attempt at Server, and give it up at Until
+	Cancel                 // stop waiting for attempt Attempt
+	Answer                 // pass on what attempt Attempt was served
+	Refuse                 // say no; trying again is harmless, after Wait
+	Fail                   // say that it failed
+	Gone                   // the client is gone: nobody waits for an answer
+)
+
+// Step is what Pick returns.
+type Step struct {
+	Kind    StepKind
+	Server  ServerID
+	Attempt int
+	Until   time.Time
+	Wait    time.Duration
+}
+
+// Call is one request from Open to its last step. Reports may come later still.
+type Call struct {
+	id       string
+	waiter   Waiter
+	deadline time.Time
+	steps    []Step
+	sent     []time.Duration // by attempt
+	closed   bool            // nothing more may be decided for it: no steps, no wake
+}
+
+// Decider makes the decisions of one client proxy. Its methods may be called from any goroutine.
+type Decider struct {
+	net   Network
+	start time.Time
+	base  time.Duration // the clock's reading at start
+	kick  chan struct{}
+
+	mu     sync.Mutex
+	b      *balance.Balancer
+	calls  map[string]*Call
+	lastID uint64
+	timers timers
+	acts   []balance.Action // reused
+	probes []ServerID       // to be set off when the lock is given back
+	follow bool             // likewise
+}
+
+// New returns a Decider that knows no server yet.
+func New(set balance.Settings, net Network) (*Decider, error) {
+	// The clock is monotonic and reads as Unix time at the start. Discovery tells starts of servers as
+	// Unix time, and a clock from 0 would make one that started before this process look long ago.
+	start := time.Now()
+	d := &Decider{
+		net: net, start: start, base: time.Duration(start.UnixNano()),
+		kick: make(chan struct{}, 1), calls: map[string]*Call{},
+	}
+	var err error
+	d.b, err = balance.New(set, d.base)
+	return d, err
+}
+
+// Open takes a request that must get one final answer.
+func (d *Decider) Open(q Request, w Waiter) *Call {
+	now := d.enter()
+	defer d.leave()
+	d.lastID++
+	c := &Call{id: strconv.FormatUint(d.lastID, 36), waiter: w, deadline: q.Deadline}
+	d.calls[c.id] = c
+	d.carryOut(now, d.b.Request(now, balance.Request{
+		ID: c.id, Class: q.Class, Tenant: q.Tenant, Key: q.Key, HasKey: q.HasKey, Work: q.Work,
+		Deadline: d.at(q.Deadline), Repeat: q.Repeat,
+	}, d.acts[:0]))
+	return c
+}
+
+// Pick returns the next step of a call and sleeps until there is one.
+func (d *Decider) Pick(c *Call) Step {
+	for {
+		if s, ok := d.next(c); ok {
+			return s
+		}
+		if err := c.waiter.Wait(); err != nil {
+			d.gone(c)
+		}
+	}
+}
+
+func (d *Decider) next(c *Call) (s Step, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(c.steps) == 0 {
+		return s, false
+	}
+	s, c.steps = c.steps[0], c.steps[1:]
+	return s, true
+}
+
+// gone ends a call whose client is gone. An answer that crossed with that is dropped with it.
+func (d *Decider) gone(c *Call) {
+	now := d.enter()
+	defer d.leave()
+	unsent := c.steps
+	c.steps = nil
+	if !c.closed {
+		d.carryOut(now, d.b.ClientGone(now, c.id, d.acts[:0]))
+	}
+	for _, s := range unsent {
+		if s.Kind == Send { // the module counts it as out until it hears otherwise
+			d.carryOut(now, d.b.Outcome(now, balance.Outcome{
+				ID: c.id, Attempt: s.Attempt, Result: NotSent, Over: true,
+			}, d.acts[:0]))
+		}
+	}
+	d.finish(c, Step{Kind: Gone})
+}
+
+// Report says how an attempt ended, with the load its server told, if it did. The first one that was
+// served becomes the answer.
+func (d *Decider) Report(c *Call, attempt int, res Result, load []float64) {
+	now := d.enter()
+	defer d.leave()
+	answers := res == Served && !c.closed
+	d.carryOut(now, d.b.Outcome(now, balance.Outcome{
+		ID: c.id, Attempt: attempt, Result: res, Over: c.closed || answers,
+		Latency: now - c.sent[attempt], Report: load,
+	}, d.acts[:0]))
+	if answers {
+		d.finish(c, Step{Kind: Answer, Attempt: attempt})
+	}
+}
+
+// Probed says how a probe ended and how long it took.
+func (d *Decider) Probed(s ServerID, res Result, took time.Duration, load []float64) {
+	now := d.enter()
+	defer d.leave()
+	d.carryOut(now, d.b.Probed(now, balance.ProbeResult{
+		Server: s, Result: res, Latency: took, Report: load,
+	}, d.acts[:0]))
+}
+
+// Cached takes in the list as it was before the start.
+func (d *Decider) Cached(list []Server) { d.list(balance.ListCached, list) }
+
+// Listed takes in a list of discovery, whole or only what changed.
+func (d *Decider) Listed(whole bool, list []Server) {
+	if whole {
+		d.list(balance.ListFull, list)
+	} else {
+		d.list(balance.ListDelta, list)
+	}
+}
+
+// ListFailed says that following discovery failed or ended.
+func (d *Decider) ListFailed() { d.list(balance.ListFailed, nil) }
+
+func (d *Decider) list(kind balance.ListKind, list []Server) {
+	now := d.enter()
+	defer d.leave()
+	d.carryOut(now, d.b.List(now, kind, list, d.acts[:0]))
+}
+
+// Tick fires the timers that are due and returns the time until the next, an hour at most.
+func (d *Decider) Tick() time.Duration {
+	now := d.enter()
+	defer d.leave()
+	for len(d.timers) > 0 && d.timers[0].at <= now {
+		t := heap.Pop(&d.timers).(timer)
+		d.carryOut(now, d.b.Timer(now, t.token, d.acts[:0]))
+	}
+	if len(d.timers) == 0 {
+		return time.Hour
+	}
+	return d.timers[0].at - now
+}
+
+// Run ticks whenever a timer is due, until stop is closed.
+func (d *Decider) Run(stop <-chan struct{}) {
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-d.kick:
+		case <-t.C:
+		}
+		t.Reset(d.Tick())
+	}
+}
+
+func (d *Decider) now() time.Duration { return d.base + time.Since(d.start) }
+
+func (d *Decider) at(t time.Time) time.Duration { return d.base + t.Sub(d.start) }
+
+// enter takes the lock for one event and reads the clock.
+func (d *Decider) enter() time.Duration {
+	d.mu.Lock()
+	return d.now()
+}
+
+// leave gives the lock back and only then sets off what the event asks of the network, which has locks
+// of its own and may call back.
+func (d *Decider) leave() {
+	probes, follow := d.probes, d.follow
+	d.probes, d.follow = nil, false
+	d.mu.Unlock()
+	for _, s := range probes {
+		d.net.Probe(s)
+	}
+	if follow {
+		d.net.Follow()
+	}
+}
+
+// carryOut turns actions into steps of the calls that they name, timers, and work for the network.
+func (d *Decider) carryOut(now time.Duration, acts []balance.Action) {
+	d.acts = acts
+	for i := range acts {
+		a := &acts[i]
+		switch a.Kind {
+		case balance.SetTimer:
+			heap.Push(&d.timers, timer{now + a.Wait, a.Token})
+			if d.timers[0].at == now+a.Wait { // sooner than what Run sleeps for
+				select {
+				case d.kick <- struct{}{}:
+				default:
+				}
+			}
+			continue
+		case balance.Probe:
+			d.probes = append(d.probes, a.Server)
+			continue
+		case balance.FollowList:
+			d.follow = true
+			continue
+		case balance.Tell:
+			continue // this platform has no way between client proxies; MayTell is false
+		}
+		c := d.calls[a.ID]
+		if c == nil {
+			continue // ended; what is still out for it is given up or ends by itself
+		}
+		switch a.Kind {
+		case balance.Send:
+			until := c.deadline.Add(-travel)
+			if t := d.start.Add(now + a.Wait - d.base); a.Wait > 0 && t.Before(until) {
+				until = t
+			}
+			c.step(Step{Kind: Send, Server: a.Server, Attempt: len(c.sent), Until: until})
+			c.sent = append(c.sent, now)
+		case balance.Cancel:
+			c.step(Step{Kind: Cancel, Attempt: a.Attempt})
+		case balance.Refuse:
+			d.finish(c, Step{Kind: Refuse, Wait: a.Wait})
+		case balance.Fail:
+			d.finish(c, Step{Kind: Fail})
+		}
+	}
+}
+
+func (c *Call) step(s Step) {
+	c.steps = append(c.steps, s)
+	c.waiter.Wake()
+}
+
+// finish gives a call its last step. Nothing wakes its goroutine after that, so the goroutine may turn
+// to the next request on its connection.
+func (d *Decider) finish(c *Call, last Step) {
+	if c.closed && last.Kind != Gone {
+		return
+	}
+	c.step(last)
+	c.closed = true
+	delete(d.calls, c.id)
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,372 @@
+// Package ingress is the application's side: it listens, reads requests, and gives each its one final
+// answer. Each client's connection has a goroutine; while a request is out it sits in Read, so that it
+// notices when its client goes away.
+package ingress
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/ring"
+	"cresshub/internal/sockets"
+	"cresshub/internal/upstream"
+)
+
+const (
+	readyPath = "/health/ready"
+
+	idleLimit  = 2 * time.Minute  // a client's connection without a request
+	readLimit  = 10 * time.Second // from a request's first byte to its last
+	writeLimit = 5 * time.Second  // for an answer
+	lingering  = 300 * time.Millisecond
+
+	// After the signal to end, clients still open connections for up to 0.4 s, and use those they have
+	// as long as these stay open. Idle ones are closed while a request that crosses with that can still
+	// come again, and the rest some time after the last could have been opened.
+	closeIdleAfter = 500 * time.Millisecond
+	acceptFor      = 800 * time.Millisecond
+	closeAllAfter  = 1200 * time.Millisecond
+
+	turnedAwayAtOnce = 8 // clients over the budget being told so
+)
+
+// Server serves the clients of one listener.
+type Server struct {
+	decider  *decide.Decider
+	pool     *upstream.Pool
+	budget   *sockets.Budget
+	count    *counters.Set
+	log      *slog.Logger
+	classes  map[string]int
+	tenants  map[string]int
+	draining atomic.Bool
+	away     chan struct{} // a token for each client being turned away
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+}
+
+// New returns a Server; classes and tenants are the names in the order of the settings.
+func New(d *decide.Decider, p *upstream.Pool, classes, tenants []string, budget *sockets.Budget,
+	count *counters.Set, log *slog.Logger) *Server {
+	s := &Server{
+		decider: d, pool: p, budget: budget, count: count, log: log,
+		classes: positions(classes), tenants: positions(tenants),
+		away: make(chan struct{}, turnedAwayAtOnce), clients: map[*client]struct{}{},
+	}
+	budget.OnShort(s.closeOne)
+	return s
+}
+
+func positions(names []string) map[string]int {
+	at := map[string]int{}
+	for i, n := range names {
+		at[n] = i
+	}
+	return at
+}
+
+// Serve accepts clients until the listener closes.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil
+		}
+		if err != nil { // short of descriptors, or the client left while it waited
+			s.log.Warn("accept", "err", err)
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		s.count.Accepted.Add()
+		if !s.budget.Client() {
+			s.away <- struct{}{} // while all tokens are out the next client waits to be accepted
+			go s.turnAway(nc)
+			continue
+		}
+		c := &client{Conn: ring.NewConn(nc), woken: make(chan struct{}, 1), since: time.Now(), idle: true}
+		s.mu.Lock()
+		s.clients[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// turnAway reads one request and refuses it: a client that is just cut off could not tell what became
+// of its request.
+func (s *Server) turnAway(nc net.Conn) {
+	defer func() { <-s.away }()
+	defer nc.Close()
+	c := ring.NewConn(nc)
+	c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := http1.ReadRequest(c.In); err != nil {
+		return
+	}
+	s.count.TurnedAway.Add()
+	(&http1.Response{Status: 503, Close: true}).Write(c.Out)
+	c.Flush()
+}
+
+// Shutdown answers all that was taken and returns when nothing is owed.
+func (s *Server) Shutdown(l *net.TCPListener) {
+	s.draining.Store(true)
+	began := time.Now()
+	l.SetDeadline(began.Add(acceptFor))
+	for pause := closeIdleAfter; ; pause = 10 * time.Millisecond {
+		time.Sleep(pause)
+		young := began
+		if time.Since(began) >= closeAllAfter {
+			l.Close()
+			young = time.Now()
+		}
+		s.mu.Lock()
+		for c := range s.clients {
+			if c.since.Before(young) {
+				s.closeIdle(c)
+			}
+		}
+		left := len(s.clients)
+		s.mu.Unlock()
+		if left == 0 && time.Since(began) >= closeAllAfter {
+			return
+		}
+	}
+}
+
+// closeIdle closes a client's connection that is between two requests.
+func (s *Server) closeIdle(c *client) bool {
+	if !c.idle {
+		return false
+	}
+	c.idle = false
+	delete(s.clients, c)
+	c.Close()
+	s.budget.Give()
+	return true
+}
+
+// closeOne closes the connection that has been idle longest and gives its place back.
+func (s *Server) closeOne() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var oldest *client
+	for c := range s.clients {
+		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
+			oldest = c
+		}
+	}
+	return oldest != nil && time.Since(oldest.since) > time.Second && s.closeIdle(oldest)
+}
+
+// client is one connection of the application. The server's lock guards idle and since.
+type client struct {
+	*ring.Conn
+	woken chan struct{}
+	since time.Time // idle from then on
+	idle  bool      // between two requests; whoever unsets it owns the connection
+}
+
+// Wait sits in Read until Wake, or until the client closes its side.
+func (c *client) Wait() error {
+	for {
+		// The deadline first: a Wake that comes after this line sets it again, one before has left its
+		// token.
+		c.SetReadDeadline(time.Time{})
+		select {
+		case <-c.woken:
+			return nil
+		default:
+		}
+		if c.In.Buffered() > 0 { // the next request came early; there is nothing to learn from Read now
+			<-c.woken
+			return nil
+		}
+		if _, err := c.In.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+}
+
+// Wake ends Wait.
+func (c *client) Wake() {
+	select {
+	case c.woken <- struct{}{}:
+	default:
+	}
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// rest marks the connection as between two requests, begin as in one; begin returns false where the
+// connection was closed meanwhile.
+func (s *Server) rest(c *client) {
+	s.mu.Lock()
+	c.idle, c.since = true, time.Now()
+	s.mu.Unlock()
+}
+
+func (s *Server) begin(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := c.idle
+	c.idle = false
+	return was
+}
+
+func (s *Server) serve(c *client) {
+	for s.request(c) {
+		s.rest(c)
+	}
+}
+
+// request serves one request; false means that the connection is closed.
+func (s *Server) request(c *client) (again bool) {
+	c.SetReadDeadline(time.Now().Add(idleLimit))
+	_, err := c.In.Peek(1)
+	if !s.begin(c) {
+		return false
+	}
+	defer func() {
+		if !again {
+			s.mu.Lock()
+			delete(s.clients, c)
+			s.mu.Unlock()
+			c.Close()
+			s.budget.Give()
+		}
+	}()
+	if err != nil {
+		return false // nothing came
+	}
+	arrived := time.Now()
+	c.SetReadDeadline(arrived.Add(readLimit))
+	q, err := http1.ReadRequest(c.In)
+	if err != nil {
+		s.reject(c, err)
+		return false
+	}
+	answer := s.answer(c, q, arrived)
+	if answer == nil {
+		return false
+	}
+	answer.Close = q.Close || s.draining.Load()
+	return s.write(c, answer) == nil && !answer.Close
+}
+
+func (s *Server) write(c *client, a *http1.Response) error {
+	c.SetWriteDeadline(time.Now().Add(writeLimit))
+	if err := a.Write(c.Out); err != nil {
+		return err
+	}
+	return c.Flush()
+}
+
+// reject answers what is no whole request, as far as there is somebody to answer.
+func (s *Server) reject(c *client, err error) {
+	status := 0
+	var m *http1.Malformed
+	switch {
+	case errors.As(err, &m):
+		status = m.Status
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = 408
+	default:
+		return
+	}
+	s.count.Invalid.Add()
+	s.log.Warn("request rejected", "status", status, "err", err)
+	if s.write(c, plain(status, err.Error(), true)) != nil {
+		return
+	}
+	// A close with unread bytes is a reset, which could overtake the answer.
+	if t, ok := c.Conn.Conn.(*net.TCPConn); ok {
+		t.CloseWrite()
+		c.SetReadDeadline(time.Now().Add(lingering))
+		io.CopyN(io.Discard, t, http1.MaxBody)
+	}
+}
+
+func plain(status int, text string, ends bool) *http1.Response {
+	return &http1.Response{Status: status, Body: []byte(text + "\n"), Close: ends,
+		Header: http1.Header{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}}}
+}
+
+// answer finds a request's final answer; nil where its client is gone.
+func (s *Server) answer(c *client, q *http1.Request, arrived time.Time) *http1.Response {
+	if path, _, _ := bytes.Cut([]byte(q.Target), []byte("?")); string(path) == readyPath {
+		if s.draining.Load() {
+			return plain(503, "ending", true)
+		}
+		return plain(200, "ready", false)
+	}
+	r, status, reason := s.parse(q, arrived)
+	if status != 0 {
+		s.count.Invalid.Add()
+		s.log.Warn("request rejected", "status", status, "err", reason, "id", q.Header.Get("X-Request-ID"))
+		return plain(status, reason, false)
+	}
+	s.count.Taken.Add()
+	return s.run(c, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body,
+		Header: q.Header.EndToEnd("X-Timeout")})
+}
+
+// try is one attempt with what came of it. Report orders the writing before the reading.
+type try struct {
+	upstream.Attempt
+	out upstream.Outcome
+}
+
+// run does what the decisions say until they end the request.
+func (s *Server) run(c *client, r decide.Request, message *http1.Request) *http1.Response {
+	select {
+	case <-c.woken: // left over from the request before
+	default:
+	}
+	call := s.decider.Open(r, c)
+	var tries []*try
+	for {
+		switch step := s.decider.Pick(call); step.Kind {
+		case decide.Send:
+			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, Until: step.Until}}
+			t.Done = func(out upstream.Outcome) {
+				t.out = out
+				s.decider.Report(call, step.Attempt, out.Result, out.Load)
+			}
+			tries = append(tries, t)
+			s.pool.Start(&t.Attempt)
+		case decide.Cancel:
+			tries[step.Attempt].Cancel()
+		case decide.Answer:
+			s.count.Served.Add()
+			a := tries[step.Attempt].out.Answer
+			return &http1.Response{Status: 200, Body: a.Body, Header: a.Header.EndToEnd("X-Server-Load")}
+		case decide.Refuse:
+			s.count.Refused.Add()
+			a := plain(503, "refused", false)
+			if step.Wait > 0 {
+				wait := strconv.FormatFloat(step.Wait.Seconds(), 'f', 3, 64)
+				a.Header = append(a.Header, http1.Field{Name: "Retry-After", Value: wait})
+			}
+			return a
+		case decide.Fail:
+			s.count.Failed.Add()
+			if n := len(tries); n > 0 && tries[n-1].out.Result == decide.TimedOut {
+				return plain(504, "no answer in time", false)
+			}
+			return plain(502, "failed", false)
+		case decide.Gone:
+			s.count.Gone.Add()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/request.go
@@ -0,0 +1,63 @@
+package ingress
+
+import (
+	"hash/fnv"
+	"io"
+	"math"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+)
+
+// longest bounds a request's time: whoever waits longer than this has no deadline at all.
+const longest = time.Hour
+
+// parse reads what the decisions need to know of a request. A status other than 0 says what is wrong.
+func (s *Server) parse(q *http1.Request, arrived time.Time) (r decide.Request, status int, reason string) {
+	if q.Method != "GET" && q.Method != "POST" {
+		return r, 405, "method is neither GET nor POST"
+	}
+	if q.Header.Get("X-Request-ID") == "" {
+		return r, 400, "no X-Request-ID"
+	}
+	var ok bool
+	if r.Class, ok = s.classes[q.Header.Get("X-Priority-Class")]; !ok {
+		return r, 400, "X-Priority-Class names no class"
+	}
+	if r.Tenant, ok = s.tenants[q.Header.Get("X-Tenant-Id")]; !ok && len(s.tenants) > 0 {
+		return r, 400, "X-Tenant-Id names no tenant"
+	}
+	wait, err := strconv.ParseFloat(q.Header.Get("X-Timeout"), 64)
+	if err != nil || !(wait > 0) || math.IsInf(wait, 0) {
+		return r, 400, "X-Timeout is no time"
+	}
+	r.Deadline = arrived.Add(time.Duration(min(wait, longest.Seconds()) * float64(time.Second)))
+	r.Repeat = q.Header.Get("X-Retried") == "1"
+	r.Key, r.HasKey = key(q.Target)
+	return r, 0, ""
+}
+
+// key finds what a request concerns. Keys are 16 hex digits; any other word is a key too, by its hash.
+func key(target string) (uint64, bool) {
+	_, query, _ := strings.Cut(target, "?")
+	for pair := range strings.SplitSeq(query, "&") {
+		name, value, _ := strings.Cut(pair, "=")
+		if name != "key" || value == "" {
+			continue
+		}
+		if k, err := strconv.ParseUint(value, 16, 64); err == nil {
+			return k, true
+		}
+		if plain, err := url.QueryUnescape(value); err == nil {
+			value = plain
+		}
+		h := fnv.New64a()
+		io.WriteString(h, value)
+		return h.Sum64(), true
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/ring/ring.go
@@ -0,0 +1,146 @@
+// Package ring holds the fixed buffers of a connection: one ring for each direction, and bufio on top
+// of them. A connection's memory is set when it opens and never grows.
+package ring
+
+import (
+	"bufio"
+	"io"
+	"net"
+)
+
+// Size is the room of one ring in bytes; it also bounds a header line, which bufio must hold whole.
+const Size = 4096
+
+// Buffer is a ring of bytes. The zero value has no room; use New.
+type Buffer struct {
+	room  []byte
+	start int // of the oldest byte
+	held  int
+}
+
+// New returns an empty Buffer with room for size bytes.
+func New(size int) *Buffer { return &Buffer{room: make([]byte, size)} }
+
+// Len is the number of bytes held.
+func (b *Buffer) Len() int { return b.held }
+
+// Free is the number of bytes that still fit.
+func (b *Buffer) Free() int { return len(b.room) - b.held }
+
+// Put copies in what fits of p and returns how much that was.
+func (b *Buffer) Put(p []byte) int {
+	n := 0
+	for n < len(p) && b.Free() > 0 {
+		c := copy(b.gap(), p[n:])
+		b.held += c
+		n += c
+	}
+	return n
+}
+
+// Take moves out up to len(p) bytes, the oldest first, and returns how many.
+func (b *Buffer) Take(p []byte) int {
+	n := 0
+	for n < len(p) && b.held > 0 {
+		c := copy(p[n:], b.run())
+		b.drop(c)
+		n += c
+	}
+	return n
+}
+
+// Fill reads once from r into the free room.
+func (b *Buffer) Fill(r io.Reader) (int, error) {
+	n, err := r.Read(b.gap())
+	b.held += n
+	return n, err
+}
+
+// Drain writes all that is held to w. What w did not take stays.
+func (b *Buffer) Drain(w io.Writer) error {
+	for b.held > 0 {
+		n, err := w.Write(b.run())
+		b.drop(n)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// run is the oldest bytes as far as they lie in one piece, gap the free room likewise.
+func (b *Buffer) run() []byte { return b.room[b.start:min(b.start+b.held, len(b.room))] }
+
+func (b *Buffer) gap() []byte {
+	end := b.start + b.held
+	if end >= len(b.room) {
+		end -= len(b.room)
+		return b.room[end:b.start]
+	}
+	return b.room[end:]
+}
+
+func (b *Buffer) drop(n int) {
+	b.held -= n
+	b.start = (b.start + n) % len(b.room)
+	if b.held == 0 {
+		b.start = 0 // whole again: the next Fill gets all the room in one piece
+	}
+}
+
+type source struct {
+	ring *Buffer
+	conn net.Conn
+}
+
+func (s source) Read(p []byte) (int, error) {
+	if s.ring.Len() == 0 {
+		if n, err := s.ring.Fill(s.conn); n == 0 {
+			return 0, err
+		}
+	}
+	return s.ring.Take(p), nil
+}
+
+type sink struct {
+	ring *Buffer
+	conn net.Conn
+}
+
+func (s sink) Write(p []byte) (int, error) {
+	n := s.ring.Put(p)
+	for n < len(p) {
+		if err := s.ring.Drain(s.conn); err != nil {
+			return n, err
+		}
+		n += s.ring.Put(p[n:])
+	}
+	return n, nil
+}
+
+// Conn is a network connection that is read and written through its two rings.
+type Conn struct {
+	net.Conn
+	In  *bufio.Reader
+	Out *bufio.Writer
+	out *Buffer
+}
+
+// NewConn lays rings and bufio around c.
+func NewConn(c net.Conn) *Conn {
+	out := New(Size)
+	return &Conn{
+		Conn: c, out: out,
+		In:  bufio.NewReaderSize(source{New(Size), c}, Size),
+		Out: bufio.NewWriterSize(sink{out, c}, Size/4),
+	}
+}
+
+// Flush hands everything written so far to the system. After an error the last byte of what was
+// written since the previous Flush has not left this process.
+func (c *Conn) Flush() error {
+	if err := c.Out.Flush(); err != nil {
+		return err
+	}
+	return c.out.Drain(c.Conn)
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,391 @@
+// Package upstream carries attempts and probes to zone servers. Each connection has a goroutine, which
+// dials it, runs one exchange after the other on it, and while it is idle sits in Read, so that it
+// hears when the other side closes.
+package upstream
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/ring"
+	"cresshub/internal/sockets"
+)
+
+// Directory knows where servers are. A server that drains or is gone has no address.
+type Directory interface {
+	Address(decide.ServerID) (string, bool)
+}
+
+// Limits are the pool's figures.
+type Limits struct {
+	Dial   time.Duration // a connection that does not stand by then is given up
+	Reuse  time.Duration // a connection idle for longer takes no new exchange
+	Probe  time.Duration // a probe is waited for so long
+	Report []string      // the values of a load report, in the order to hand them on, by their settings' names
+}
+
+// Pool holds the connections to all zone servers.
+type Pool struct {
+	dir    Directory
+	limits Limits
+	budget *sockets.Budget
+	count  *counters.Set
+	report reportForm
+
+	mu   sync.Mutex
+	idle map[decide.ServerID][]*conn // the last used at the end
+}
+
+// New returns a pool without connections.
+func New(dir Directory, limits Limits, budget *sockets.Budget, count *counters.Set) *Pool {
+	p := &Pool{
+		dir: dir, limits: limits, budget: budget, count: count, report: newReportForm(limits.Report),
+		idle: map[decide.ServerID][]*conn{},
+	}
+	budget.OnShort(p.closeOne)
+	return p
+}
+
+// Outcome is how an exchange ended.
+type Outcome struct {
+	Result decide.Result
+	Answer *http1.Response // of a Served one
+	Load   []float64       // nil where no load report came
+}
+
+// Attempt is one try of a request at one server.
+type Attempt struct {
+	Server  decide.ServerID
+	Request *http1.Request // without X-Timeout
+	Until   time.Time      // it is given up then
+	Done    func(Outcome)  // called once, from another goroutine
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	probe  bool
+}
+
+// Start sets the attempt going and returns.
+func (p *Pool) Start(a *Attempt) {
+	done := a.Done
+	a.Done = func(o Outcome) {
+		a.cancel()
+		p.count.Sent.Add(int(o.Result))
+		done(o)
+	}
+	p.start(a)
+}
+
+// Cancel gives the attempt up, if it is still out: its connection is closed.
+func (a *Attempt) Cancel() { a.cancel() }
+
+// Probe asks a server for its load and returns; done is called once, from another goroutine.
+func (p *Pool) Probe(s decide.ServerID, done func(res decide.Result, took time.Duration, load []float64)) {
+	began := time.Now()
+	a := &Attempt{Server: s, probe: true, Until: began.Add(p.limits.Probe)}
+	a.Done = func(o Outcome) {
+		a.cancel()
+		p.count.Probed.Add(int(o.Result))
+		done(o.Result, time.Since(began), o.Load)
+	}
+	p.start(a)
+}
+
+func (p *Pool) start(a *Attempt) {
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	address, ok := p.dir.Address(a.Server)
+	if !ok {
+		go a.Done(Outcome{Result: decide.TurnedAway})
+		return
+	}
+	if p.handIdle(a, address) {
+		p.count.Reused.Add()
+		return
+	}
+	go (&conn{pool: p, server: a.Server, address: address}).run(a)
+}
+
+// handIdle hands the attempt to the connection used last, so that those not needed grow old and close.
+// One that is near the time when its server closes it is no longer used: a request written into a
+// closing connection may or may not have run.
+func (p *Pool) handIdle(a *Attempt, address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[a.Server]
+	if len(list) == 0 {
+		return false
+	}
+	c := list[len(list)-1]
+	if c.address != address || time.Since(c.since) > p.limits.Reuse {
+		return false // the rest is older still; each closes itself when its time comes
+	}
+	p.idle[a.Server] = list[:len(list)-1]
+	c.next = a
+	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes its goroutine
+	return true
+}
+
+// park lists c as idle.
+func (p *Pool) park(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.since = time.Now()
+	p.idle[c.server] = append(p.idle[c.server], c)
+}
+
+// unlist takes c off the idle ones, if it is among them.
+func (p *Pool) unlist(c *conn) {
+	list := p.idle[c.server]
+	if i := slices.Index(list, c); i >= 0 {
+		p.idle[c.server] = slices.Delete(list, i, i+1)
+	}
+}
+
+// closeOne closes the connection that has been idle longest and gives its place back.
+func (p *Pool) closeOne() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.unlist(oldest)
+	oldest.close()
+	return true
+}
+
+// Sweep closes the idle connections of servers that have left or moved.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for s, list := range p.idle {
+		if address, ok := p.dir.Address(s); ok && (len(list) == 0 || list[0].address == address) {
+			continue
+		}
+		delete(p.idle, s)
+		for _, c := range list {
+			c.close()
+		}
+	}
+}
+
+// conn is one connection to a server. The pool's lock guards since and next.
+type conn struct {
+	pool    *Pool
+	server  decide.ServerID
+	address string
+	nc      *ring.Conn
+	ended   sync.Once
+
+	since time.Time // idle from then on
+	next  *Attempt  // handed over while idle
+}
+
+func (c *conn) close() {
+	c.ended.Do(func() {
+		c.nc.Close()
+		c.pool.budget.Give()
+	})
+}
+
+// run is the connection's goroutine; first is what it is opened for.
+func (c *conn) run(first *Attempt) {
+	if res, ok := c.dial(first); !ok {
+		first.Done(Outcome{Result: res})
+		return
+	}
+	defer c.close()
+	for a := first; ; {
+		out, again := c.exchange(a)
+		if !again {
+			c.close()
+			a.Done(out)
+			return
+		}
+		c.pool.park(c)
+		a.Done(out)
+		var usable bool
+		if a, usable = c.wait(); a == nil {
+			return
+		}
+		if !usable {
+			// It closed just as it was handed over. Not a byte of the attempt was written, so this is
+			// still its first sending.
+			c.close()
+			(&conn{pool: c.pool, server: c.server, address: c.address}).run(a)
+			return
+		}
+	}
+}
+
+// wait sits in Read until the next attempt is handed over. It returns nil where the connection has
+// closed or grown too old, and usable false where it closed but was handed over all the same.
+func (c *conn) wait() (a *Attempt, usable bool) {
+	p := c.pool
+	p.mu.Lock()
+	if c.next == nil {
+		c.nc.SetReadDeadline(c.since.Add(p.limits.Reuse))
+	}
+	p.mu.Unlock()
+	_, err := c.nc.In.Peek(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, c.next = c.next, nil
+	p.unlist(c)
+	return a, errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+var dialer = net.Dialer{KeepAlive: -1} // every exchange has a deadline of its own
+
+// dial opens the connection; where that fails the attempt provably never ran.
+func (c *conn) dial(a *Attempt) (decide.Result, bool) {
+	if !c.pool.budget.Outward() {
+		return decide.NotSent, false
+	}
+	until := time.Now().Add(c.pool.limits.Dial)
+	cut := a.Until.Before(until)
+	if cut {
+		until = a.Until
+	}
+	ctx, cancel := context.WithDeadline(a.ctx, until)
+	defer cancel()
+	nc, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err == nil {
+		c.nc = ring.NewConn(nc)
+		c.pool.count.Opened.Add()
+		return 0, true
+	}
+	c.pool.budget.Give()
+	switch {
+	case a.ctx.Err() != nil:
+		return decide.Withdrawn, false
+	case cut && ctx.Err() != nil:
+		return decide.NotSent, false // its own time was over before the server's
+	}
+	return decide.NoConnection, false
+}
+
+// exchange sends one request and reads its answer. again tells whether the connection may be used again.
+func (c *conn) exchange(a *Attempt) (out Outcome, again bool) {
+	// The list may have changed while the attempt was dialling or waiting: a drain binds from the first
+	// byte on.
+	address, listed := c.pool.dir.Address(a.Server)
+	switch {
+	case a.ctx.Err() != nil:
+		return Outcome{Result: decide.Withdrawn}, true
+	case !listed || address != c.address:
+		return Outcome{Result: decide.TurnedAway}, false
+	case !time.Now().Before(a.Until):
+		return Outcome{Result: decide.NotSent}, true
+	}
+	stop := context.AfterFunc(a.ctx, func() { c.nc.Close() })
+	c.nc.SetDeadline(a.Until)
+	err := a.message().Write(c.nc.Out)
+	if err == nil {
+		err = c.nc.Flush()
+	}
+	if err != nil { // the last byte was not written: it never ran
+		stop()
+		return Outcome{Result: a.ended(decide.NoConnection)}, false
+	}
+	answer, err := http1.ReadResponse(c.nc.In)
+	whole := stop()
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Outcome{Result: decide.TimedOut}, false
+	case err != nil: // malformed answers too: the request was read, and what became of it is not known
+		return Outcome{Result: a.ended(decide.Broken)}, false
+	}
+	out = Outcome{Result: classify(answer), Answer: answer, Load: c.pool.report.read(answer, a.probe)}
+	return out, whole && !answer.Close && c.nc.In.Buffered() == 0
+}
+
+// message is the attempt's request as it is sent now.
+func (a *Attempt) message() *http1.Request {
+	if a.probe {
+		return &http1.Request{Method: "GET", Target: "/stats", Header: http1.Header{{Name: "Host", Value: "probe"}}}
+	}
+	q := *a.Request
+	left := strconv.FormatFloat(time.Until(a.Until).Seconds(), 'f', 3, 64)
+	q.Header = append(slices.Clip(q.Header), http1.Field{Name: "X-Timeout", Value: left})
+	return &q
+}
+
+// ended is how the attempt ended whose connection broke: given up by us, or as told.
+func (a *Attempt) ended(broke decide.Result) decide.Result {
+	if a.ctx.Err() != nil {
+		return decide.Withdrawn
+	}
+	return broke
+}
+
+func classify(a *http1.Response) decide.Result {
+	switch {
+	case a.Status == 200:
+		return decide.Served
+	case (a.Status == 503 || a.Status == 504) && a.Header.Get("X-Not-Processed") == "1":
+		return decide.TurnedAway
+	}
+	return decide.ErrorAnswer
+}
+
+// reportForm finds the values of a load report, which names them in words of its own.
+type reportForm []string
+
+// loadWords are the words of a load report for those of the settings.
+var loadWords = map[string]string{
+	"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps",
+	"err_rps": "eps",
+}
+
+func newReportForm(names []string) reportForm {
+	var f reportForm
+	for _, n := range names {
+		f = append(f, cmp.Or(loadWords[n], n))
+	}
+	return f
+}
+
+// read returns the report's values in the order of the settings, or nil where one is missing or no
+// number. A probe's answer has it as its body, any other in a header.
+func (f reportForm) read(a *http1.Response, probe bool) []float64 {
+	text := a.Header.Get("X-Server-Load")
+	if probe && text == "" {
+		text = string(a.Body)
+	}
+	if text == "" || len(f) == 0 {
+		return nil
+	}
+	row, found := make([]float64, len(f)), 0
+	for part := range strings.SplitSeq(strings.TrimSpace(text), ",") {
+		name, value, _ := strings.Cut(part, "=")
+		i := slices.Index(f, strings.TrimSpace(name))
+		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if i < 0 || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+			continue
+		}
+		row[i] = v
+		found |= 1 << i
+	}
+	if found != 1<<len(f)-1 {
+		return nil
+	}
+	return row
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math"
@@ -331,11 +332,10 @@
 	case "salt":
 		ev.Settings.Seed, err = seed(j)
 	case "facts":
-		s := ev.Settings.Seed
-		ev.Settings, err = settings(j)
-		if s != 0 {
-			ev.Settings.Seed = s
-		}
+		var s Settings
+		s, err = settings(j)
+		s.Seed = cmp.Or(ev.Settings.Seed, s.Seed)
+		ev.Settings = s.Settings
 	default:
 		return false, nil
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-faster/jx"
@@ -35,6 +37,17 @@
 func whole(to *int) reader        { return into(to, count) }
 func truth(to *bool) reader       { return into(to, (*jx.Decoder).Bool) }
 func ms(to *time.Duration) reader { return into(to, millis) }
+func text(to *string) reader      { return into(to, (*jx.Decoder).Str) }
+
+// listed appends one word of a list.
+func listed(to *[]string) reader {
+	return func(j *jx.Decoder) error {
+		w, err := j.Str()
+		*to = append(*to, w)
+		return err
+	}
+}
+
 func is(to *bool, w string) reader {
 	return into(to, func(j *jx.Decoder) (bool, error) { return equals(j, w) })
 }
@@ -55,8 +68,29 @@
 	})
 }
 
-func settings(j *jx.Decoder) (balance.Settings, error) {
-	s := balance.Settings{MaxAttempts: 1}
+// Settings are all that the settings tell: what the balancer reads of them, and the names and figures
+// that a program on real sockets needs beside.
+type Settings struct {
+	balance.Settings
+	ClassNames  []string
+	TenantNames []string
+	ZoneNames   []string
+	KindNames   []string
+	ReportNames []string      // the words for Report
+	IdleClose   time.Duration // servers close a connection that has been idle for so long
+}
+
+// ReadSettings reads the object of the settings.
+func ReadSettings(raw []byte) (Settings, error) {
+	s, err := settings(jx.DecodeBytes(raw))
+	if err != nil {
+		return s, errors.New(strings.ReplaceAll(err.Error(), "callback: ", ""))
+	}
+	return s, nil
+}
+
+func settings(j *jx.Decoder) (Settings, error) {
+	s := Settings{Settings: balance.Settings{MaxAttempts: 1}}
 	source := ""
 	nested := func(by map[string]reader) reader {
 		return func(j *jx.Decoder) error { return object(j, by) }
@@ -69,14 +103,19 @@
 		"tick-ms": ms(&s.Tick), "over-share-worth": float(&s.OverShareWorth),
 		"counted-by": is(&s.WorthByWork, "work"), "registry-mode": is(&s.MustFollow, "on_request"),
 		"grades": array(func(j *jx.Decoder) error {
-			c, err := class(j)
+			c, name, err := class(j)
 			s.Classes = append(s.Classes, c)
+			s.ClassNames = append(s.ClassNames, name)
 			return err
 		}),
 		"tenants": array(func(j *jx.Decoder) error {
 			var t balance.Tenant
-			err := object(j, map[string]reader{"quota-per-s": float(&t.QuotaPerSec), "portion": float(&t.Share)})
+			var name string
+			err := object(j, map[string]reader{
+				"quota-per-s": float(&t.QuotaPerSec), "portion": float(&t.Share), "name": text(&name),
+			})
 			s.Tenants = append(s.Tenants, t)
+			s.TenantNames = append(s.TenantNames, name)
 			return err
 		}),
 		"deductions": nested(map[string]reader{
@@ -84,6 +123,8 @@
 			"peer": float(&s.Prices.Peer), "waste": float(&s.Prices.Waste),
 			"late-fail": float(&s.Prices.LateFail),
 		}),
+		"azs":   array(listed(&s.ZoneNames)),
+		"kinds": array(listed(&s.KindNames)),
 		"extra": nested(map[string]reader{"warm-keys": truth(&s.WarmKeys)}),
 		"invariants": nested(map[string]reader{
 			"answer-slack-ms": ms(&s.AnswerSlack), "ask-within-ms": ms(&s.AskWithin),
@@ -101,6 +142,7 @@
 			"fields": array(func(j *jx.Decoder) error {
 				b, err := j.StrBytes()
 				s.Report = append(s.Report, fields[string(b)])
+				s.ReportNames = append(s.ReportNames, string(b))
 				return err
 			}),
 			"source": into(&source, (*jx.Decoder).Str),
@@ -113,14 +155,13 @@
 	return s, err
 }
 
-func class(j *jx.Decoder) (balance.Class, error) {
-	var c balance.Class
-	err := object(j, map[string]reader{
+func class(j *jx.Decoder) (c balance.Class, name string, err error) {
+	err = object(j, map[string]reader{
 		"aim-ms": ms(&c.Aim), "aim-stretch": float(&c.AimStretch), "deadline-ms": ms(&c.Deadline),
 		"late-worth": float(&c.LateWorth), "value": float(&c.Worth), "window-ms": ms(&c.Window),
-		"stream": truth(&c.Stream),
+		"stream": truth(&c.Stream), "name": text(&name),
 		"effect": into(&c.Effect, func(j *jx.Decoder) (balance.Effect, error) { return word(j, effects) }),
 		"group":  into(&c.Group, func(j *jx.Decoder) (balance.Group, error) { return word(j, groups) }),
 	})
-	return c, err
+	return c, name, err
 }
