Read load reports in the settings' words; a probe's 503 is no ill health

Probe answers did not: servers say active=..,waiting=..,cpu=.., the words of the settings, where the protocol shows inflight, queue and util. Ruled out: CPU (4% of a core), key parsing, zones and kinds, ids.

At fault: newReportForm in internal/upstream mapped the settings' words to the protocol's and knew only those, so every report was dropped and the decisions were blind. Both are read now, and a counter tells probes without a report. Also: a probe's bare 503 (too many at once) counted as an error, three of which eject a server; it is a turning away. And a test of the configuration showed that idle-close-ms was not read, so connections were kept for only 1 s.

--- /dev/null
+++ b/cmd/cresshub/main_test.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// The test binary is also the program, so that tests speak to a process of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("EDGE_CONFIG") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"azs":["kita"],"kinds":["m2"],"balancers":2,"tick-ms":5,"registry-mode":"on_request",
+"grades":[{"name":"lookup","aim-ms":600,"deadline-ms":1500,"effect":"idempotent","value":2},
+{"name":"assign","aim-ms":500,"deadline-ms":2000,"effect":"at_most_once","value":8}],
+"tenants":[{"name":"acme","portion":1,"quota-per-s":100}],
+"invariants":{"ask-within-ms":200,"stop-sending-within-ms":1500,"answer-slack-ms":50},
+"limits":{"cancel":true,"dial-timeout-ms":250,"idle-close-ms":5000,"max-attempts":3,"probes":true,
+"retry-after":true,"max-retry-after-ms":1000,"may-duplicate":true},
+"report":{"fields":["active","waiting","cpu"],"source":"probe"}}`
+
+type process struct {
+	cmd     *exec.Cmd
+	address string
+	log     *bufio.Scanner
+}
+
+// start runs the program with a configuration and waits until it is ready.
+func start(t *testing.T, discovery, known string, sockets int) *process {
+	t.Helper()
+	p := launch(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",`+
+		`"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":%s,"settings":%s}`,
+		discovery, sockets, known, settings))
+	line := p.expect(t, "msg=ready")
+	_, p.address, _ = strings.Cut(line, "listen=")
+	return p
+}
+
+func launch(t *testing.T, config string) *process {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{cmd: exec.Command(os.Args[0])}
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	out, err := p.cmd.StderrPipe()
+	if err == nil {
+		err = p.cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.log = bufio.NewScanner(out)
+	t.Cleanup(func() {
+		p.cmd.Process.Kill()
+		p.cmd.Wait()
+	})
+	return p
+}
+
+// expect reads the log up to a line that holds word.
+func (p *process) expect(t *testing.T, word string) string {
+	t.Helper()
+	for p.log.Scan() {
+		if strings.Contains(p.log.Text(), word) {
+			return p.log.Text()
+		}
+	}
+	t.Fatalf("the log ended without %q", word)
+	return ""
+}
+
+func known(status string, parties ...*nettest.Party) string {
+	list := map[string]string{}
+	for i, p := range parties {
+		list[fmt.Sprintf("s-%d", i)] = p.Address
+	}
+	return nettest.List(true, status, list)
+}
+
+func TestPassesRequestAndAnswerUnchanged(t *testing.T) {
+	zone := nettest.Serve(t, nettest.Zone(func(q *http1.Request) *http1.Response {
+		return nettest.OK("for " + string(q.Body))
+	}))
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", zone), 200)
+	c := nettest.Dial(t, p.address)
+	if a := nettest.Ask(t, c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"); a.Status != 200 {
+		t.Fatalf("not ready: %d", a.Status)
+	}
+	text := nettest.Request("POST", "assign", "id-1", 2*time.Second)
+	text = strings.Replace(text, "\r\n\r\n", "\r\nContent-Length: 5\r\n\r\nrider", 1)
+	a := nettest.Ask(t, c, text)
+	got := zone.Got("/api")
+	if a.Status != 200 || string(a.Body) != "for rider" || len(got) != 1 {
+		t.Fatalf("answer %d %q after %d attempts", a.Status, a.Body, len(got))
+	}
+	q := got[0]
+	passed := fmt.Sprint(q.Method, " ", q.Target, " ", q.Header.Get("X-Request-ID"), " ", string(q.Body))
+	if diff := cmp.Diff("POST /api?key=7f3a9c21e0b4d655 id-1 rider", passed); diff != "" {
+		t.Error(diff)
+	}
+	if q.Header.Get("X-Timeout") == "" {
+		t.Error("the server is not told how long we wait")
+	}
+}
+
+// Rules 1 and 2: one answer before the client gives up, and nothing unsafe sent twice where it may have
+// run.
+func TestAnswersAndRepeats(t *testing.T) {
+	notRun := &http1.Response{Status: 503, Header: http1.Header{{Name: "X-Not-Processed", Value: "1"}}}
+	for _, c := range []struct {
+		name, method, class string
+		first               *http1.Response // what the first attempt meets
+		status, attempts    int
+	}{
+		{"unsafe, may have run", "POST", "assign", nettest.Break, 502, 1},
+		{"unsafe, silent", "POST", "assign", nettest.Silence, 504, 1},
+		{"unsafe, error", "POST", "assign", &http1.Response{Status: 500}, 502, 1},
+		{"unsafe, 503 without a word on it", "POST", "assign", &http1.Response{Status: 503}, 502, 1},
+		{"unsafe, never ran", "POST", "assign", notRun, 200, 2},
+		{"safe, may have run", "GET", "lookup", nettest.Break, 200, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			first := make(chan bool, 1)
+			first <- true
+			work := nettest.Zone(func(*http1.Request) *http1.Response {
+				select {
+				case <-first:
+					return c.first
+				default:
+					return nettest.OK("done")
+				}
+			})
+			x, y := nettest.Serve(t, work), nettest.Serve(t, work)
+			p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x, y), 200)
+			began := time.Now()
+			a := nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request(c.method, c.class, "id", 5*time.Second))
+			attempts := len(x.Got("/api")) + len(y.Got("/api"))
+			if a.Status != c.status || attempts != c.attempts || time.Since(began) > 5*time.Second {
+				t.Errorf("status %d after %d attempts and %v; want %d after %d", a.Status, attempts,
+					time.Since(began), c.status, c.attempts)
+			}
+		})
+	}
+}
+
+// Rule 3: nothing new goes to a server once its drain was read.
+func TestDrainIsObeyed(t *testing.T) {
+	work := nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") })
+	x, y := nettest.Serve(t, work), nettest.Serve(t, work)
+	list := nettest.NewDiscovery(t)
+	p := start(t, list.Address, known("in_service", x), 200)
+	c := nettest.Dial(t, p.address)
+	nettest.Ask(t, c, nettest.Request("GET", "lookup", "id", 5*time.Second))
+	if len(x.Got("/api")) != 1 {
+		t.Fatal("the only server got nothing")
+	}
+	list.Send(t, nettest.List(false, "terminating", map[string]string{"s-0": x.Address}))
+	list.Send(t, nettest.List(false, "in_service", map[string]string{"s-1": y.Address}))
+	list.Send(t, "") // taken only once the line before was read
+	for i := range 20 {
+		a := nettest.Ask(t, c, nettest.Request("GET", "lookup", fmt.Sprint("id", i), 5*time.Second))
+		if a.Status != 200 {
+			t.Fatalf("status %d", a.Status)
+		}
+	}
+	if x, y := len(x.Got("/api")), len(y.Got("/api")); x != 1 || y != 20 {
+		t.Errorf("%d to the one that drains, %d to the other", x-1, y)
+	}
+}
+
+func TestClientGoneEndsItsAttempt(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.Silence }))
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
+	c := nettest.Dial(t, p.address)
+	io.WriteString(c, nettest.Request("GET", "lookup", "id", time.Hour))
+	nettest.Until(t, "the attempt arrives", func() bool { return len(x.Got("/api")) == 1 })
+	c.Close()
+	select {
+	case <-x.Left:
+	case <-time.After(nettest.Patience):
+		t.Error("the attempt's connection stayed open")
+	}
+}
+
+func TestTermAnswersWhatIsOwed(t *testing.T) {
+	release := make(chan bool)
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response {
+		<-release
+		return nettest.OK("late")
+	}))
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
+	c := nettest.Dial(t, p.address)
+	io.WriteString(c, nettest.Request("POST", "assign", "id", time.Minute))
+	nettest.Until(t, "the attempt arrives", func() bool { return len(x.Got("/api")) == 1 })
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.expect(t, "msg=ending")
+	fresh := nettest.Ask(t, nettest.Dial(t, p.address), "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	close(release)
+	a, err := http1.ReadResponse(c.In)
+	if err != nil || a.Status != 200 || !a.Close || fresh.Status != 503 || !fresh.Close {
+		t.Errorf("owed: %+v, %v; a new connection: %+v", a, err, fresh)
+	}
+	p.expect(t, "taken=1 requests.served=1")
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCountersOnRequest(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") }))
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
+	nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request("GET", "lookup", "id", 5*time.Second))
+	p.cmd.Process.Signal(syscall.SIGUSR1)
+	line := p.expect(t, "msg=counters")
+	for _, want := range []string{"requests.served=1", "sent.served=1", "clients.accepted=1"} {
+		if !strings.Contains(line, want) {
+			t.Errorf("no %s in %s", want, line)
+		}
+	}
+}
+
+// More clients than the budget has places for are told so; those within it are served on.
+func TestSocketBudget(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.Silence }))
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 40) // 16 places, 12 for clients
+	var all []*ring.Conn
+	for i := range 12 {
+		c := nettest.Dial(t, p.address)
+		io.WriteString(c, nettest.Request("GET", "lookup", fmt.Sprint("id", i), time.Hour))
+		all = append(all, c)
+	}
+	nettest.Until(t, "attempts arrive", func() bool { return len(x.Got("/api")) > 0 })
+	a := nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request("GET", "lookup", "more", time.Hour))
+	if a.Status != 503 {
+		t.Errorf("status %d beyond the budget", a.Status)
+	}
+	for i, c := range all {
+		if a, err := http1.ReadResponse(c.In); err != nil || a.Status < 500 {
+			t.Errorf("client %d: %+v, %v", i, a, err)
+		}
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	p := start(t, nettest.NewDiscovery(t).Address, "null", 200)
+	good := nettest.Request("GET", "lookup", "id", time.Second)
+	for _, c := range []struct {
+		name, in string
+		status   int
+		closes   bool
+	}{
+		{"no HTTP", "hello\r\n\r\n", 400, true},
+		{"large body", strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 70000\r\n\r\n", 1), 413, true},
+		{"method", strings.Replace(good, "GET", "PUT", 1), 405, false},
+		{"class", strings.Replace(good, "lookup", "unheard-of", 1), 400, false},
+		{"tenant", strings.Replace(good, "acme", "unheard-of", 1), 400, false},
+		{"no id", strings.Replace(good, "X-Request-ID", "X-Other", 1), 400, false},
+		{"time", strings.Replace(good, "X-Timeout: 1", "X-Timeout: x1", 1), 400, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := nettest.Ask(t, nettest.Dial(t, p.address), c.in)
+			if a.Status != c.status || a.Close != c.closes {
+				t.Errorf("status %d, closes %v", a.Status, a.Close)
+			}
+		})
+	}
+}
+
+func TestBadConfigEndsWithOneMessage(t *testing.T) {
+	p := launch(t, `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":{"grades":7}}`)
+	line := p.expect(t, "cresshub: ")
+	if !strings.Contains(line, `"grades"`) || p.log.Scan() {
+		t.Errorf("%q, then %q", line, p.log.Text())
+	}
+	if err := p.cmd.Wait(); err == nil {
+		t.Error("exit 0")
+	}
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -19,6 +19,7 @@
 	Taken, Served, Refused, Failed, Gone, Invalid Counter // requests of clients
 	Accepted, TurnedAway                          Counter // connections of clients
 	Sent, Probed                                  Results // attempts and probes, by their end
+	Blind                                         Counter // probes served without a readable load report
 	Opened, Reused                                Counter // connections to zone servers
 	Lists, ListsFailed                            Counter // answers of discovery
 }
@@ -52,7 +53,7 @@
 		slog.Group("requests", num("taken", &s.Taken), num("served", &s.Served), num("refused", &s.Refused),
 			num("failed", &s.Failed), num("gone", &s.Gone), num("invalid", &s.Invalid)),
 		slog.Group("clients", num("accepted", &s.Accepted), num("turned_away", &s.TurnedAway)),
-		sent, probed,
+		sent, probed, num("probed_without_report", &s.Blind),
 		slog.Group("connections", num("opened", &s.Opened), num("reused", &s.Reused)),
 		slog.Group("lists", num("read", &s.Lists), num("failed", &s.ListsFailed)))
 }
--- /dev/null
+++ b/internal/decide/decide_test.go
@@ -0,0 +1,161 @@
+package decide
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/balance"
+)
+
+// party stands for the network and for a client.
+type party struct {
+	probes chan ServerID
+	follow chan bool
+	wake   chan bool
+	gone   chan bool
+}
+
+func (p *party) Probe(s ServerID) { p.probes <- s }
+func (p *party) Follow()          { p.follow <- true }
+func (p *party) Wake() {
+	select {
+	case p.wake <- true:
+	default:
+	}
+}
+
+func (p *party) Wait() error {
+	select {
+	case <-p.wake:
+		return nil
+	case <-p.gone:
+		return errors.New("gone")
+	}
+}
+
+func decider(t *testing.T, set func(*balance.Settings)) (*Decider, *party) {
+	s := balance.Settings{
+		Tick: 5 * time.Millisecond, MaxAttempts: 3, MayCancel: true, AskWithin: time.Millisecond, MustFollow: true,
+		Classes: []balance.Class{
+			{Aim: time.Hour, Deadline: time.Hour, Effect: balance.Idempotent, Worth: 1},
+			{Aim: time.Hour, Deadline: time.Hour, Effect: balance.AtMostOnce, Worth: 1},
+		},
+	}
+	if set != nil {
+		set(&s)
+	}
+	p := &party{make(chan ServerID, 9), make(chan bool, 9), make(chan bool, 1), make(chan bool, 1)}
+	d, err := New(s, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Cached([]Server{{ID: 7, Rating: 1}})
+	return d, p
+}
+
+func soon() Request { return Request{Class: 1, Deadline: time.Now().Add(time.Hour)} }
+
+func kinds(d *Decider, c *Call, n int) (got []StepKind) {
+	for range n {
+		got = append(got, d.Pick(c).Kind)
+	}
+	return got
+}
+
+func TestCall(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		class   int
+		results []Result
+		want    []StepKind
+	}{
+		{"served", 1, []Result{Served}, []StepKind{Send, Answer}},
+		{"unsafe and broken", 1, []Result{Broken}, []StepKind{Send, Fail}},
+		{"never ran, then served", 1, []Result{TurnedAway, Served}, []StepKind{Send, Send, Answer}},
+		{"safe and nothing sent", 0, []Result{NotSent}, []StepKind{Send, Refuse}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d, p := decider(t, nil)
+			q := soon()
+			q.Class = c.class
+			call := d.Open(q, p)
+			got := kinds(d, call, 1)
+			for i, res := range c.results {
+				d.Report(call, i, res, nil)
+				got = append(got, kinds(d, call, 1)...)
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Once the last step of a call is out its goroutine serves another request: no wake may reach that one.
+func TestNothingWakesAnEndedCall(t *testing.T) {
+	d, p := decider(t, nil)
+	call := d.Open(soon(), p)
+	d.Pick(call)
+	p.gone <- true
+	<-p.wake
+	if got := kinds(d, call, 2); !cmp.Equal(got, []StepKind{Cancel, Gone}) {
+		t.Fatal(got)
+	}
+	for len(p.wake) > 0 {
+		<-p.wake
+	}
+	d.Report(call, 0, Served, nil)
+	if len(p.wake) > 0 {
+		t.Error("woken after the end")
+	}
+}
+
+// A step that its goroutine never saw must not stay counted as out at its server.
+func TestGoneBeforeTheAttemptBegan(t *testing.T) {
+	d, p := decider(t, nil)
+	call := d.Open(soon(), p)
+	d.gone(call)
+	if got := kinds(d, call, 2); !cmp.Equal(got, []StepKind{Cancel, Gone}) {
+		t.Error(got)
+	}
+	if len(d.calls) != 0 {
+		t.Error("the call is still held")
+	}
+}
+
+func TestAttemptsEndBeforeTheDeadline(t *testing.T) {
+	d, p := decider(t, nil)
+	q := soon()
+	q.Deadline = time.Now().Add(time.Minute)
+	if s := d.Pick(d.Open(q, p)); !s.Until.Equal(q.Deadline.Add(-travel)) {
+		t.Errorf("waits until %v of %v", s.Until, q.Deadline)
+	}
+}
+
+// A server that started after this process, as Unix time tells, is cold, not one of long ago.
+func TestClockReadsAsUnixTime(t *testing.T) {
+	d, _ := decider(t, nil)
+	if off := time.Duration(time.Now().UnixNano()) - d.now(); off < -time.Minute || off > time.Minute {
+		t.Errorf("the clock is off by %v", off)
+	}
+}
+
+func TestTimersReachTheNetwork(t *testing.T) {
+	d, p := decider(t, func(s *balance.Settings) { s.MayProbe = true })
+	stop := make(chan struct{})
+	defer close(stop)
+	go d.Run(stop)
+	<-p.follow // the cached list is old: discovery is asked
+	call := d.Open(soon(), p)
+	if s := <-p.probes; s != 7 {
+		t.Fatalf("probe of %d", s)
+	}
+	if got := d.Pick(call).Kind; got != Send { // no probe ever comes back
+		t.Error(got)
+	}
+	d.ListFailed()
+	<-p.follow
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"strconv"
@@ -212,7 +213,7 @@
 		s := decide.Server{
 			ID: c.id(e.Name), Zone: place(&c.names.Zones, e.Zone), Kind: place(&c.names.Kinds, e.Type),
 			Cell: e.Group, State: states[e.Status], Rating: e.Weight,
-			Started: time.Duration(e.SinceMS * float64(time.Millisecond)),
+			Started: time.Duration(math.Round(e.SinceMS*1000)) * time.Microsecond,
 		}
 		list = append(list, s)
 		if delete(c.inService, s.ID); s.State == balance.Up {
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,125 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/balance"
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+	"cresshub/internal/sockets"
+)
+
+func client(address string) *Client {
+	return New(address, time.Second, Names{Zones: []string{"kita", "chuo"}, Kinds: []string{"m1", "m2"}},
+		sockets.NewBudget(100), &counters.Set{}, slog.New(slog.DiscardHandler))
+}
+
+func TestTake(t *testing.T) {
+	const line = `{"index":%d,"snapshot":%v,"endpoints":[{"name":%q,"address":"127.0.0.1:%d","zone":%q,` +
+		`"type":"m2","group":3,"status":%q,"weight":1.5,"since_ms":1700000000123}]}`
+	c := client("")
+	for _, step := range []struct {
+		in    string
+		want  decide.Server // but for its ID
+		alive string
+	}{
+		{fmt.Sprintf(line, 4, true, "a", 1, "chuo", "in_service"), decide.Server{Zone: 1, State: balance.Up}, "a"},
+		{fmt.Sprintf(line, 5, false, "b", 2, "elsewhere", "in_service"), decide.Server{Zone: 2}, "ab"},
+		{fmt.Sprintf(line, 6, false, "a", 1, "kita", "terminating"), decide.Server{State: balance.Draining}, "b"},
+		{fmt.Sprintf(line, 7, false, "b", 2, "kita", "terminated"), decide.Server{State: balance.Removed}, ""},
+		{fmt.Sprintf(line, 8, false, "a", 1, "kita", "in_service"), decide.Server{}, "a"},
+		{fmt.Sprintf(line, 2, true, "b", 2, "kita", "in_service"), decide.Server{}, "b"},
+	} {
+		_, list, err := c.take([]byte(step.in))
+		if err != nil || len(list) != 1 {
+			t.Fatal(list, err)
+		}
+		step.want.ID, step.want.Kind, step.want.Cell, step.want.Rating = list[0].ID, 1, 3, 1.5
+		step.want.Started = 1700000000123 * time.Millisecond
+		if diff := cmp.Diff(step.want, list[0]); diff != "" {
+			t.Error(diff)
+		}
+		alive := ""
+		for _, name := range []string{"a", "b"} {
+			if _, ok := c.Address(c.id(name)); ok {
+				alive += name
+			}
+		}
+		if alive != step.alive {
+			t.Errorf("in service %q after %s", alive, step.in)
+		}
+	}
+	for _, bad := range []string{`{`, `[]`, `{"endpoints":[{"name":"a","status":"asleep"}]}`,
+		`{"endpoints":[{"name":"","status":"in_service"}]}`,
+		`{"endpoints":[{"name":"a","status":"in_service","group":-1}]}`} {
+		if _, _, err := c.take([]byte(bad)); err == nil {
+			t.Errorf("took %s", bad)
+		}
+	}
+}
+
+// The decisions place keys by these numbers, so all client proxies must give a name the same one.
+func TestIDsAreTheSameEverywhere(t *testing.T) {
+	x, y := client(""), client("")
+	y.id("s-9")
+	if x.id("s-1") != y.id("s-1") || x.id("s-1") == x.id("s-2") {
+		t.Error("ids depend on what was seen before, or coincide")
+	}
+}
+
+type sink struct {
+	listed chan string
+	failed chan bool
+}
+
+func (s *sink) Listed(whole bool, list []decide.Server) { s.listed <- fmt.Sprint(whole, len(list)) }
+func (s *sink) ListFailed()                             { s.failed <- true }
+
+// A watch that ends, says nothing or answers badly is told as failed, and may be asked again.
+func TestWatch(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	answers := []string{
+		head + "1f\r\n{\"snapshot\":true,\"endpoints\":[]}", // says no more
+		head + "3\r\n{]\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+		"",
+		head + "21\r\n{\"snapshot\":true,\"endpoints\":[]}\n\n\r\n0\r\n\r\n",
+	}
+	next := make(chan string, len(answers))
+	for _, a := range answers {
+		next <- a
+	}
+	address := nettest.Listen(t, func(c *ring.Conn) {
+		a := <-next
+		io.WriteString(c, a)
+		if strings.HasSuffix(a, "}") {
+			io.Copy(io.Discard, c)
+		}
+	})
+	s := &sink{make(chan string, 1), make(chan bool)}
+	c := client(address)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx, s, func() {})
+	for i := range answers {
+		c.Follow()
+		select {
+		case <-s.failed:
+		case <-time.After(nettest.Patience):
+			t.Fatalf("answer %d: never told as failed", i)
+		}
+	}
+	if got := <-s.listed; got != "true 0" {
+		t.Errorf("listed %s", got)
+	}
+}
--- /dev/null
+++ b/internal/ingress/request_test.go
@@ -0,0 +1,66 @@
+package ingress
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+)
+
+func TestParse(t *testing.T) {
+	s := &Server{classes: positions([]string{"lookup", "assign"}), tenants: positions([]string{"x", "acme"})}
+	arrived := time.Unix(1000, 0)
+	head := func(id, class, tenant, timeout string) http1.Header {
+		return http1.Header{{Name: "x-request-id", Value: id}, {Name: "X-Priority-Class", Value: class},
+			{Name: "X-Tenant-Id", Value: tenant}, {Name: "X-Timeout", Value: timeout}}
+	}
+	in := func(after time.Duration) time.Time { return arrived.Add(after) }
+	for _, c := range []struct {
+		method, target string
+		header         http1.Header
+		want           decide.Request
+		status         int
+	}{
+		{"GET", "/api?key=1f", head("1", "lookup", "acme", "0.480"),
+			decide.Request{Tenant: 1, Key: 0x1f, HasKey: true, Deadline: in(480 * time.Millisecond)}, 0},
+		{"POST", "/api?other=2",
+			append(head("1", "assign", "x", "1e9"), http1.Field{Name: "X-Retried", Value: "1"}),
+			decide.Request{Class: 1, Deadline: in(longest), Repeat: true}, 0},
+		{"DELETE", "/", head("1", "lookup", "acme", "1"), decide.Request{}, 405},
+		{"GET", "/", head("", "lookup", "acme", "1"), decide.Request{}, 400},
+		{"GET", "/", head("1", "", "acme", "1"), decide.Request{}, 400},
+		{"GET", "/", head("1", "lookup", "", "1"), decide.Request{}, 400},
+		{"GET", "/", head("1", "lookup", "acme", ""), decide.Request{}, 400},
+		{"GET", "/", head("1", "lookup", "acme", "-1"), decide.Request{}, 400},
+		{"GET", "/", head("1", "lookup", "acme", "NaN"), decide.Request{}, 400},
+		{"GET", "/", head("1", "lookup", "acme", "Inf"), decide.Request{}, 400},
+	} {
+		got, status, _ := s.parse(&http1.Request{Method: c.method, Target: c.target, Header: c.header}, arrived)
+		if status != c.status {
+			t.Errorf("%s %s %v: status %d", c.method, c.target, c.header, status)
+		}
+		if diff := cmp.Diff(c.want, got); status == 0 && diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+func TestKey(t *testing.T) {
+	word, _ := key("/?key=tea%20house")
+	for target, want := range map[string]string{
+		"/api?key=7f3a9c21e0b4d655": fmt.Sprint(uint64(0x7f3a9c21e0b4d655), true),
+		"/api?a=b&key=10":           fmt.Sprint(16, true),
+		"/api?key=tea+house":        fmt.Sprint(word, true),
+		"/api?key=":                 "0 false",
+		"/api?monkey=1":             "0 false",
+		"/api":                      "0 false",
+	} {
+		if got := fmt.Sprint(key(target)); got != want {
+			t.Errorf("%s: %s, want %s", target, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/nettest/nettest.go
@@ -0,0 +1,203 @@
+// Package nettest is what the tests with real sockets share: other parties that do as a test tells
+// them, on ports that the kernel chose.
+package nettest
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/ring"
+)
+
+// Patience bounds every wait of a test; no verdict depends on how much of it is used.
+const Patience = 20 * time.Second
+
+// What a handler may return in place of an answer.
+var (
+	Silence = &http1.Response{} // nothing comes; the connection stays until the other side ends it
+	Break   = &http1.Response{} // the connection ends
+)
+
+// Party is a server that a test scripts.
+type Party struct {
+	Address string
+	Opened  atomic.Int64  // connections accepted
+	Left    chan struct{} // one for each silent connection that the other side ended
+
+	mu  sync.Mutex
+	got []*http1.Request
+}
+
+// Serve starts a party whose answers come from handle, which runs once a request.
+func Serve(t testing.TB, handle func(q *http1.Request) *http1.Response) *Party {
+	p := &Party{Left: make(chan struct{}, 64)}
+	p.Address = Listen(t, func(c *ring.Conn) {
+		p.Opened.Add(1)
+		for {
+			q, err := http1.ReadRequest(c.In)
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.got = append(p.got, q)
+			p.mu.Unlock()
+			switch a := handle(q); a {
+			case Break:
+				return
+			case Silence:
+				io.Copy(io.Discard, c.In)
+				p.Left <- struct{}{}
+				return
+			default:
+				if a.Write(c.Out) != nil || c.Flush() != nil || a.Close {
+					return
+				}
+			}
+		}
+	})
+	return p
+}
+
+// Got returns the requests received whose target begins with prefix.
+func (p *Party) Got(prefix string) (some []*http1.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.got {
+		if strings.HasPrefix(q.Target, prefix) {
+			some = append(some, q)
+		}
+	}
+	return some
+}
+
+// Listen accepts connections and gives each a goroutine, until the test ends.
+func Listen(t testing.TB, serve func(c *ring.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go func() {
+				defer c.Close()
+				serve(ring.NewConn(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Zone is a zone server's handler: probes tell an idle server, all else gets what work returns.
+func Zone(work func(q *http1.Request) *http1.Response) func(*http1.Request) *http1.Response {
+	return func(q *http1.Request) *http1.Response {
+		if q.Target == "/stats" {
+			return OK("inflight=0,queue=0,util=0.00")
+		}
+		return work(q)
+	}
+}
+
+// OK is an answer 200.
+func OK(body string) *http1.Response { return &http1.Response{Status: 200, Body: []byte(body)} }
+
+// Discovery is a list that a test writes.
+type Discovery struct {
+	Address string
+	Watches atomic.Int64 // that were opened
+	lines   chan string
+}
+
+// NewDiscovery starts a discovery; a watch says only what Send is given.
+func NewDiscovery(t testing.TB) *Discovery {
+	d := &Discovery{lines: make(chan string)}
+	d.Address = Listen(t, func(c *ring.Conn) {
+		if _, err := http1.ReadRequest(c.In); err != nil {
+			return
+		}
+		d.Watches.Add(1)
+		io.WriteString(c.Out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for c.Flush() == nil {
+			l := <-d.lines + "\n"
+			fmt.Fprintf(c.Out, "%x\r\n%s\r\n", len(l), l)
+		}
+	})
+	return d
+}
+
+// Send writes a line to the watch, once there is one.
+func (d *Discovery) Send(t testing.TB, line string) {
+	t.Helper()
+	select {
+	case d.lines <- line:
+	case <-time.After(Patience):
+		t.Fatal("nobody watches")
+	}
+}
+
+// List is a whole list in discovery's form: addresses by name, all with one status.
+func List(whole bool, status string, addresses map[string]string) string {
+	var entries []string
+	for name, a := range addresses {
+		entries = append(entries, fmt.Sprintf(
+			`{"name":%q,"address":%q,"zone":"kita","type":"m2","group":1,"status":%q,"weight":1,"since_ms":0}`,
+			name, a, status))
+	}
+	return fmt.Sprintf(`{"index":7,"snapshot":%v,"endpoints":[%s]}`, whole, strings.Join(entries, ","))
+}
+
+// Dial connects as a client, for as long as the test runs.
+func Dial(t testing.TB, address string) *ring.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(Patience))
+	return ring.NewConn(c)
+}
+
+// Ask sends text as it is and reads one answer.
+func Ask(t testing.TB, c *ring.Conn, text string) *http1.Response {
+	t.Helper()
+	io.WriteString(c.Out, text)
+	if err := c.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	a, err := http1.ReadResponse(c.In)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// Request is a request as the application sends it.
+func Request(method, class, id string, timeout time.Duration) string {
+	return fmt.Sprintf("%s /api?key=7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Request-ID: %s\r\n"+
+		"X-Priority-Class: %s\r\nX-Tenant-Id: acme\r\nX-Timeout: %.3f\r\n\r\n", method, id, class,
+		timeout.Seconds())
+}
+
+// Until waits for a condition.
+func Until(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,72 @@
+package ring
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"testing/iotest"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Whatever the sizes of the pieces, a ring hands on the same bytes in the same order and never more
+// than it has room for.
+func TestBufferKeepsOrder(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	b := New(7)
+	var put, taken []byte
+	for range 2000 {
+		piece := make([]byte, rng.IntN(10))
+		for i := range piece {
+			piece[i] = byte(rng.Uint32())
+		}
+		if rng.IntN(2) == 0 {
+			put = append(put, piece[:b.Put(piece)]...)
+		} else {
+			n, _ := b.Fill(bytes.NewReader(piece))
+			put = append(put, piece[:n]...)
+		}
+		if b.Len()+b.Free() != 7 {
+			t.Fatalf("Len %d and Free %d of 7", b.Len(), b.Free())
+		}
+		out := make([]byte, rng.IntN(5))
+		taken = append(taken, out[:b.Take(out)]...)
+	}
+	var rest bytes.Buffer
+	if err := b.Drain(&rest); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(put, append(taken, rest.Bytes()...)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestDrainKeepsWhatWasNotTaken(t *testing.T) {
+	b := New(8)
+	b.Put([]byte("abc"))
+	if err := b.Drain(brokenAfter{1}); !errors.Is(err, io.ErrClosedPipe) || b.Len() != 2 {
+		t.Errorf("error %v and %d bytes left, want a closed pipe and 2", err, b.Len())
+	}
+}
+
+type brokenAfter struct{ n int }
+
+func (b brokenAfter) Write(p []byte) (int, error) { return b.n, io.ErrClosedPipe }
+
+func TestConnCarriesMoreThanItsRings(t *testing.T) {
+	x, y := net.Pipe()
+	a, b := NewConn(x), NewConn(y)
+	want := bytes.Repeat([]byte("0123456789"), Size)
+	go func() {
+		a.Out.Write(want)
+		a.Flush()
+		a.Close()
+	}()
+	got, err := io.ReadAll(iotest.OneByteReader(b.In))
+	if err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d bytes came, %v; want %d", len(got), err, len(want))
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,7 +4,6 @@
 package upstream
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math"
@@ -98,11 +97,20 @@
 	a.Done = func(o Outcome) {
 		a.cancel()
 		p.count.Probed.Add(int(o.Result))
+		p.reported(o)
 		done(o.Result, time.Since(began), o.Load)
 	}
 	p.start(a)
 }
 
+// reported counts probes that were answered without a load report that can be read: without reports
+// the decisions are blind.
+func (p *Pool) reported(o Outcome) {
+	if o.Result == decide.Served && o.Load == nil && p.report.size > 0 {
+		p.count.Blind.Add()
+	}
+}
+
 func (p *Pool) start(a *Attempt) {
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	address, ok := p.dir.Address(a.Server)
@@ -313,7 +321,7 @@
 	case err != nil: // malformed answers too: the request was read, and what became of it is not known
 		return Outcome{Result: a.ended(decide.Broken)}, false
 	}
-	out = Outcome{Result: classify(answer), Answer: answer, Load: c.pool.report.read(answer, a.probe)}
+	out = Outcome{Result: a.classify(answer), Answer: answer, Load: c.pool.report.read(answer, a.probe)}
 	return out, whole && !answer.Close && c.nc.In.Buffered() == 0
 }
 
@@ -336,29 +344,39 @@
 	return broke
 }
 
-func classify(a *http1.Response) decide.Result {
+func (a *Attempt) classify(r *http1.Response) decide.Result {
 	switch {
-	case a.Status == 200:
+	case r.Status == 200:
 		return decide.Served
-	case (a.Status == 503 || a.Status == 504) && a.Header.Get("X-Not-Processed") == "1":
+	case a.probe && r.Status == 503:
+		return decide.TurnedAway // too many probes at once: no sign of ill health, which an error would be
+	case (r.Status == 503 || r.Status == 504) && r.Header.Get("X-Not-Processed") == "1":
 		return decide.TurnedAway
 	}
 	return decide.ErrorAnswer
 }
 
-// reportForm finds the values of a load report, which names them in words of its own.
-type reportForm []string
+// reportForm finds the values of a load report: by each word that a value may go by, its place.
+type reportForm struct {
+	at   map[string]int
+	size int
+}
 
-// loadWords are the words of a load report for those of the settings.
+// loadWords are other words for those of the settings. Servers have been met that use the settings'
+// words and some that use these; a report not understood looks like none, and steering without
+// reports jams the fleet while every request is still answered, so both are read.
 var loadWords = map[string]string{
 	"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps",
 	"err_rps": "eps",
 }
 
 func newReportForm(names []string) reportForm {
-	var f reportForm
-	for _, n := range names {
-		f = append(f, cmp.Or(loadWords[n], n))
+	f := reportForm{map[string]int{}, len(names)}
+	for i, n := range names {
+		f.at[n] = i
+		if other, ok := loadWords[n]; ok {
+			f.at[other] = i
+		}
 	}
 	return f
 }
@@ -370,21 +388,21 @@
 	if probe && text == "" {
 		text = string(a.Body)
 	}
-	if text == "" || len(f) == 0 {
+	if text == "" || f.size == 0 {
 		return nil
 	}
-	row, found := make([]float64, len(f)), 0
+	row, found := make([]float64, f.size), 0
 	for part := range strings.SplitSeq(strings.TrimSpace(text), ",") {
 		name, value, _ := strings.Cut(part, "=")
-		i := slices.Index(f, strings.TrimSpace(name))
+		i, known := f.at[strings.TrimSpace(name)]
 		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if i < 0 || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
+		if !known || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
 			continue
 		}
 		row[i] = v
 		found |= 1 << i
 	}
-	if found != 1<<len(f)-1 {
+	if found != 1<<f.size-1 {
 		return nil
 	}
 	return row
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,218 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+	"cresshub/internal/sockets"
+)
+
+type place struct {
+	address string
+	out     atomic.Bool // of service
+	asked   func()      // called on each look-up
+}
+
+func (p *place) Address(decide.ServerID) (string, bool) {
+	if p.asked != nil {
+		p.asked()
+	}
+	return p.address, !p.out.Load()
+}
+
+func pool(p *place, reuse time.Duration) *Pool {
+	return New(p, Limits{Dial: nettest.Patience, Reuse: reuse, Probe: nettest.Patience,
+		Report: []string{"active", "waiting", "cpu"}}, sockets.NewBudget(100), &counters.Set{})
+}
+
+func attempt(p *Pool, until time.Time) (*Attempt, chan Outcome) {
+	done := make(chan Outcome, 1)
+	host := http1.Header{{Name: "Host", Value: "h"}}
+	a := &Attempt{Request: &http1.Request{Method: "POST", Target: "/api", Header: host},
+		Until: until, Done: func(o Outcome) { done <- o }}
+	p.Start(a)
+	return a, done
+}
+
+func ever() time.Time { return time.Now().Add(time.Hour) }
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string // "" breaks, "silence" says nothing
+		want         decide.Result
+	}{
+		{"served", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", decide.Served},
+		{"error", "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n", decide.ErrorAnswer},
+		{"turned away", "HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", decide.TurnedAway},
+		{"over already", "HTTP/1.1 504 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", decide.TurnedAway},
+		{"a proxy's 503", "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n", decide.ErrorAnswer},
+		{"broken", "", decide.Broken},
+		{"broken in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", decide.Broken},
+		{"malformed", "hello\r\n\r\n", decide.Broken},
+		{"silent", "silence", decide.TimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			address := nettest.Listen(t, func(conn *ring.Conn) {
+				if _, err := http1.ReadRequest(conn.In); err != nil {
+					return
+				}
+				if c.answer == "silence" {
+					io.Copy(io.Discard, conn)
+				}
+				io.WriteString(conn, c.answer)
+			})
+			until := ever()
+			if c.want == decide.TimedOut {
+				until = time.Now().Add(200 * time.Millisecond)
+			}
+			_, done := attempt(pool(&place{address: address}, time.Hour), until)
+			if got := <-done; got.Result != c.want {
+				t.Errorf("%s", decide.ResultNames[got.Result])
+			}
+		})
+	}
+}
+
+func TestNoConnection(t *testing.T) {
+	gone := nettest.Serve(t, nil).Address // a port that nobody listens on is one byte off a used one at most
+	_, done := attempt(pool(&place{address: "127.0.0.1:1"}, time.Hour), ever())
+	if got := <-done; got.Result != decide.NoConnection {
+		t.Errorf("%s beside %s", decide.ResultNames[got.Result], gone)
+	}
+}
+
+// A list read while an attempt dials or waits for a connection still holds it back.
+func TestDrainBeforeTheFirstByte(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+	where := &place{address: x.Address}
+	looks := 0
+	where.asked = func() {
+		if looks++; looks == 2 { // the first look-up is before the dial
+			where.out.Store(true)
+		}
+	}
+	_, done := attempt(pool(where, time.Hour), ever())
+	if got := <-done; got.Result != decide.TurnedAway || len(x.Got("")) != 0 {
+		t.Errorf("%s, %d sent", decide.ResultNames[got.Result], len(x.Got("")))
+	}
+}
+
+func TestReuse(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+	for _, c := range []struct {
+		reuse time.Duration
+		want  int64
+	}{{time.Hour, 1}, {0, 5}} { // one too old at once is never written to again
+		x.Opened.Store(0)
+		p := pool(&place{address: x.Address}, c.reuse)
+		for range 5 {
+			_, done := attempt(p, ever())
+			if got := <-done; got.Result != decide.Served {
+				t.Error(decide.ResultNames[got.Result])
+			}
+		}
+		if got := x.Opened.Load(); got != c.want {
+			t.Errorf("%d connections with reuse for %v, want %d", got, c.reuse, c.want)
+		}
+	}
+}
+
+// A connection that its server closed while it was idle takes no attempt with it.
+func TestClosedWhileIdle(t *testing.T) {
+	address := nettest.Listen(t, func(c *ring.Conn) {
+		if _, err := http1.ReadRequest(c.In); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := pool(&place{address: address}, time.Hour)
+	for range 3 {
+		_, done := attempt(p, ever())
+		if got := <-done; got.Result != decide.Served {
+			t.Error(decide.ResultNames[got.Result])
+		}
+		nettest.Until(t, "the pool hears of the close", func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.idle[0]) == 0
+		})
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.Silence })
+	a, done := attempt(pool(&place{address: x.Address}, time.Hour), ever())
+	nettest.Until(t, "the attempt arrives", func() bool { return len(x.Got("")) == 1 })
+	a.Cancel()
+	if got := <-done; got.Result != decide.Withdrawn {
+		t.Error(decide.ResultNames[got.Result])
+	}
+	<-x.Left
+}
+
+func TestSweepAndReclaim(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+	where := &place{address: x.Address}
+	p := pool(where, time.Hour)
+	_, done := attempt(p, ever())
+	<-done
+	where.out.Store(true)
+	p.Sweep()
+	if len(p.idle) != 0 || p.closeOne() {
+		t.Error("an idle connection stays")
+	}
+}
+
+func TestProbeReadsTheReport(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(nil))
+	got := make(chan string, 1)
+	p := pool(&place{address: x.Address}, time.Hour)
+	p.Probe(0, func(res decide.Result, _ time.Duration, load []float64) {
+		got <- fmt.Sprint(decide.ResultNames[res], load)
+	})
+	if diff := cmp.Diff("served[0 0 0]", <-got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A server that has too many probes at once says 503; were that an error, three would eject it.
+func TestProbeTurnedAway(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return &http1.Response{Status: 503} })
+	got := make(chan decide.Result, 1)
+	pool(&place{address: x.Address}, time.Hour).Probe(0, func(res decide.Result, _ time.Duration, _ []float64) {
+		got <- res
+	})
+	if res := <-got; res != decide.TurnedAway {
+		t.Error(decide.ResultNames[res])
+	}
+}
+
+func TestReportForm(t *testing.T) {
+	for _, c := range []struct {
+		in   string
+		want []float64
+	}{
+		{"inflight=7,queue=2,util=0.61", []float64{7, 2, 0.61}},
+		{" util=0.5 , queue=1,more=x,inflight=3\n", []float64{3, 1, 0.5}},
+		{"active=8.304,waiting=0,cpu=0.877", []float64{8.304, 0, 0.877}}, // as met on the first days
+		{"inflight=7,queue=2", nil},
+		{"inflight=NaN,queue=2,util=0", nil},
+		{"", nil},
+		{"<html>", nil},
+	} {
+		got := newReportForm([]string{"active", "waiting", "cpu"}).read(&http1.Response{Body: []byte(c.in)}, true)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%q: %s", c.in, diff)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -134,8 +134,9 @@
 		}),
 		"limits": nested(map[string]reader{
 			"cancel": truth(&s.MayCancel), "dial-timeout-ms": ms(&s.DialTimeout),
-			"max-attempts": whole(&s.MaxAttempts), "max-retry-after-ms": ms(&s.MaxBackoff),
-			"may-duplicate": truth(&s.MayDuplicate), "may-tell": truth(&s.MayTell),
+			"idle-close-ms": ms(&s.IdleClose), "max-attempts": whole(&s.MaxAttempts),
+			"max-retry-after-ms": ms(&s.MaxBackoff),
+			"may-duplicate":      truth(&s.MayDuplicate), "may-tell": truth(&s.MayTell),
 			"probes": truth(&s.MayProbe), "retry-after": truth(&s.TellsBackoff),
 		}),
 		"report": nested(map[string]reader{
