Tell refused clients when to come back

Seen: Action.Wait of Refuse was always 0, so a refused client came back at once and met the same jam. end() in balance.go now fills it, where clients are told and up to MaxBackoff, from the delay that requests meet at present.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -517,8 +517,7 @@
 	}
 	b.seq++
 	r := &request{Request: q, seq: b.seq, came: now}
-	b.requests[q.ID] = r
-	b.bySeq[r.seq] = r
+	b.requests[q.ID], b.bySeq[r.seq] = r, r
 	b.budget = min(b.budget+retryShare, retryBurst)
 	if q.Work > 0 {
 		b.hinted[q.Class].add(q.Work.Seconds(), true)
@@ -530,12 +529,12 @@
 func (b *Balancer) place(now time.Duration, r *request, acts []Action) []Action {
 	left := r.Deadline - now
 	if left <= b.set.Tick {
-		return b.end(r, acts)
+		return b.end(now, r, acts)
 	}
 	rows := b.eligible(now, r)
 	if len(rows) == 0 {
 		if b.bound(r) != nil || r.holds >= 8 {
-			return b.end(r, acts)
+			return b.end(now, r, acts)
 		}
 		r.holds++ // a list may still come
 		return append(acts, b.timer(min(left-b.set.Tick, b.jitter(100*time.Millisecond)), timerHold, r.seq))
@@ -609,7 +608,7 @@
 		x = b.draw()
 	}
 	if x == nil || len(r.attempts) == 0 && b.hopeless(now, r, x.s) {
-		return b.end(r, acts)
+		return b.end(now, r, acts)
 	}
 	s := x.s
 	s.out++
@@ -672,21 +671,25 @@
 	return max(sum/n, 1e-9)
 }
 
-// end gives r its final answer, unless an attempt is still out that may bring one.
-func (b *Balancer) end(r *request, acts []Action) []Action {
+// end gives r its final answer, unless an attempt is still out that may bring one. A refusal tells the
+// client when to come back: a jam dissolves over several times the delay that is met in it.
+func (b *Balancer) end(now time.Duration, r *request, acts []Action) []Action {
 	if r.out > 0 {
 		return acts
 	}
-	kind := Refuse
+	a := Action{Kind: Refuse, ID: r.ID}
+	if b.set.TellsBackoff {
+		a.Wait = min(b.jitter(4*time.Duration(b.waiting(now)*1e9)), b.set.MaxBackoff)
+	}
 	c := &b.set.Classes[r.Class]
 	for i := range r.attempts {
 		// A refusal says that trying again is harmless: only where nothing ran, or repeats are dropped.
 		if r.attempts[i].mayRun && (c.Effect == AtMostOnce || c.Effect == Deduplicated && c.Group != GroupAll) {
-			kind = Fail
+			a.Kind, a.Wait = Fail, 0
 		}
 	}
 	b.forget(r)
-	return append(acts, Action{Kind: kind, ID: r.ID})
+	return append(acts, a)
 }
 
 func (b *Balancer) forget(r *request) {
@@ -704,8 +707,7 @@
 		return acts
 	}
 	a := &r.attempts[o.Attempt]
-	a.ended = true
-	a.mayRun = !o.Result.neverRan()
+	a.ended, a.mayRun = true, !o.Result.neverRan()
 	a.to.out--
 	if a.epoch == a.to.epoch {
 		a.to.since--
@@ -739,7 +741,7 @@
 	// A further attempt that cannot earn anything any more would only feed a jam.
 	if o.Result == Skipped || o.Result == Done || b.budget < 1 || !b.mayRepeat(now, r) ||
 		b.set.Classes[r.Class].LateWorth == 0 && now+b.expected(r) > r.came+b.aim(r) {
-		return b.end(r, acts)
+		return b.end(now, r, acts)
 	}
 	b.budget--
 	r.probed = false
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -327,3 +327,36 @@
 		}
 	})
 }
+
+// A refusal says when to come back, as far as clients are told and no later than they would heed; a
+// failure promises nothing.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		tells  bool
+		delay  float64
+		mayRun bool
+		kind   ActionKind
+		least  time.Duration
+		most   time.Duration
+	}{
+		{"calm", true, 0, false, Refuse, 0, 0},
+		{"delayed", true, 0.1, false, Refuse, 200 * time.Millisecond, 600 * time.Millisecond},
+		{"jammed", true, 30, false, Refuse, time.Second, time.Second},
+		{"not told", false, 30, false, Refuse, 0, 0},
+		{"failed", true, 30, true, Fail, 0, 0},
+	} {
+		set := Settings{TellsBackoff: c.tells, MaxBackoff: time.Second,
+			Classes: []Class{{Aim: time.Second, Deadline: time.Second, Effect: AtMostOnce}}}
+		b, err := New(set, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.delay = c.delay
+		r := &request{Request: Request{ID: "x"}, attempts: []attempt{{mayRun: c.mayRun}}}
+		a := b.end(0, r, nil)[0]
+		if a.Kind != c.kind || a.Wait < c.least || a.Wait > c.most {
+			t.Errorf("%s: %v after %v", c.name, a.Kind, a.Wait)
+		}
+	}
+}
