--- a/cmd/cresshub/main.go
+++ b/cmd/cresshub/main.go
@@ -102,7 +102,7 @@
 			continue
 		}
 		log.Info("ending", "signal", sig.String())
-		server.Shutdown(l.(*net.TCPListener))
+		server.Shutdown(l)
 		break
 	}
 	count.Log(log, "exit", decide.ResultNames)
--- /dev/null
+++ b/internal/counters/counters_test.go
@@ -0,0 +1,25 @@
+package counters
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+func TestLog(t *testing.T) {
+	var s Set
+	s.Taken.Add()
+	s.Taken.Add()
+	s.Served.Add()
+	s.Sent.Add(1)
+	s.Probed.Add(0)
+	var out bytes.Buffer
+	s.Log(slog.New(slog.NewTextHandler(&out, nil)), "asked", []string{"good", "bad"})
+	for _, want := range []string{"why=asked", "requests.taken=2", "requests.served=1", "requests.gone=0",
+		"sent.bad=1", "probed.good=1"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %s in %s", want, out.String())
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -81,7 +81,7 @@
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		nc, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil { // short of descriptors, or the client left while it waited
@@ -119,15 +119,18 @@
 }
 
 // Shutdown answers all that was taken and returns when nothing is owed.
-func (s *Server) Shutdown(l *net.TCPListener) {
+func (s *Server) Shutdown(l net.Listener) {
 	s.draining.Store(true)
 	began := time.Now()
-	l.SetDeadline(began.Add(acceptFor))
 	for pause := closeIdleAfter; ; pause = 10 * time.Millisecond {
 		time.Sleep(pause)
-		young := began
-		if time.Since(began) >= closeAllAfter {
+		age, young := time.Since(began), began
+		if age >= acceptFor {
+			// Until this moment every connection is accepted: one left waiting in the system's queue could
+			// hold a request that is ours to answer.
 			l.Close()
+		}
+		if age >= closeAllAfter {
 			young = time.Now()
 		}
 		s.mu.Lock()
@@ -138,7 +141,7 @@
 		}
 		left := len(s.clients)
 		s.mu.Unlock()
-		if left == 0 && time.Since(began) >= closeAllAfter {
+		if left == 0 && age >= closeAllAfter {
 			return
 		}
 	}
