Follow a new discovery on SIGHUP, with no gap in the list

Now it is caught from the program's first line on, the file is read again, and its discovery goes before EDGE_DISCOVERY. A file that cannot be used is logged and changes nothing. discovery.Client starts a watch at the new address at once, beside the old one, which is heard until the new service has told its whole list. Failed calls after a move are repeated by ourselves, spread; names are forgotten when their server is told as terminated, not with whole lists only. Shutdown runs beside the signals, so SIGHUP may meet SIGTERM.

--- a/cmd/cresshub/main.go
+++ b/cmd/cresshub/main.go
@@ -25,10 +25,13 @@
 )
 
 func main() {
-	cfg, err := config.Load(os.Getenv, os.ReadFile)
+	// Before anything else: a signal that nobody listens for ends the process.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	cfg, err := config.Load(os.Getenv, os.ReadFile, false)
 	if err == nil {
 		log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
-		err = run(cfg, log)
+		err = run(cfg, signals, log)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cresshub:", err)
@@ -52,7 +55,7 @@
 }
 
 // run serves until SIGTERM or SIGINT, and returns once nothing is owed.
-func run(cfg *config.Config, log *slog.Logger) error {
+func run(cfg *config.Config, signals <-chan os.Signal, log *slog.Logger) error {
 	confine(cfg.Limits)
 	set := &cfg.Settings
 	count := &counters.Set{}
@@ -74,8 +77,6 @@
 	}, budget, count)
 	server := ingress.New(decider, links.pool, set.ClassNames, set.TenantNames, budget, count, log)
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	l, err := (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", cfg.Listen)
 	if err != nil {
 		return err
@@ -96,19 +97,43 @@
 	go server.Serve(l)
 	log.Info("ready", "listen", l.Addr().String())
 
-	for sig := range signals {
-		if sig == syscall.SIGUSR1 {
-			count.Log(log, "asked", decide.ResultNames)
-			continue
+	var over chan struct{} // closes when nothing is owed any more
+	for ending := false; !ending; {
+		select {
+		case <-over:
+			ending = true
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGUSR1:
+				count.Log(log, "asked", decide.ResultNames)
+			case sig == syscall.SIGHUP: // also while ending: what is owed still needs the list
+				reload(links.list, log)
+			case over == nil:
+				log.Info("ending", "signal", sig.String())
+				over = make(chan struct{})
+				go func() {
+					server.Shutdown(l)
+					close(over)
+				}()
+			}
 		}
-		log.Info("ending", "signal", sig.String())
-		server.Shutdown(l)
-		break
 	}
 	count.Log(log, "exit", decide.ResultNames)
 	return nil
 }
 
+// reload reads the configuration again and follows what may change while the program runs, which is
+// where discovery is. A file that cannot be used changes nothing.
+func reload(list *discovery.Client, log *slog.Logger) {
+	cfg, err := config.Load(os.Getenv, os.ReadFile, true)
+	if err != nil {
+		log.Error("configuration kept, the new one cannot be used", "err", err)
+		return
+	}
+	log.Info("configuration read again", "discovery", cfg.Discovery)
+	list.Move(cfg.Discovery)
+}
+
 // reuse is how long an idle connection stays in use: well short of when its server closes it.
 func reuse(idleClose time.Duration) time.Duration {
 	if idleClose <= 0 {
--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -39,6 +39,7 @@
 
 type process struct {
 	cmd     *exec.Cmd
+	config  string // path of its file
 	address string
 	log     *bufio.Scanner
 }
@@ -46,21 +47,25 @@
 // start runs the program with a configuration and waits until it is ready.
 func start(t *testing.T, discovery, known string, sockets int) *process {
 	t.Helper()
-	p := launch(t, fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",`+
-		`"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":%s,"settings":%s}`,
-		discovery, sockets, known, settings))
+	p := launch(t, configuration(discovery, known, sockets))
 	line := p.expect(t, "msg=ready")
 	_, p.address, _ = strings.Cut(line, "listen=")
 	return p
 }
 
+func configuration(discovery, known string, sockets int) string {
+	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f",`+
+		`"limits":{"cores":1,"memory_mb":64,"sockets":%d},"known":%s,"settings":%s}`,
+		discovery, sockets, known, settings)
+}
+
 func launch(t *testing.T, config string) *process {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(os.Args[0])}
+	p := &process{cmd: exec.Command(os.Args[0]), config: file}
 	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
 	out, err := p.cmd.StderrPipe()
 	if err == nil {
@@ -227,6 +232,36 @@
 	}
 }
 
+// SIGHUP reads the file again: one that cannot be used changes nothing, a new discovery is followed. It
+// may come while the program ends.
+func TestHupFollowsTheNewDiscovery(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") }))
+	old, fresh := nettest.NewDiscovery(t), nettest.NewDiscovery(t)
+	p := start(t, old.Address, known("in_service", x), 200)
+	replace := func(text, expect string) {
+		if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		p.expect(t, expect)
+	}
+	replace("{", "configuration kept")
+	old.Send(t, "")
+	replace(configuration(fresh.Address, "null", 200), "discovery moved")
+	fresh.Send(t, known("in_service", x))
+	a := nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request("GET", "lookup", "id", 15*time.Second))
+	if a.Status != 200 {
+		t.Errorf("status %d", a.Status)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.expect(t, "msg=ending")
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.expect(t, "msg=counters")
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestCountersOnRequest(t *testing.T) {
 	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") }))
 	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,8 +31,9 @@
 	Sockets  int     `json:"sockets"`
 }
 
-// Load reads the configuration; get looks an environment variable up, read reads a file.
-func Load(get func(string) string, read func(string) ([]byte, error)) (*Config, error) {
+// Load reads the configuration; get looks an environment variable up, read reads a file. Reading it
+// again while the program runs, the file's discovery goes before the variable.
+func Load(get func(string) string, read func(string) ([]byte, error), again bool) (*Config, error) {
 	path := get("EDGE_CONFIG")
 	if path == "" {
 		return nil, errors.New("EDGE_CONFIG is not set")
@@ -47,7 +48,12 @@
 	}
 	c.Name = cmp.Or(get("EDGE_NAME"), c.Name)
 	c.Listen = cmp.Or(get("EDGE_LISTEN"), c.Listen)
-	c.Discovery = cmp.Or(get("EDGE_DISCOVERY"), c.Discovery)
+	if again {
+		// The environment still says what held at the start; the file was replaced since.
+		c.Discovery = cmp.Or(c.Discovery, get("EDGE_DISCOVERY"))
+	} else {
+		c.Discovery = cmp.Or(get("EDGE_DISCOVERY"), c.Discovery)
+	}
 	for _, a := range []struct{ name, address string }{
 		{"EDGE_LISTEN", c.Listen}, {"EDGE_DISCOVERY", c.Discovery},
 	} {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -22,7 +22,19 @@
 			return nil, fs.ErrNotExist
 		}
 		return []byte(text), nil
-	})
+	}, false)
+}
+
+// At the start the variable goes before the file, and once the file was replaced the file does.
+func TestLoadAgain(t *testing.T) {
+	env := map[string]string{"EDGE_CONFIG": "config.json", "EDGE_DISCOVERY": "127.0.0.1:3"}
+	for again, want := range map[bool]string{false: "127.0.0.1:3", true: "127.0.0.1:2"} {
+		c, err := Load(func(name string) string { return env[name] },
+			func(string) ([]byte, error) { return []byte(file), nil }, again)
+		if err != nil || c.Discovery != want {
+			t.Errorf("again %v: %v, %v", again, c, err)
+		}
+	}
 }
 
 func TestLoad(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -42,9 +43,8 @@
 // Names are the words of the settings for zones and kinds, in their order.
 type Names struct{ Zones, Kinds []string }
 
-// Client follows discovery at one address.
+// Client follows discovery, at one address at a time.
 type Client struct {
-	address string
 	dial    time.Duration
 	sink    Sink
 	changed func() // called after each list
@@ -52,15 +52,37 @@
 	count   *counters.Set
 	log     *slog.Logger
 	asked   chan struct{}
+	moved   chan string
+	told    chan *watch // a watch that has told the whole list afresh
+	ended   chan *watch
+
+	// What Run alone uses.
+	address string
+	now     *watch // the one followed, nil while there is none
+	before  *watch // at the address left; it stands until the one followed has told the list
+	moving  bool   // nothing was told at address yet
+	retries int    // since the move
+	watches int64  // begun
 
+	telling   sync.Mutex // keeps documents in one order here and at the sink
 	mu        sync.Mutex
 	names     Names
 	index     int64
+	source    int64 // number of the watch that is believed
 	byName    map[string]decide.ServerID
 	taken     map[decide.ServerID]string
 	inService map[decide.ServerID]string // of those in service
 }
 
+// watch is one call to discovery that stays open.
+type watch struct {
+	number  int64 // rises from watch to watch
+	address string
+	afresh  bool // the whole list is wanted: what another service counts is not continued
+	cancel  context.CancelFunc
+	err     error // why it ended
+}
+
 // document is what discovery sends, whole lists and changes alike.
 type document struct {
 	Index     int64 `json:"index"`
@@ -86,7 +108,8 @@
 	log *slog.Logger) *Client {
 	return &Client{
 		address: address, dial: dial, budget: budget, count: count, log: log,
-		asked:  make(chan struct{}, 1),
+		asked: make(chan struct{}, 1), moved: make(chan string, 1),
+		told: make(chan *watch), ended: make(chan *watch),
 		names:  Names{slices.Clone(names.Zones), slices.Clone(names.Kinds)},
 		byName: map[string]decide.ServerID{}, taken: map[decide.ServerID]string{},
 		inService: map[decide.ServerID]string{},
@@ -95,7 +118,7 @@
 
 // Known takes in the list as it was held before the start and returns it for the decisions.
 func (c *Client) Known(raw []byte) ([]decide.Server, error) {
-	_, list, err := c.take(raw)
+	_, list, err := c.take(nil, raw)
 	return list, err
 }
 
@@ -115,61 +138,151 @@
 	}
 }
 
+// Move follows discovery at another address from now on; it returns at once.
+func (c *Client) Move(address string) {
+	select {
+	case <-c.moved: // only the last of several counts
+	default:
+	}
+	c.moved <- address
+}
+
 // Run watches whenever it is asked to, until ctx ends. After each list changed is called.
 func (c *Client) Run(ctx context.Context, sink Sink, changed func()) {
 	c.sink, c.changed = sink, changed
+	retry := time.NewTimer(time.Hour)
+	defer retry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.asked:
+			if c.now == nil && !c.moving {
+				c.now = c.start(ctx, c.address, false)
+			}
+		case address := <-c.moved:
+			c.move(ctx, address)
+		case <-retry.C:
+			if c.now == nil && c.moving {
+				c.now = c.start(ctx, c.address, true)
+			}
+		case w := <-c.told:
+			if w != c.now {
+				break
+			}
+			c.moving = false
+			c.leave(c.before)
+			c.before = nil
+		case w := <-c.ended:
+			if wait := c.end(w); wait > 0 {
+				retry.Reset(wait)
+			}
 		}
-		err := c.watch(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		c.count.ListsFailed.Add()
-		c.log.Warn("watch ended", "err", err)
-		select { // asked again while it stood
-		case <-c.asked:
-		default:
-		}
-		c.sink.ListFailed()
 	}
 }
 
-func (c *Client) watch(ctx context.Context) error {
+// move turns to another address at once. The watch that told the list so far stands until the new
+// one has told its own, so that no change is missed between them.
+func (c *Client) move(ctx context.Context, address string) {
+	if address == c.address {
+		return
+	}
+	c.log.Info("discovery moved", "from", c.address, "to", address)
+	if c.moving {
+		c.leave(c.now)
+	} else {
+		c.before = c.now
+	}
+	c.address, c.moving, c.retries = address, true, 0
+	c.now = c.start(ctx, address, true)
+}
+
+func (c *Client) leave(w *watch) {
+	if w != nil {
+		w.cancel()
+	}
+}
+
+// end takes in that a watch is over. A time above 0 is when to try again by ourselves: after a move
+// there is nobody to be told by, and what the new service has to say binds whether it was read or not.
+func (c *Client) end(w *watch) time.Duration {
+	w.cancel()
+	if w == c.before {
+		c.before = nil
+	}
+	if w != c.now { // left on purpose, or overtaken
+		return 0
+	}
+	c.now = nil
+	c.count.ListsFailed.Add()
+	c.log.Warn("watch ended", "address", w.address, "err", w.err)
+	if c.moving {
+		c.retries++
+		// Every client proxy is told of a move in the same moment, so the tries are spread.
+		return time.Duration((0.5 + rand.Float64()) * float64(200*time.Millisecond<<min(c.retries, 4)))
+	}
+	select { // asked again while it stood
+	case <-c.asked:
+	default:
+	}
+	c.sink.ListFailed()
+	return 0
+}
+
+func (c *Client) start(ctx context.Context, address string, afresh bool) *watch {
+	c.watches++
+	w := &watch{number: c.watches, address: address, afresh: afresh}
+	ctx, w.cancel = context.WithCancel(ctx)
+	go func() {
+		w.err = c.watch(ctx, w)
+		c.pass(ctx, c.ended, w)
+	}()
+	return w
+}
+
+// pass hands a watch to Run, which may have ended.
+func (c *Client) pass(ctx context.Context, to chan *watch, w *watch) {
+	select {
+	case to <- w:
+	case <-ctx.Done():
+	}
+}
+
+func (c *Client) watch(ctx context.Context, w *watch) error {
 	if !c.budget.Outward() {
 		return errors.New("no socket left")
 	}
 	defer c.budget.Give()
 	d := net.Dialer{Timeout: c.dial, KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", c.address)
+	raw, err := d.DialContext(ctx, "tcp", w.address)
 	if err != nil {
 		return err
 	}
 	defer raw.Close()
 	defer context.AfterFunc(ctx, func() { raw.Close() })()
 	conn := ring.NewConn(raw)
+	if w.afresh {
+		// Asked for the changes since 0 a service may send changes, and what left before those would stay.
+		body, err := ask(conn, w.address, "")
+		if err != nil {
+			return err
+		}
+		list, err := io.ReadAll(io.LimitReader(body, maxLine))
+		if err != nil {
+			return err
+		}
+		if err := c.tell(w, list); err != nil {
+			return err
+		}
+		c.pass(ctx, c.told, w)
+	}
 	c.mu.Lock()
 	from := strconv.FormatInt(c.index, 10)
 	c.mu.Unlock()
-	conn.SetDeadline(time.Now().Add(silence))
-	q := http1.Request{Method: "GET", Target: "/registry/instances?watch=1&from=" + from,
-		Header: http1.Header{{Name: "Host", Value: c.address}}}
-	if err := q.Write(conn.Out); err != nil {
-		return err
-	}
-	if err := conn.Flush(); err != nil {
-		return err
-	}
-	status, body, err := http1.ReadStream(conn.In)
+	body, err := ask(conn, w.address, "?watch=1&from="+from)
 	if err != nil {
 		return err
 	}
-	if status != 200 {
-		return fmt.Errorf("discovery answered %d", status)
-	}
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxLine)
 	for {
@@ -180,18 +293,48 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		whole, list, err := c.take(lines.Bytes())
-		if err != nil {
+		if err := c.tell(w, lines.Bytes()); err != nil {
 			return err
 		}
-		c.count.Lists.Add()
-		c.sink.Listed(whole, list)
-		c.changed()
 	}
 }
 
+// ask makes one call and returns the body of its answer.
+func ask(conn *ring.Conn, host, query string) (io.Reader, error) {
+	conn.SetDeadline(time.Now().Add(silence))
+	q := http1.Request{Method: "GET", Target: "/registry/instances" + query,
+		Header: http1.Header{{Name: "Host", Value: host}}}
+	if err := q.Write(conn.Out); err != nil {
+		return nil, err
+	}
+	if err := conn.Flush(); err != nil {
+		return nil, err
+	}
+	status, body, err := http1.ReadStream(conn.In)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("discovery answered %d", status)
+	}
+	return body, err
+}
+
+func (c *Client) tell(w *watch, raw []byte) error {
+	c.telling.Lock()
+	defer c.telling.Unlock()
+	whole, list, err := c.take(w, raw)
+	if err != nil {
+		return err
+	}
+	c.count.Lists.Add()
+	c.sink.Listed(whole, list)
+	c.changed()
+	return nil
+}
+
+var errOvertaken = errors.New("another watch has told the list since")
+
 // take applies one document: from here on no attempt begins at a server that it takes out of service.
-func (c *Client) take(raw []byte) (whole bool, list []decide.Server, err error) {
+// With its first one a watch becomes the source; the one before it is not heard any more.
+func (c *Client) take(w *watch, raw []byte) (whole bool, list []decide.Server, err error) {
 	var doc document
 	if err := json.Unmarshal(raw, &doc); err != nil {
 		return false, nil, err
@@ -204,6 +347,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if w != nil {
+		if w.number < c.source {
+			return false, nil, errOvertaken
+		}
+		c.source = w.number
+	}
 	c.index = doc.Index
 	if doc.Snapshot {
 		// A machine that is replaced comes back under another name: without this the names of all that
@@ -220,8 +369,12 @@
 			Started: time.Duration(math.Round(e.SinceMS*1000)) * time.Microsecond,
 		}
 		list = append(list, s)
-		if delete(c.inService, s.ID); s.State == balance.Up {
+		switch delete(c.inService, s.ID); s.State {
+		case balance.Up:
 			c.inService[s.ID] = e.Address
+		case balance.Removed: // or names would pile up where no whole list ever comes
+			delete(c.byName, e.Name)
+			delete(c.taken, s.ID)
 		}
 	}
 	return doc.Snapshot, list, nil
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -39,8 +39,9 @@
 		{fmt.Sprintf(line, 7, false, "b", 2, "kita", "terminated"), decide.Server{State: balance.Removed}, ""},
 		{fmt.Sprintf(line, 8, false, "a", 1, "kita", "in_service"), decide.Server{}, "a"},
 		{fmt.Sprintf(line, 2, true, "b", 2, "kita", "in_service"), decide.Server{}, "b"},
+		{fmt.Sprintf(line, 9, false, "b", 2, "kita", "terminated"), decide.Server{State: balance.Removed}, ""},
 	} {
-		_, list, err := c.take([]byte(step.in))
+		_, list, err := c.take(nil, []byte(step.in))
 		if err != nil || len(list) != 1 {
 			t.Fatal(list, err)
 		}
@@ -49,6 +50,9 @@
 		if diff := cmp.Diff(step.want, list[0]); diff != "" {
 			t.Error(diff)
 		}
+		if _, held := c.byName["b"]; held && step.want.State == balance.Removed {
+			t.Error("a name that left is kept for ever")
+		}
 		alive := ""
 		for _, name := range []string{"a", "b"} {
 			if _, ok := c.Address(c.id(name)); ok {
@@ -62,7 +66,7 @@
 	for _, bad := range []string{`{`, `[]`, `{"endpoints":[{"name":"a","status":"asleep"}]}`,
 		`{"endpoints":[{"name":"","status":"in_service"}]}`,
 		`{"endpoints":[{"name":"a","status":"in_service","group":-1}]}`} {
-		if _, _, err := c.take([]byte(bad)); err == nil {
+		if _, _, err := c.take(nil, []byte(bad)); err == nil {
 			t.Errorf("took %s", bad)
 		}
 	}
@@ -123,3 +127,45 @@
 		t.Errorf("listed %s", got)
 	}
 }
+
+// A move is followed at once and by ourselves, while the watch before it is heard until the new one has
+// told the whole list; after that it is not. The new service counts its versions anew.
+func TestMove(t *testing.T) {
+	old, fresh := nettest.NewDiscovery(t), nettest.NewDiscovery(t)
+	s := &sink{make(chan string, 9), make(chan bool, 9)}
+	c := client(old.Address)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx, s, func() {})
+	c.Follow()
+	list := func(from *nettest.Discovery, whole bool, n int) {
+		t.Helper()
+		names := map[string]string{}
+		for i := range n {
+			names[fmt.Sprint("s-", i)] = "127.0.0.1:1"
+		}
+		from.Send(t, nettest.List(whole, "in_service", names))
+		if got := <-s.listed; got != fmt.Sprint(whole, n) {
+			t.Fatalf("listed %s, want %v %d", got, whole, n)
+		}
+	}
+	list(old, true, 1)
+	fresh.Refuse.Store(2) // calls that fail are made again without being asked
+	c.Move(fresh.Address)
+	nettest.Until(t, "the new service is asked", func() bool { return fresh.Refuse.Load() < 0 })
+	list(old, false, 2)
+	list(fresh, true, 3)
+	<-old.Left
+	list(fresh, false, 1)
+	if diff := cmp.Diff([]string{"0", "7"}, []string{old.From(), fresh.From()}); diff != "" {
+		t.Error(diff)
+	}
+	if _, _, err := c.take(&watch{number: 1}, []byte(nettest.List(true, "in_service", nil))); err == nil {
+		t.Error("a watch that was left is still heard")
+	}
+	c.Move(fresh.Address) // says nothing new
+	list(fresh, false, 2)
+	if n := len(s.failed); n > 0 || fresh.Watches.Load() != 1 {
+		t.Errorf("%d times told as failed, %d watches", n, fresh.Watches.Load())
+	}
+}
--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -117,28 +117,62 @@
 // Discovery is a list that a test writes.
 type Discovery struct {
 	Address string
-	Watches atomic.Int64 // that were opened
+	Watches atomic.Int64  // that were opened
+	Refuse  atomic.Int64  // so many calls get 503 first
+	Left    chan struct{} // one for each watch that the other side ended
+	from    atomic.Value
 	lines   chan string
 }
 
+// From is the version that the last watch asked for.
+func (d *Discovery) From() string { return d.from.Load().(string) }
+
 // NewDiscovery starts a discovery; a watch says only what Send is given.
 func NewDiscovery(t testing.TB) *Discovery {
-	d := &Discovery{lines: make(chan string)}
+	d := &Discovery{lines: make(chan string), Left: make(chan struct{}, 64)}
 	d.Address = Listen(t, func(c *ring.Conn) {
-		if _, err := http1.ReadRequest(c.In); err != nil {
-			return
-		}
-		d.Watches.Add(1)
-		io.WriteString(c.Out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-		for c.Flush() == nil {
-			l := <-d.lines + "\n"
-			fmt.Fprintf(c.Out, "%x\r\n%s\r\n", len(l), l)
+		for {
+			q, err := http1.ReadRequest(c.In)
+			if err != nil {
+				return
+			}
+			_, from, watch := strings.Cut(q.Target, "?watch=1&from=")
+			switch {
+			case d.Refuse.Add(-1) >= 0:
+				(&http1.Response{Status: 503}).Write(c.Out)
+			case !watch:
+				OK(<-d.lines).Write(c.Out)
+			default:
+				d.from.Store(from)
+				d.Watches.Add(1)
+				d.watch(c)
+				return
+			}
+			c.Flush()
 		}
 	})
 	return d
 }
 
-// Send writes a line to the watch, once there is one.
+func (d *Discovery) watch(c *ring.Conn) {
+	io.WriteString(c.Out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	ended := make(chan struct{})
+	go func() {
+		io.Copy(io.Discard, c.In)
+		close(ended)
+	}()
+	for c.Flush() == nil {
+		select {
+		case l := <-d.lines:
+			fmt.Fprintf(c.Out, "%x\r\n%s\n\r\n", len(l)+1, l)
+		case <-ended:
+			d.Left <- struct{}{}
+			return
+		}
+	}
+}
+
+// Send writes a line to the watch, or answers a call for the whole list with it, once there is one.
 func (d *Discovery) Send(t testing.TB, line string) {
 	t.Helper()
 	select {
