Refuse early in a jam; keep classes that a server leaves silent off it

At fault: hopeless() let 5% in at each try of a jam and began late; judge() counted failures over all classes; met() and compare() took one server's silence for a jam of all and for stale reports. Now the line of refusing ends at 0.3 of an aim and lets nothing in past it; failures and missing answers count by class; delays count as far as queue reports bear them out; a second surprise by the same server says nothing of reports. Messages between peers are gone: this platform has none.

--- a/balance/api.go
+++ b/balance/api.go
@@ -50,7 +50,6 @@
 type Prices struct {
 	CrossZone float64 // every request crossing zones once
 	Probe     float64 // one probe a request
-	Peer      float64 // one message of 256 bytes a request
 	Waste     float64 // as much work wasted as was asked for
 	LateFail  float64 // all failing only after the aim
 }
@@ -92,7 +91,6 @@
 
 	MaxAttempts   int
 	MayProbe      bool
-	MayTell       bool
 	MayCancel     bool
 	MayDuplicate  bool // a request may have two attempts out at once
 	TellsBackoff  bool // clients receive Action.Wait of a Refuse
@@ -194,7 +192,6 @@
 	Probe                        // ask Server for its load
 	SetTimer                     // call Timer with Token after Wait
 	FollowList                   // ask the registry for its changes from now on
-	Tell                         // send Body to the peer with number Peer
 )
 
 // Action is one thing for the caller to do, in the order given.
@@ -205,6 +202,4 @@
 	Attempt int
 	Wait    time.Duration
 	Token   uint64
-	Peer    int
-	Body    string
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,5 @@
-// The interface, every event and every action, is in api.go; what is remembered is in state.go. This
-// file holds all decisions, in the order in which a request meets them: list, estimates, eligibility,
-// shares, draw, attempts and answers, upkeep. The ordinary path is Basic LI of Dahlin's "Interpreting
-// Stale Load Information".
+// This file holds all decisions, in the order in which a request meets them; the interface is in api.go.
+// The ordinary path is Basic LI of Dahlin's "Interpreting Stale Load Information".
 
 package balance
 
@@ -22,6 +20,13 @@
 	// retryShare is how many further attempts a request may add on average: enough for scattered
 	// failures, too few to feed a jam. retryBurst is how many may come at once.
 	retryShare, retryBurst = 0.2, 10.0
+	// reportLife is how long a report tells as much as a new one would: servers refresh theirs more
+	// seldom, and what was sent since is known.
+	reportLife = 40 * time.Millisecond
+	// refusePart of an aim spent waiting is where a request of usual worth is refused for certain.
+	refusePart = 0.3
+	// stuckAfter service times, in a queue, without an answer a server counts as silent.
+	stuckAfter = 4
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
@@ -82,14 +87,12 @@
 		case s.State != Up:
 			b.drop(s.ID)
 		case old == nil:
-			n := &server{Server: s}
-			b.byID[s.ID] = n
-			b.servers = append(b.servers, n)
+			b.byID[s.ID] = &server{Server: s, classes: make([]health, len(b.set.Classes))}
+			b.servers = append(b.servers, b.byID[s.ID])
 		case old.Started != s.Started:
 			// A new process under the old id is cold, and nothing seen of the old one holds for it.
-			n := &server{Server: s}
-			b.byID[s.ID] = n
-			b.servers[slices.Index(b.servers, old)] = n
+			b.byID[s.ID] = &server{Server: s, classes: make([]health, len(b.set.Classes))}
+			b.servers[slices.Index(b.servers, old)] = b.byID[s.ID]
 		default:
 			old.Server = s
 		}
@@ -139,9 +142,9 @@
 	return (held+1)/b.parallel*mean - mean
 }
 
-// fresh tells whether the last report of s came this very moment.
+// fresh tells whether the last report of s is as good as one of this moment.
 func (b *Balancer) fresh(now time.Duration, s *server) bool {
-	return s.hasReport && now-s.reported <= 2*b.set.Tick
+	return s.hasReport && now-s.reported <= max(reportLife, 2*b.set.Tick)
 }
 
 // lag is by how much reports look older than they came, in seconds. No report tells its age. Where
@@ -155,7 +158,10 @@
 	foretold := max((a.level+1)/b.parallel/b.capacity(r.Class, a.to), 1) * float64(b.expected(r))
 	late := 0.0
 	if float64(latency) > 2*foretold {
-		late = 1
+		if late = 1; a.to == b.strange {
+			return // one in trouble says nothing of the reports of the others
+		}
+		b.strange = a.to
 	} else if res == TimedOut {
 		return // cut off before it could tell
 	}
@@ -215,6 +221,21 @@
 	return b.delay * math.Exp(-(now-b.delayAt).Seconds()/3)
 }
 
+// crowded is the delay to expect as far as reports bear it out: what a single server in trouble makes
+// requests wait is no reason to refuse others. Reports come late, so more than they tell is believed.
+func (b *Balancer) crowded(now time.Duration) float64 {
+	sum, n := 0.0, 0.0
+	for _, s := range b.servers {
+		if s.hasReport && now-s.reported < time.Second {
+			sum, n = sum+max(b.waitBehind(s.held+float64(s.since)), 0), n+1
+		}
+	}
+	if n == 0 {
+		return b.waiting(now)
+	}
+	return min(b.waiting(now), 3*sum/n)
+}
+
 // expected is the service time of one request: its class's, in proportion to its hint if it has one.
 func (b *Balancer) expected(r *request) time.Duration {
 	mean := b.service[r.Class].mean
@@ -262,7 +283,7 @@
 			if now < s.ejected && (!panicking || s.cut && near > 0) && (bound == nil || pass == 0) {
 				continue
 			}
-			if pass == 0 && (r.tried(s) || s.suspect && b.set.Classes[r.Class].Effect == AtMostOnce) {
+			if pass == 0 && (b.stuck(now, r, s) || r.tried(s) || s.suspect && b.set.Classes[r.Class].Effect == AtMostOnce) {
 				continue
 			}
 			rows = append(rows, s)
@@ -272,6 +293,18 @@
 	return rows
 }
 
+// stuck tells whether s leaves the class of r unanswered: some servers in trouble do, while other classes
+// and probes go well. At first only the missing answers show it; after failures it is tried singly.
+func (b *Balancer) stuck(now time.Duration, r *request, s *server) bool {
+	h := &s.classes[r.Class]
+	if h.out == 0 {
+		return now < h.ejected
+	}
+	queue := max((s.held+float64(s.since))/b.parallel, 1)
+	usual := stuckAfter * queue * b.kind(r.Class, s.Kind).mean
+	return now < h.ejected || h.failures >= 3 || (now-h.since).Seconds() > usual
+}
+
 // bound is the first server where a deduplicated request may have run; repeats must stay in its group.
 func (b *Balancer) bound(r *request) *server {
 	if b.set.Classes[r.Class].Effect != Deduplicated {
@@ -559,10 +592,10 @@
 	return b.send(now, r, acts)
 }
 
-// probeSample asks the servers of r's sample that have no report of this very moment.
+// probeSample asks those of r's sample that have no fresh report.
 func (b *Balancer) probeSample(now time.Duration, r *request, acts []Action) []Action {
 	for _, s := range r.sample {
-		if s.hasReport && now-s.reported <= b.set.Tick {
+		if b.fresh(now, s) {
 			continue
 		}
 		r.pending++
@@ -589,7 +622,7 @@
 		kept := slices.DeleteFunc(r.sample, func(s *server) bool { return !slices.Contains(rows, s) })
 		// One that did not answer its probe in time is out of reach or in trouble.
 		told := slices.DeleteFunc(slices.Clone(kept), func(s *server) bool {
-			return !s.hasReport || now-s.reported > 40*time.Millisecond
+			return !s.hasReport || now-s.reported > reportLife
 		})
 		if len(told) > 0 {
 			kept = told
@@ -613,6 +646,10 @@
 	s := x.s
 	s.out++
 	s.since++
+	h := &s.classes[r.Class]
+	if h.out++; h.out == 1 {
+		h.since = now
+	}
 	r.out++
 	fresh := b.fresh(now, s)
 	// A server may share its cores over many places: that nothing waits is not yet uncontended.
@@ -637,20 +674,23 @@
 	return c.Aim + time.Duration(c.AimStretch*float64(r.Work))
 }
 
-// hopeless tells whether a request is better refused at once: when what is met lately, here and at the
-// drawn server, takes up its aim. Otherwise queues grow past every aim and all is late. The line is
-// soft, so that many balancers together refuse the part that is too much and not all of it, and what
-// earns little for its work is refused first.
+// hopeless tells whether a request is better refused at once: when the queue at the drawn server takes
+// up a part of its aim. The line is soft, so that many balancers together refuse the part that is too
+// much, and what earns little for its work is refused first. It ends early, and past it nothing gets in:
+// clients ask again at once, and a server held beyond what it can do turns slower for long. One long
+// queue alone is no jam, so it counts only as far as such delays were met lately.
 func (b *Balancer) hopeless(now time.Duration, r *request, s *server) bool {
-	mean := b.meanService()
-	wait := b.waiting(now)
+	lately := b.crowded(now)
+	wait := lately
 	if b.fresh(now, s) && b.lag() == 0 {
-		wait = max((s.held+float64(s.since)+1)/b.parallel/b.capacity(r.Class, s)-1, 0) * mean
+		able := b.capacity(r.Class, s) * b.warmth(now, s)
+		wait = max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
+		wait = min(wait, 2*lately)
 	}
 	spare := (min(b.aim(r), r.Deadline-r.came) - b.expected(r)).Seconds()
 	full := wait / max(spare, 0.001)
 	most := max(b.worth(r.Class)/b.meanWorth(), 0.5)
-	return b.rng.Float64() < min((full-0.15)/0.75/most, 0.95)
+	return b.rng.Float64() < full/refusePart/most
 }
 
 // worth is what a class earns for a second of work.
@@ -715,7 +755,17 @@
 	r.out--
 	if o.Report != nil {
 		b.report(now, a.to, o.Report)
-		acts = b.tell(now, acts)
+	}
+	h := &a.to.classes[r.Class]
+	h.out--
+	switch o.Result {
+	case Done:
+		h.since, h.failures, h.ejections = now, 0, 0
+	case Error, TimedOut:
+		if h.failures++; h.failures >= 3 && now >= h.ejected {
+			h.ejections++
+			h.ejected = now + b.jitter(time.Second<<min(h.ejections-1, 4))
+		}
 	}
 	b.judge(now, a.to, o.Result)
 	if o.Result == Done || o.Result == TimedOut {
@@ -827,56 +877,6 @@
 	return acts
 }
 
-// tell passes the freshest rows on to one peer chosen at random: where load comes with answers alone, a
-// balancer with little traffic sees a server once in many seconds, and all of them together see it at
-// every moment. One message goes with an own answer, so the price stays in proportion to the traffic.
-func (b *Balancer) tell(now time.Duration, acts []Action) []Action {
-	if !b.set.MayTell || !b.set.ReportAnswers || b.set.MayProbe || b.set.Peers < 2 || b.set.Prices.Peer > 0.02 {
-		return acts
-	}
-	rows := b.rows[:0]
-	for _, s := range b.servers {
-		if s.hasReport && now-s.reported < 5*time.Second {
-			rows = append(rows, s)
-		}
-	}
-	b.rows = rows
-	if len(rows) == 0 {
-		return acts
-	}
-	slices.SortStableFunc(rows, func(x, y *server) int { return cmp.Compare(y.reported, x.reported) })
-	var out [maxRows]heard
-	n := 0
-	for ; n < len(rows) && n < maxRows; n++ {
-		out[n] = heard{rows[n].ID, int(rows[n].held + 0.5), now - rows[n].reported}
-	}
-	peer := b.rng.IntN(b.set.Peers - 1)
-	if peer >= b.set.Rank {
-		peer++
-	}
-	return append(acts, Action{Kind: Tell, Peer: peer, Body: encodeRows(out[:n])})
-}
-
-// Told takes in a message of a peer: newer figures of servers that the own list names, nothing else.
-func (b *Balancer) Told(now time.Duration, from int, body []byte, acts []Action) []Action {
-	sum, n := 0.0, 0.0
-	for _, h := range decodeRows(body) {
-		s := b.byID[h.id]
-		if s == nil || h.age > 5*time.Second || now-h.age < s.Started {
-			continue
-		}
-		sum, n = sum+float64(h.held), n+1
-		if at := now - h.age - b.set.Tick; !s.hasReport || at > s.reported {
-			s.held, s.waiting, s.reported, s.hasReport = float64(h.held), 0, at, true
-			s.epoch, s.since = s.epoch+1, 0
-		}
-	}
-	if n > 0 {
-		b.met(now, b.waitBehind(sum/n), 0.2)
-	}
-	return acts
-}
-
 const (
 	timerHold = iota
 	timerFollow
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -31,7 +31,7 @@
 // quiet settings: one idempotent class, no probes, no peers.
 func plainSettings() Settings {
 	set := ruleSettings()
-	set.MayProbe, set.MayTell, set.WarmKeys, set.MustFollow = false, false, false, false
+	set.MayProbe, set.WarmKeys, set.MustFollow = false, false, false
 	return set
 }
 
@@ -248,21 +248,6 @@
 	}
 }
 
-func TestMessagesOfPeers(t *testing.T) {
-	now := time.Minute
-	b := started(t, plainSettings(), now, fleet(2, nil))
-	good := encodeRows([]heard{{1, 5, 100 * time.Millisecond}, {99, 3, 0}})
-	for _, bad := range []string{"", "a", good[:len(good)-1], "b" + good[1:], good[:3] + "\xff" + good[4:]} {
-		if b.Told(now, 1, []byte(bad), nil); b.servers[0].hasReport {
-			t.Fatalf("message %q was believed", bad)
-		}
-	}
-	b.Told(now, 1, []byte(good), nil)
-	if s := b.servers[0]; !s.hasReport || s.held != 5 || len(b.servers) != 2 {
-		t.Errorf("after a good message: %+v, %d servers", s, len(b.servers))
-	}
-}
-
 // With many places for each core nothing waits long after the cores are shared; such latencies must not
 // count as uncontended, or the service time grows with load.
 func TestSharedCoresAreNotCalm(t *testing.T) {
@@ -294,3 +279,108 @@
 		t.Errorf("%d of 400 requests went to a server that only just came back", got)
 	}
 }
+
+// Where every queue takes up much of an aim nothing gets in, at however many tries, and where only the
+// drawn server's does, little is refused.
+func TestJamLetsNothingIn(t *testing.T) {
+	for _, jam := range []bool{true, false} {
+		b := started(t, plainSettings(), 0, fleet(4, nil))
+		for _, s := range b.servers {
+			s.hasReport, s.held = true, 9
+		}
+		if jam {
+			b.delay = 0.2
+		}
+		in := 0
+		for i := range 200 {
+			if sendTo(b, 0, fmt.Sprint(i), 0) != 0 {
+				in++
+			}
+		}
+		if jam && in > 0 || !jam && in < 150 {
+			t.Errorf("jam %v: %d of 200 let in", jam, in)
+		}
+	}
+}
+
+// A probe costs the server work; a report that is hardly older than servers refresh theirs will do.
+func TestReportIsUsedForItsLife(t *testing.T) {
+	set := plainSettings()
+	set.MayProbe = true
+	for after, want := range map[time.Duration]int{reportLife: 0, reportLife + 1: 1} {
+		b := started(t, set, 0, fleet(1, nil))
+		b.report(time.Second, b.servers[0], []float64{0, 0, 0})
+		probes := 0
+		for _, a := range b.Request(time.Second+after, Request{ID: "a", Deadline: time.Minute}, nil) {
+			if a.Kind == Probe {
+				probes++
+			}
+		}
+		if probes != want {
+			t.Errorf("%d probes with a report of %v ago, want %d", probes, after, want)
+		}
+	}
+}
+
+// A server that leaves one class unanswered gets no more of it, before any time-out, and single tries
+// after some; the other class and its successes change nothing of that.
+func TestSilentForOneClass(t *testing.T) {
+	b := started(t, plainSettings(), 0, fleet(4, nil))
+	now := time.Second
+	for i := 0; b.byID[1].classes[1].out == 0; i++ {
+		sendTo(b, now, fmt.Sprint("first", i), 1)
+	}
+	silent := func(at time.Duration) (got [2]int) {
+		for i := range 200 {
+			for class := range got {
+				id := fmt.Sprint(at, i, class)
+				to := sendTo(b, at, id, class)
+				if to == 1 {
+					got[class]++
+				}
+				if to != 1 || class == 0 {
+					b.Outcome(at, Outcome{ID: id, Server: to, Over: true}, nil)
+				}
+			}
+		}
+		return got
+	}
+	// A service time is 40 ms.
+	if got := silent(now + 190*time.Millisecond); got[1] != 0 || got[0] < 10 {
+		t.Errorf("sent %v while the first is still out", got)
+	}
+	for _, r := range b.requests {
+		for i := range r.attempts {
+			b.Outcome(now, Outcome{ID: r.ID, Attempt: i, Result: TimedOut, Over: true}, nil)
+		}
+	}
+	h := &b.byID[1].classes[1]
+	h.failures, h.ejections, h.ejected = 3, 1, now+time.Second
+	if got := silent(now + 900*time.Millisecond); got[1] != 0 || got[0] < 10 {
+		t.Errorf("sent %v after failures", got)
+	}
+	if got := silent(now + 2*time.Second); got[1] != 1 {
+		t.Errorf("%d tried at once on a server that failed", got[1])
+	}
+}
+
+// Delays that only one server causes, as its queue report shows, let requests in elsewhere.
+func TestOneServerInTroubleIsNoJam(t *testing.T) {
+	for held, want := range map[float64]bool{0: false, 20: true} {
+		b := started(t, plainSettings(), 0, fleet(4, nil))
+		for _, s := range b.servers {
+			s.hasReport, s.held = true, held
+		}
+		b.delay = 0.2
+		if got := b.crowded(0) > 0.1; got != want {
+			t.Errorf("%v held everywhere: crowded %v", held, b.crowded(0))
+		}
+		r, a := &request{}, &attempt{to: b.servers[0], fresh: true}
+		for range 20 {
+			b.compare(r, a, time.Second, Done)
+		}
+		if b.lag() != 0 {
+			t.Errorf("one server alone makes all reports look %v s old", b.lag())
+		}
+	}
+}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -156,7 +156,7 @@
 	}
 	return Settings{
 		Seed: 7, Peers: 3, Tick: 2 * time.Millisecond, MaxAttempts: 4, MayDuplicate: true, MayProbe: true,
-		MayTell: true, MayCancel: true, AnswerSlack: 20 * time.Millisecond, DrainGrace: time.Second,
+		MayCancel: true, AnswerSlack: 20 * time.Millisecond, DrainGrace: time.Second,
 		AskWithin: 10 * time.Second, ColdStart: 0.2, ColdFor: 10 * time.Second, FallMultiple: 3,
 		FallAfter: 2 * time.Second, MustFollow: true, WarmKeys: true,
 		Report:  []Field{FieldWaiting, FieldUnknown, FieldHeld},
@@ -265,10 +265,6 @@
 			list(ListDelta, []Server{line()})
 		case 12:
 			list([]ListKind{ListFailed, ListDelta}[next()%2], nil)
-		case 13:
-			body := []byte(encodeRows([]heard{{ServerID(next() % 14), next(), time.Duration(next()) * ageUnit}}))
-			body[next()%len(body)] = byte(next())
-			apply(b.Told(now, 1, body, nil))
 		case 14: // things unknown, repeated or over
 			apply(b.Outcome(now, Outcome{ID: "r1", Attempt: next() - 2, Result: Error}, nil))
 			apply(b.Timer(now, uint64(next()), nil))
--- a/balance/state.go
+++ b/balance/state.go
@@ -27,6 +27,7 @@
 	budget   float64      // further attempts allowed now
 	delay    float64      // what requests lately met beyond their service time, in seconds
 	delayAt  time.Duration
+	strange  *server // the last one that did what its report did not foretell
 	doubt    float64 // part of late outcomes that fresh reports did not foretell
 	failed   int     // calls to the registry failed in a row
 
@@ -49,11 +50,21 @@
 	ejected   time.Duration // no traffic until then
 	suspect   bool          // ejected before, and no success since
 	cut       bool          // it could not be reached when last tried
+	classes   []health      // by class
 
 	probing bool
 	waiters []*request // requests held until its probe returns
 }
 
+// health is what a server does with one class.
+type health struct {
+	out       int           // own attempts out
+	since     time.Duration // nothing was served since then, while some were out
+	failures  int           // in a row
+	ejections int           // in a row without a success between
+	ejected   time.Duration // none of this class until then
+}
+
 type attempt struct {
 	to     *server
 	sent   time.Duration
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -303,8 +303,6 @@
 		case balance.FollowList:
 			d.follow = true
 			continue
-		case balance.Tell:
-			continue // this platform has no way between client proxies; MayTell is false
 		}
 		c := d.calls[a.ID]
 		if c == nil {
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -64,10 +64,6 @@
 	case balance.FollowList:
 		e.open(`{"Follow":{"sidecar":`, sidecar)
 		e.w.RawStr(`,"enable":true`)
-	case balance.Tell:
-		e.open(`{"Say":{"sidecar":`, sidecar)
-		e.whole(`,"recipient":`, uint64(a.Peer))
-		e.text(`,"body":`, a.Body)
 	}
 	e.w.RawStr("}}")
 }
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -64,8 +64,7 @@
 		acts = b.StreamStarted(now, ev.Outcome.ID, ev.Outcome.Attempt, acts)
 	case TimedOutClient:
 		acts = b.ClientGone(now, ev.Outcome.ID, acts)
-	case Datagram:
-		acts = b.Told(now, ev.From, ev.Body, acts)
+	case Datagram: // client proxies share nothing
 	default:
 		return errors.New("no handler")
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -120,7 +120,7 @@
 		}),
 		"deductions": nested(map[string]reader{
 			"cross-zone": float(&s.Prices.CrossZone), "probe": float(&s.Prices.Probe),
-			"peer": float(&s.Prices.Peer), "waste": float(&s.Prices.Waste),
+			"waste":     float(&s.Prices.Waste),
 			"late-fail": float(&s.Prices.LateFail),
 		}),
 		"azs":   array(listed(&s.ZoneNames)),
@@ -136,8 +136,8 @@
 			"cancel": truth(&s.MayCancel), "dial-timeout-ms": ms(&s.DialTimeout),
 			"idle-close-ms": ms(&s.IdleClose), "max-attempts": whole(&s.MaxAttempts),
 			"max-retry-after-ms": ms(&s.MaxBackoff),
-			"may-duplicate":      truth(&s.MayDuplicate), "may-tell": truth(&s.MayTell),
-			"probes": truth(&s.MayProbe), "retry-after": truth(&s.TellsBackoff),
+			"may-duplicate":      truth(&s.MayDuplicate),
+			"probes":             truth(&s.MayProbe), "retry-after": truth(&s.TellsBackoff),
 		}),
 		"report": nested(map[string]reader{
 			"fields": array(func(j *jx.Decoder) error {
