Reject a second request under an open id; end slow clients; look before reusing a connection

An id is now held by its request and by each attempt that is out, also after the client left; another gets 409. Repeated steering headers, a GET with a body, and bytes behind a request that begin no other one are 400. - ingress: 10 s for a request and 2 min idle; now 2 s for the first request from the accept on, 2 s for later ones from the first byte, 3 s between two. Short of places, those who never asked go first. - ingress: 's.away <-' held the accept loop while eight silent clients were turned away; beyond eight they are closed. Clients have half of the places and make room among themselves, so a flood of them no longer closes idle connections to servers. - ingress: a log line for each bad request; now one a second with the count. - upstream: wait() took a past deadline as 'nothing came', without a look at the kernel's bytes: a late second copy could become the next request's answer. Now MSG_PEEK before the first byte. - http1: answers without a length, 101 and endless 1xx are malformed; upstream reports malformed answers as errors and not as broken connections, which threw a good server out at the first one.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -249,10 +249,10 @@
 }
 
 func (c *Client) watch(ctx context.Context, w *watch) error {
-	if !c.budget.Outward() {
+	if !c.budget.Take(sockets.Servers) {
 		return errors.New("no socket left")
 	}
-	defer c.budget.Give()
+	defer c.budget.Give(sockets.Servers)
 	d := net.Dialer{Timeout: c.dial, KeepAlive: -1}
 	raw, err := d.DialContext(ctx, "tcp", w.address)
 	if err != nil {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -18,6 +18,8 @@
 	maxHead   = 16 << 10
 	maxFields = 64
 	maxChunk  = 1 << 20
+	// maxInterim is how many answers 1xx may come before the final one, which counts too.
+	maxInterim = 16
 )
 
 // Malformed says that the other side does not speak HTTP/1.1 as it should.
@@ -48,6 +50,22 @@
 	return ""
 }
 
+// Repeated returns the first of names that stands in more than one field, or "".
+func (h Header) Repeated(names ...string) string {
+	for _, name := range names {
+		seen := false
+		for i := range h {
+			if strings.EqualFold(h[i].Name, name) {
+				if seen {
+					return name
+				}
+				seen = true
+			}
+		}
+	}
+	return ""
+}
+
 // lists tells whether the named field holds word in its comma-separated list.
 func (h Header) lists(name, word string) bool {
 	for i := range h {
@@ -302,7 +320,7 @@
 }()
 
 func responseHead(r *bufio.Reader) (int, head, error) {
-	for {
+	for range maxInterim {
 		room := maxHead
 		l, err := line(r, &room)
 		if err != nil {
@@ -314,11 +332,15 @@
 		if version != "HTTP/1.1" || err != nil || len(code) != 3 || status < 100 {
 			return 0, head{}, malformed("not a status line: %.40q", l)
 		}
+		if status == 101 { // nobody asked to switch, and what follows would be no HTTP
+			return 0, head{}, malformed("switching protocols")
+		}
 		h, err := fields(r, &room)
 		if err != nil || status >= 200 {
 			return status, h, err
 		}
 	}
+	return 0, head{}, malformed("no end of interim answers")
 }
 
 // ReadResponse reads one answer to a GET or POST with its whole body.
@@ -331,11 +353,8 @@
 	switch {
 	case status == 204 || status == 304:
 	case !h.chunked && h.length < 0:
-		a.Close = true // only the end of the connection tells the end of the body
-		a.Body, err = io.ReadAll(io.LimitReader(r, MaxBody+1))
-		if err == nil && len(a.Body) > MaxBody {
-			err = &Malformed{Status: 413, Reason: "body too large"}
-		}
+		// Only the end of the connection would tell the end of the body, and a body cut short ends so too.
+		err = malformed("an answer without a length")
 	default:
 		a.Body, err = h.body(r)
 	}
@@ -403,6 +422,7 @@
 
 var reasons = map[int]string{
 	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	409: "Conflict",
 	413: "Content Too Large", 431: "Request Header Fields Too Large", 501: "Not Implemented",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 	505: "HTTP Version Not Supported",
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -4,6 +4,7 @@
 package ingress
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -26,10 +27,19 @@
 const (
 	readyPath = "/health/ready"
 
-	idleLimit  = 2 * time.Minute  // a client's connection without a request
-	readLimit  = 10 * time.Second // from a request's first byte to its last
-	writeLimit = 5 * time.Second  // for an answer
-	lingering  = 300 * time.Millisecond
+	// Who connects and does not ask, or asks and never ends, holds a place that others need. It is owed an
+	// error or a close within 3 s.
+	firstLimit = 2 * time.Second // from the accept to the last byte of the first request
+	readLimit  = 2 * time.Second // from a later request's first byte to its last
+	idleLimit  = 3 * time.Second // between two requests
+	writeLimit = 3 * time.Second // for an answer
+	lingering  = 100 * time.Millisecond
+	awayLimit  = 300 * time.Millisecond // to read the request of a client that is turned away
+
+	// When places run short a connection may be closed that has for so long been ...
+	silentFor = 50 * time.Millisecond  // open without a byte
+	halfFor   = 500 * time.Millisecond // in the middle of a request
+	restedFor = time.Second            // between two requests
 
 	// After the signal to end, clients still open connections for up to 0.4 s, and use those they have
 	// as long as these stay open. Idle ones are closed while a request that crosses with that can still
@@ -38,7 +48,8 @@
 	acceptFor      = 800 * time.Millisecond
 	closeAllAfter  = 1200 * time.Millisecond
 
-	turnedAwayAtOnce = 8 // clients over the budget being told so
+	turnedAwayAtOnce = 8           // clients over the budget being told so
+	logEvery         = time.Second // at most one rejection is logged in that time
 )
 
 // Server serves the clients of one listener.
@@ -55,6 +66,9 @@
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
+	open    map[string]int // by id, how many still need it: its request and the attempts that are out
+	told    time.Time      // when the last rejection was logged
+	untold  int            // rejections since
 }
 
 // New returns a Server; classes and tenants are the names in the order of the settings.
@@ -63,9 +77,9 @@
 	s := &Server{
 		decider: d, pool: p, budget: budget, count: count, log: log,
 		classes: positions(classes), tenants: positions(tenants),
-		away: make(chan struct{}, turnedAwayAtOnce), clients: map[*client]struct{}{},
+		away: make(chan struct{}, turnedAwayAtOnce), clients: map[*client]struct{}{}, open: map[string]int{},
 	}
-	budget.OnShort(s.closeOne)
+	budget.OnShort(sockets.Clients, s.closeOne)
 	return s
 }
 
@@ -90,12 +104,17 @@
 			continue
 		}
 		s.count.Accepted.Add()
-		if !s.budget.Client() {
-			s.away <- struct{}{} // while all tokens are out the next client waits to be accepted
-			go s.turnAway(nc)
+		if !s.budget.Take(sockets.Clients) {
+			s.count.TurnedAway.Add()
+			select {
+			case s.away <- struct{}{}:
+				go s.turnAway(nc)
+			default: // waiting for a token would keep all others waiting too
+				nc.Close()
+			}
 			continue
 		}
-		c := &client{Conn: ring.NewConn(nc), woken: make(chan struct{}, 1), since: time.Now(), idle: true}
+		c := &client{Conn: ring.NewConn(nc), woken: make(chan struct{}, 1), since: time.Now(), idle: true, fresh: true}
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
@@ -109,11 +128,10 @@
 	defer func() { <-s.away }()
 	defer nc.Close()
 	c := ring.NewConn(nc)
-	c.SetDeadline(time.Now().Add(time.Second))
+	c.SetDeadline(time.Now().Add(awayLimit))
 	if _, err := http1.ReadRequest(c.In); err != nil {
 		return
 	}
-	s.count.TurnedAway.Add()
 	(&http1.Response{Status: 503, Close: true}).Write(c.Out)
 	c.Flush()
 }
@@ -135,7 +153,7 @@
 		}
 		s.mu.Lock()
 		for c := range s.clients {
-			if c.since.Before(young) {
+			if c.since.Before(young) && !c.half {
 				s.closeIdle(c)
 			}
 		}
@@ -147,7 +165,7 @@
 	}
 }
 
-// closeIdle closes a client's connection that is between two requests.
+// closeIdle closes a client's connection on which no request is whole.
 func (s *Server) closeIdle(c *client) bool {
 	if !c.idle {
 		return false
@@ -155,29 +173,52 @@
 	c.idle = false
 	delete(s.clients, c)
 	c.Close()
-	s.budget.Give()
+	s.budget.Give(sockets.Clients)
 	return true
 }
 
-// closeOne closes the connection that has been idle longest and gives its place back.
+// closeOne closes the connection that can best be done without and gives its place back: one that
+// never asked before one that is stuck in a request, and that before one that rests between two.
 func (s *Server) closeOne() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var oldest *client
+	now := time.Now()
+	var worst *client
+	most := 0
 	for c := range s.clients {
-		if c.idle && (oldest == nil || c.since.Before(oldest.since)) {
-			oldest = c
+		n := c.spare(now)
+		if n > most || n > 0 && n == most && c.since.Before(worst.since) {
+			worst, most = c, n
 		}
 	}
-	return oldest != nil && time.Since(oldest.since) > time.Second && s.closeIdle(oldest)
+	// One whose request waits in the system is only not read yet.
+	return worst != nil && (worst.half || worst.Quiet()) && s.closeIdle(worst)
+}
+
+// spare tells how well a connection can be done without, from 0, not at all, up.
+func (c *client) spare(now time.Time) int {
+	age := now.Sub(c.since)
+	switch {
+	case !c.idle:
+		return 0
+	case c.half && age > halfFor:
+		return 2
+	case !c.half && c.fresh && age > silentFor:
+		return 3
+	case !c.half && !c.fresh && age > restedFor:
+		return 1
+	}
+	return 0
 }
 
-// client is one connection of the application. The server's lock guards idle and since.
+// client is one connection of the application. The server's lock guards all but the first two.
 type client struct {
 	*ring.Conn
 	woken chan struct{}
-	since time.Time // idle from then on
-	idle  bool      // between two requests; whoever unsets it owns the connection
+	since time.Time // in its present state from then on
+	idle  bool      // no request is whole; whoever unsets it owns the connection
+	half  bool      // but one has begun
+	fresh bool      // none ever was
 }
 
 // Wait sits in Read until Wake, or until the client closes its side.
@@ -214,7 +255,14 @@
 // connection was closed meanwhile.
 func (s *Server) rest(c *client) {
 	s.mu.Lock()
-	c.idle, c.since = true, time.Now()
+	c.idle, c.half, c.fresh, c.since = true, false, false, time.Now()
+	s.mu.Unlock()
+}
+
+// starts notes the first byte of a request.
+func (s *Server) starts(c *client) {
+	s.mu.Lock()
+	c.half, c.since = true, time.Now()
 	s.mu.Unlock()
 }
 
@@ -234,8 +282,22 @@
 
 // request serves one request; false means that the connection is closed.
 func (s *Server) request(c *client) (again bool) {
-	c.SetReadDeadline(time.Now().Add(idleLimit))
+	limit := idleLimit
+	if c.fresh { // only this goroutine unsets it
+		limit = firstLimit
+	}
+	c.SetReadDeadline(time.Now().Add(limit))
 	_, err := c.In.Peek(1)
+	silent := err != nil
+	arrived := time.Now()
+	var q *http1.Request
+	if !silent {
+		s.starts(c)
+		if !c.fresh {
+			c.SetReadDeadline(arrived.Add(readLimit))
+		}
+		q, err = http1.ReadRequest(c.In)
+	}
 	if !s.begin(c) {
 		return false
 	}
@@ -245,19 +307,21 @@
 			delete(s.clients, c)
 			s.mu.Unlock()
 			c.Close()
-			s.budget.Give()
+			s.budget.Give(sockets.Clients)
 		}
 	}()
-	if err != nil {
-		return false // nothing came
+	if silent {
+		return false
 	}
-	arrived := time.Now()
-	c.SetReadDeadline(arrived.Add(readLimit))
-	q, err := http1.ReadRequest(c.In)
 	if err != nil {
 		s.reject(c, err)
 		return false
 	}
+	if !begins(c.In) {
+		// The length told does not fit: what was read as a whole request is a part of one.
+		s.reject(c, &http1.Malformed{Status: 400, Reason: "more than one request"})
+		return false
+	}
 	answer := s.answer(c, q, arrived)
 	if answer == nil {
 		return false
@@ -266,6 +330,12 @@
 	return s.write(c, answer) == nil && !answer.Close
 }
 
+// begins tells whether what has already come behind a request can be the start of another.
+func begins(r *bufio.Reader) bool {
+	b, _ := r.Peek(min(r.Buffered(), len("POST ")))
+	return bytes.HasPrefix([]byte("GET /"), b) || bytes.HasPrefix([]byte("POST "), b)
+}
+
 func (s *Server) write(c *client, a *http1.Response) error {
 	c.SetWriteDeadline(time.Now().Add(writeLimit))
 	if err := a.Write(c.Out); err != nil {
@@ -286,8 +356,7 @@
 	default:
 		return
 	}
-	s.count.Invalid.Add()
-	s.log.Warn("request rejected", "status", status, "err", err)
+	s.rejected(status, err.Error())
 	if s.write(c, plain(status, err.Error(), true)) != nil {
 		return
 	}
@@ -299,6 +368,23 @@
 	}
 }
 
+// rejected counts a request that cannot be used. Only some are logged: a client that sends nothing else
+// would have the log take the time of all others.
+func (s *Server) rejected(status int, reason string) {
+	s.count.Invalid.Add()
+	now := time.Now()
+	s.mu.Lock()
+	s.untold++
+	n, due := s.untold, now.Sub(s.told) >= logEvery
+	if due {
+		s.told, s.untold = now, 0
+	}
+	s.mu.Unlock()
+	if due {
+		s.log.Warn("requests rejected", "count", n, "last_status", status, "last_err", reason)
+	}
+}
+
 func plain(status int, text string, ends bool) *http1.Response {
 	return &http1.Response{Status: status, Body: []byte(text + "\n"), Close: ends,
 		Header: http1.Header{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}}}
@@ -314,15 +400,40 @@
 	}
 	r, status, reason := s.parse(q, arrived)
 	if status != 0 {
-		s.count.Invalid.Add()
-		s.log.Warn("request rejected", "status", status, "err", reason, "id", q.Header.Get("X-Request-ID"))
+		s.rejected(status, reason)
 		return plain(status, reason, false)
 	}
+	id := q.Header.Get(idField)
+	if !s.hold(id, true) {
+		s.rejected(409, "id in use")
+		return plain(409, "a request with this id is open", false)
+	}
+	defer s.release(id)
 	s.count.Taken.Add()
-	return s.run(c, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body,
+	return s.run(c, id, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body,
 		Header: q.Header.EndToEnd("X-Timeout")})
 }
 
+// hold notes that an id is in use once more. As the first use of it, it fails where there is another: what
+// is sent under an open id is a second copy to the server, whoever sent it.
+func (s *Server) hold(id string, first bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first && s.open[id] > 0 {
+		return false
+	}
+	s.open[id]++
+	return true
+}
+
+func (s *Server) release(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id]--; s.open[id] == 0 {
+		delete(s.open, id)
+	}
+}
+
 // try is one attempt with what came of it. Report orders the writing before the reading.
 type try struct {
 	upstream.Attempt
@@ -330,7 +441,7 @@
 }
 
 // run does what the decisions say until they end the request.
-func (s *Server) run(c *client, r decide.Request, message *http1.Request) *http1.Response {
+func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request) *http1.Response {
 	select {
 	case <-c.woken: // left over from the request before
 	default:
@@ -343,9 +454,11 @@
 			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, Until: step.Until}}
 			t.Done = func(out upstream.Outcome) {
 				t.out = out
+				s.release(id)
 				s.decider.Report(call, step.Attempt, out.Result, out.Load)
 			}
 			tries = append(tries, t)
+			s.hold(id, false) // it may outlast its client
 			s.pool.Start(&t.Attempt)
 		case decide.Cancel:
 			tries[step.Attempt].Cancel()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -13,6 +13,11 @@
 	"cresshub/internal/http1"
 )
 
+const idField = "X-Request-ID"
+
+// steering are the header fields that say what a request is and how it is handled.
+var steering = []string{idField, "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "X-Retried", "Host"}
+
 // longest bounds a request's time: whoever waits longer than this has no deadline at all.
 const longest = time.Hour
 
@@ -21,9 +26,15 @@
 	if q.Method != "GET" && q.Method != "POST" {
 		return r, 405, "method is neither GET nor POST"
 	}
-	if q.Header.Get("X-Request-ID") == "" {
+	if q.Header.Get(idField) == "" {
 		return r, 400, "no X-Request-ID"
 	}
+	if name := q.Header.Repeated(steering...); name != "" { // another reader may go by the other one
+		return r, 400, name + " is repeated"
+	}
+	if q.Method == "GET" && len(q.Body) > 0 {
+		return r, 400, "GET with a body"
+	}
 	var ok bool
 	if r.Class, ok = s.classes[q.Header.Get("X-Priority-Class")]; !ok {
 		return r, 400, "X-Priority-Class names no class"
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 )
 
 // Size is the room of one ring in bytes; it also bounds a header line, which bufio must hold whole.
@@ -136,6 +137,30 @@
 	}
 }
 
+// Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end. It
+// does not touch the connection, so another goroutine may sit in Read.
+func (c *Conn) Quiet() bool {
+	if c.In.Buffered() > 0 {
+		return false
+	}
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	// Control and not Read, which looks at the deadline first and then not at the bytes.
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+	})
+	return err == nil && quiet
+}
+
 // Flush hands everything written so far to the system. After an error the last byte of what was
 // written since the previous Flush has not left this process.
 func (c *Conn) Flush() error {
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -70,3 +71,36 @@
 		t.Errorf("%d bytes came, %v; want %d", len(got), err, len(want))
 	}
 }
+
+// Quiet looks at the system's bytes also where a deadline has passed.
+func TestQuiet(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	near, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := NewConn(near)
+	c.SetReadDeadline(time.Unix(1, 0))
+	if !c.Quiet() {
+		t.Error("nothing was sent")
+	}
+	for what, do := range map[string]func(){"a byte": func() { far.Write([]byte{1}) }, "the end": func() { far.Close() }} {
+		do()
+		end := time.Now().Add(20 * time.Second)
+		for c.Quiet() && time.Now().Before(end) {
+			time.Sleep(time.Millisecond)
+		}
+		if c.Quiet() {
+			t.Errorf("%s goes unseen", what)
+		}
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -7,53 +7,59 @@
 // opened in passing, and room to turn a client away with an answer.
 const reserve = 24
 
-// Budget counts the open connections of all sides together.
+// Side is who a connection is for.
+type Side int
+
+// The two sides.
+const (
+	Clients Side = iota // the application
+	Servers             // zone servers and discovery
+)
+
+// Budget counts the open connections of both sides together.
 type Budget struct {
 	mu      sync.Mutex
 	limit   int
-	used    int
-	reclaim []func() bool
+	most    [2]int // for each side
+	used    [2]int
+	reclaim [2]func() bool
 }
 
-// NewBudget returns the budget of a process that may hold so many descriptors.
-func NewBudget(descriptors int) *Budget { return &Budget{limit: max(descriptors-reserve, 8)} }
-
-// OnShort adds a way to close one idle connection; it gives its place back before it returns true.
-func (b *Budget) OnShort(closeOne func() bool) { b.reclaim = append(b.reclaim, closeOne) }
-
-// Client takes a place for a client's connection. Clients leave a quarter of the places to the other
-// side, for a request that is in but cannot get out only holds a place.
-func (b *Budget) Client() bool { return b.take(b.limit - b.limit/4) }
+// NewBudget returns the budget of a process that may hold so many descriptors. Clients get half of the
+// places: a request that is in but cannot get out only holds a place.
+func NewBudget(descriptors int) *Budget {
+	limit := max(descriptors-reserve, 8)
+	return &Budget{limit: limit, most: [2]int{Clients: limit / 2, Servers: limit}}
+}
 
-// Outward takes a place for a connection to a zone server or discovery.
-func (b *Budget) Outward() bool { return b.take(b.limit) }
+// OnShort sets how to close one idle connection of a side; it gives its place back before it returns true.
+func (b *Budget) OnShort(side Side, closeOne func() bool) { b.reclaim[side] = closeOne }
 
-func (b *Budget) take(below int) bool {
+// Take takes a place for a connection.
+func (b *Budget) Take(side Side) bool {
 	for {
 		b.mu.Lock()
-		ok := b.used < below
-		if ok {
-			b.used++
+		short := b.used[side] >= b.most[side]
+		full := b.used[Clients]+b.used[Servers] >= b.limit
+		if !short && !full {
+			b.used[side]++
+			b.mu.Unlock()
+			return true
 		}
 		b.mu.Unlock()
-		if ok || !b.closeOne() {
-			return ok
+		// A side that has all it may have makes room itself, so that a flood of clients does not cost the
+		// connections to servers.
+		if !(!short && b.close(Servers)) && !b.close(Clients) {
+			return false
 		}
 	}
 }
 
-func (b *Budget) closeOne() bool {
-	for _, f := range b.reclaim {
-		if f() {
-			return true
-		}
-	}
-	return false
-}
+func (b *Budget) close(side Side) bool { return b.reclaim[side] != nil && b.reclaim[side]() }
 
 // Give returns a place.
-func (b *Budget) Give() {
+func (b *Budget) Give(side Side) {
 	b.mu.Lock()
-	b.used--
+	b.used[side]--
 	b.mu.Unlock()
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -53,7 +53,7 @@
 		dir: dir, limits: limits, budget: budget, count: count, report: newReportForm(limits.Report),
 		idle: map[decide.ServerID][]*conn{},
 	}
-	budget.OnShort(p.closeOne)
+	budget.OnShort(sockets.Servers, p.closeOne)
 	return p
 }
 
@@ -209,7 +209,7 @@
 func (c *conn) close() {
 	c.ended.Do(func() {
 		c.nc.Close()
-		c.pool.budget.Give()
+		c.pool.budget.Give(sockets.Servers)
 	})
 }
 
@@ -257,14 +257,16 @@
 	defer p.mu.Unlock()
 	a, c.next = c.next, nil
 	p.unlist(c)
-	return a, errors.Is(err, os.ErrDeadlineExceeded)
+	// The deadline that wakes this goroutine also ends Read when bytes wait in the system: a second copy of
+	// an answer, noise, or the end. The next request must not get them for its answer.
+	return a, errors.Is(err, os.ErrDeadlineExceeded) && (a == nil || c.nc.Quiet())
 }
 
 var dialer = net.Dialer{KeepAlive: -1} // every exchange has a deadline of its own
 
 // dial opens the connection; where that fails the attempt provably never ran.
 func (c *conn) dial(a *Attempt) (decide.Result, bool) {
-	if !c.pool.budget.Outward() {
+	if !c.pool.budget.Take(sockets.Servers) {
 		return decide.NotSent, false
 	}
 	until := time.Now().Add(c.pool.limits.Dial)
@@ -280,7 +282,7 @@
 		c.pool.count.Opened.Add()
 		return 0, true
 	}
-	c.pool.budget.Give()
+	c.pool.budget.Give(sockets.Servers)
 	switch {
 	case a.ctx.Err() != nil:
 		return decide.Withdrawn, false
@@ -318,7 +320,11 @@
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return Outcome{Result: decide.TimedOut}, false
-	case err != nil: // malformed answers too: the request was read, and what became of it is not known
+	case errors.As(err, new(*http1.Malformed)):
+		// The server is there and has read the request, so it is not broken off: one spoilt answer is no
+		// reason to leave a server alone.
+		return Outcome{Result: a.ended(decide.ErrorAnswer)}, false
+	case err != nil:
 		return Outcome{Result: a.ended(decide.Broken)}, false
 	}
 	out = Outcome{Result: a.classify(answer), Answer: answer, Load: c.pool.report.read(answer, a.probe)}
