Take the least loaded of a sample while its report is new; second copies of lookups

At fault: weigh() counted the age of a report from its arrival on, and with reports used for 40 ms and a service time of 20 ms that made the shares of the three sampled servers nearly even. An age counts beyond reportLife only now. Calls to discovery are repeated within 3 s, not 12 s: after 6 s its news binds.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -4,7 +4,6 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -27,6 +26,8 @@
 	refusePart = 0.3
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
+	// turnedFor is how long a server that turned a request away is left alone: it may look idle to probes.
+	turnedFor = 100 * time.Millisecond
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
@@ -71,11 +72,12 @@
 	if kind == ListFailed {
 		b.failed++
 		// Spread and back off: a registry that is short of time must not be asked by all at once.
-		wait := b.set.AskWithin / 20 * time.Duration(1<<min(b.failed, 4))
+		// But not for long: what it has to tell binds also while it is not heard.
+		wait := b.set.AskWithin / 20 * time.Duration(1<<min(b.failed, 2))
 		return append(acts, b.timer(b.jitter(wait), timerFollow, 0))
 	}
 	if kind == ListCached && b.set.MustFollow {
-		acts = append(acts, b.timer(time.Duration(b.rng.Float64()*float64(b.set.AskWithin)/2), timerFollow, 0))
+		acts = append(acts, b.timer(time.Duration(b.rng.Float64()*float64(b.set.AskWithin)/5), timerFollow, 0))
 	} else {
 		b.failed = 0
 	}
@@ -283,7 +285,8 @@
 			if now < s.ejected && (!panicking || s.cut && near > 0) && (bound == nil || pass == 0) {
 				continue
 			}
-			if pass == 0 && (b.stuck(now, r, s) || r.tried(s) || s.suspect && b.set.Classes[r.Class].Effect == AtMostOnce) {
+			if pass == 0 && (b.stuck(now, r, s) || now < s.turned || r.tried(s) ||
+				s.suspect && b.set.Classes[r.Class].Effect == AtMostOnce) {
 				continue
 			}
 			rows = append(rows, s)
@@ -297,12 +300,19 @@
 // and probes go well. At first only the missing answers show it; after failures it is tried singly.
 func (b *Balancer) stuck(now time.Duration, r *request, s *server) bool {
 	h := &s.classes[r.Class]
+	if s.probing && now-s.asked > b.probeWait() && !b.queued() {
+		return true
+	}
 	if h.out == 0 {
 		return now < h.ejected
 	}
+	return now < h.ejected || h.failures >= 3 || (now-h.since).Seconds() > b.unusual(r, s)
+}
+
+// unusual is how long, in seconds, an answer of s seldom takes.
+func (b *Balancer) unusual(r *request, s *server) float64 {
 	queue := max((s.held+float64(s.since))/b.parallel, 1)
-	usual := stuckAfter * queue * b.kind(r.Class, s.Kind).mean
-	return now < h.ejected || h.failures >= 3 || (now-h.since).Seconds() > usual
+	return stuckAfter * queue * b.kind(r.Class, s.Kind).mean
 }
 
 // bound is the first server where a deduplicated request may have run; repeats must stay in its group.
@@ -356,41 +366,6 @@
 
 // ---- shares
 
-// fill gives each row its part of the arrivals: they rise like water from the lowest levels on, and
-// a row's share is what of them it takes. With equal weights this is equation 4 of the paper. A share
-// above its cap is cut to it, and the rest rises over the others.
-func fill(rows []share, arrive float64) {
-	slices.SortStableFunc(rows, func(x, y share) int { return cmp.Compare(x.level, y.level) })
-	arrive = max(arrive, 1e-9)
-	left := 1.0 // the part of the arrivals that no capped row takes
-	for again := true; again && left > 1e-12; {
-		water, weight, full, surface := arrive*left, 0.0, 0.0, 0.0
-		for i := range rows {
-			r := &rows[i]
-			if weight > 0 && r.level*weight-full >= water {
-				break
-			}
-			if !r.fixed {
-				weight += r.weight
-				full += r.weight * r.level
-				surface = (water + full) / weight
-			}
-		}
-		part := left
-		again = false
-		for i := range rows {
-			r := &rows[i]
-			if r.fixed {
-				continue
-			}
-			if r.p = part * max(0, r.weight*(surface-r.level)/water); r.p > r.cap {
-				r.p, r.fixed, again = r.cap, true, true
-				left -= r.cap
-			}
-		}
-	}
-}
-
 // weigh sets up the shares of the candidates for one request, levels and caps included. whole is the
 // capacity of all eligible servers were they warm, sure what of it is there now.
 func (b *Balancer) weigh(now time.Duration, r *request, rows []*server, whole, sure float64,
@@ -400,7 +375,7 @@
 		if s.hasReport {
 			known++
 			typical += s.held
-			age += (now - s.reported).Seconds()
+			age += max(now-s.reported-reportLife, 0).Seconds() // as good as new until then
 		}
 	}
 	ages := noReport
@@ -521,23 +496,6 @@
 	return append(into, first, second)
 }
 
-func (b *Balancer) draw() *share {
-	sum := 0.0
-	for i := range b.shares {
-		sum += b.shares[i].p
-	}
-	if sum < 1-1e-6 {
-		sum = 1 // all caps together leave a part that no server may take
-	}
-	at := b.rng.Float64() * sum
-	for i := range b.shares {
-		if at -= b.shares[i].p; at < 0 {
-			return &b.shares[i]
-		}
-	}
-	return nil
-}
-
 // ---- attempts and answers
 
 // Request takes a request that must get one final answer.
@@ -584,14 +542,23 @@
 			}
 		}
 		r.sample = b.pick(now, r, rows, k, r.sample)
-		if acts = b.probeSample(now, r, acts); r.pending > 0 {
-			wait := min(left-b.set.Tick, max(4*b.set.Tick, 20*time.Millisecond))
-			return append(acts, b.timer(wait, timerHold, r.seq))
+		acts = b.probeSample(now, r, acts)
+		if b.queued() {
+			r.pending = 0 // the probes are for the requests that follow
+		}
+		if r.pending > 0 {
+			return append(acts, b.timer(min(left-b.set.Tick, b.probeWait()), timerHold, r.seq))
 		}
 	}
 	return b.send(now, r, acts)
 }
 
+// probeWait is how long a probe is waited for; a server that is well answers in much less.
+func (b *Balancer) probeWait() time.Duration { return max(4*b.set.Tick, 8*time.Millisecond) }
+
+// queued tells whether probes wait in the servers' queues as requests do, and take as long.
+func (b *Balancer) queued() bool { return b.asking > b.meanService()/4 }
+
 // probeSample asks those of r's sample that have no fresh report.
 func (b *Balancer) probeSample(now time.Duration, r *request, acts []Action) []Action {
 	for _, s := range r.sample {
@@ -601,7 +568,7 @@
 		r.pending++
 		s.waiters = append(s.waiters, r)
 		if !s.probing {
-			s.probing = true
+			s.probing, s.asked = true, now
 			acts = append(acts, Action{Kind: Probe, Server: s.ID})
 		}
 	}
@@ -640,7 +607,7 @@
 		fill(b.shares, b.weigh(now, r, all, whole, sure, false))
 		x = b.draw()
 	}
-	if x == nil || len(r.attempts) == 0 && b.hopeless(now, r, x.s) {
+	if x == nil || len(r.attempts) == 0 && b.hopeless(now, r, x.s) || r.out > 0 && r.tried(x.s) {
 		return b.end(now, r, acts)
 	}
 	s := x.s
@@ -656,7 +623,24 @@
 	calm := fresh && s.waiting == 0 && s.held+float64(s.since) <= 2 && b.lag() == 0
 	r.attempts = append(r.attempts, attempt{to: s, sent: now, epoch: s.epoch, level: s.held + float64(s.since-1),
 		fresh: fresh, calm: calm, mayRun: true})
-	return append(acts, Action{Kind: Send, ID: r.ID, Server: s.ID, Wait: b.patience(now, r)})
+	acts = append(acts, Action{Kind: Send, ID: r.ID, Server: s.ID, Wait: b.patience(now, r)})
+	if b.set.MayDuplicate && b.set.Classes[r.Class].Effect == Idempotent {
+		wait := time.Duration(b.unusual(r, s) * 1e9)
+		if now+wait+b.expected(r) < r.came+b.aim(r) {
+			acts = append(acts, b.timer(wait, timerCopy, r.seq))
+		}
+	}
+	return acts
+}
+
+// second sends another copy of what its server leaves unanswered for unusually long, where that is
+// harmless. It draws on what further attempts may be, so that in a jam there are few.
+func (b *Balancer) second(now time.Duration, r *request, acts []Action) []Action {
+	if r.over || r.out != 1 || b.budget < 1 || !b.mayRepeat(now, r) {
+		return acts
+	}
+	b.budget--
+	return b.send(now, r, acts)
 }
 
 // patience is how long an attempt is waited for: an answer that earns nothing is not worth a place in
@@ -834,7 +818,10 @@
 	case Done:
 		s.failures, s.ejections, s.suspect, s.cut = 0, 0, false, false
 		return
-	case Cancelled, Skipped, Rejected:
+	case Rejected:
+		s.turned = now + b.jitter(turnedFor)
+		return
+	case Cancelled, Skipped:
 		return
 	case Refused, Reset:
 		need = 1
@@ -854,6 +841,7 @@
 		return acts
 	}
 	s.probing = false
+	b.asking += 0.1 * (p.Latency.Seconds() - b.asking)
 	if p.Result == Done {
 		s.suspect, s.cut = false, false
 		b.report(now, s, p.Report)
@@ -880,6 +868,7 @@
 const (
 	timerHold = iota
 	timerFollow
+	timerCopy
 )
 
 func (b *Balancer) timer(wait time.Duration, kind int, seq uint64) Action {
@@ -896,6 +885,10 @@
 	switch token & 3 {
 	case timerFollow:
 		return append(acts, Action{Kind: FollowList})
+	case timerCopy:
+		if r := b.bySeq[token>>2]; r != nil {
+			return b.second(now, r, acts)
+		}
 	case timerHold:
 		r := b.bySeq[token>>2]
 		if r == nil || r.over || r.out > 0 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -384,3 +384,102 @@
 		}
 	}
 }
+
+// Within its life a report's age softens nothing: of servers probed just now the least loaded is taken.
+// Beyond, the shares even out.
+func TestLoadCountsForTheReportsLife(t *testing.T) {
+	for age, most := range map[time.Duration]int{reportLife: 0, 100 * reportLife: 200} {
+		b := started(t, plainSettings(), time.Second, fleet(2, nil))
+		got := 0
+		for i := range 400 {
+			for j, s := range b.servers {
+				s.hasReport, s.held, s.reported, s.since = true, float64(4*j), time.Second, 0
+			}
+			id, now := fmt.Sprint(i), time.Second+age
+			to := sendTo(b, now, id, 1)
+			if to == 2 {
+				got++
+			}
+			b.Outcome(now, Outcome{ID: id, Server: to, Result: Skipped, Over: true}, nil)
+		}
+		if got > most || most > 0 && got < 100 {
+			t.Errorf("reports of %v ago: %d of 400 to the server that holds more", age, got)
+		}
+	}
+}
+
+// What may be repeated is sent a second time elsewhere once its answer stays out for unusually long; the
+// first answer withdraws the other. What must not run twice is not.
+func TestSecondCopyOfWhatStaysOut(t *testing.T) {
+	for class, want := range []int{1, 0} {
+		for _, servers := range []int{1, 3} {
+			b := started(t, plainSettings(), 0, fleet(servers, nil))
+			now, copies := 10*time.Millisecond, 0
+			var first, other ServerID
+			for _, a := range b.Request(now, Request{ID: "a", Class: class, Deadline: time.Minute}, nil) {
+				switch a.Kind {
+				case Send:
+					first = a.Server
+				case SetTimer:
+					for _, c := range b.Timer(now+a.Wait, a.Token, nil) {
+						if c.Kind == Send {
+							copies, other = copies+1, c.Server
+						}
+					}
+				}
+			}
+			if servers == 1 {
+				want = 0 // there is nowhere else
+			}
+			if copies != want || copies > 0 && other == first {
+				t.Errorf("class %d, %d servers: %d copies, to %d after %d", class, servers, copies, other, first)
+			}
+			if copies == 0 {
+				continue
+			}
+			acts := b.Outcome(now+time.Second, Outcome{ID: "a", Attempt: 1, Server: other, Over: true}, nil)
+			if len(acts) != 1 || acts[0].Kind != Cancel || acts[0].Attempt != 0 {
+				t.Errorf("after the copy was served: %+v", acts)
+			}
+		}
+	}
+}
+
+// Where probes are queued like requests, to wait for them takes as long as to be served.
+func TestSlowProbesAreNotWaitedFor(t *testing.T) {
+	set := plainSettings()
+	set.MayProbe = true
+	for asking, want := range map[float64]bool{0.001: false, 0.2: true} {
+		b := started(t, set, 0, fleet(3, nil))
+		b.asking = asking
+		probes, sent := 0, false
+		for _, a := range b.Request(time.Second, Request{ID: "a", Deadline: time.Minute}, nil) {
+			sent = sent || a.Kind == Send
+			if a.Kind == Probe {
+				probes++
+			}
+		}
+		if sent != want || probes == 0 {
+			t.Errorf("probes take %v s: sent at once %v, %d probes", asking, sent, probes)
+		}
+	}
+}
+
+// A server that turns requests away may look idle to probes, and would draw all of them.
+func TestTurnedAwayIsLeftAlone(t *testing.T) {
+	b := started(t, plainSettings(), 0, fleet(3, nil))
+	to := sendTo(b, 0, "a", 1)
+	b.Outcome(0, Outcome{ID: "a", Server: to, Result: Rejected, Over: true}, nil)
+	again := 0
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		x := sendTo(b, turnedFor/2-1, id, 1)
+		if x == to {
+			again++
+		}
+		b.Outcome(turnedFor/2-1, Outcome{ID: id, Server: x, Over: true}, nil)
+	}
+	if again > 0 {
+		t.Errorf("%d requests to a server that just turned one away", again)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -27,6 +27,7 @@
 	budget   float64      // further attempts allowed now
 	delay    float64      // what requests lately met beyond their service time, in seconds
 	delayAt  time.Duration
+	asking   float64 // how long probes take, in seconds
 	strange  *server // the last one that did what its report did not foretell
 	doubt    float64 // part of late outcomes that fresh reports did not foretell
 	failed   int     // calls to the registry failed in a row
@@ -50,10 +51,12 @@
 	ejected   time.Duration // no traffic until then
 	suspect   bool          // ejected before, and no success since
 	cut       bool          // it could not be reached when last tried
+	turned    time.Duration // it turned one away; better none until then
 	classes   []health      // by class
 
 	probing bool
-	waiters []*request // requests held until its probe returns
+	asked   time.Duration // when its probe set off
+	waiters []*request    // requests held until its probe returns
 }
 
 // health is what a server does with one class.
