--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -278,8 +278,9 @@
 // More clients than the budget has places for are told so; those within it are served on.
 func TestSocketBudget(t *testing.T) {
 	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.Silence }))
-	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 40) // 16 places, 8 for clients
-	for range 30 {                                                             // say nothing, and cost those who ask nothing
+	// 16 places, 8 of them for clients.
+	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 40)
+	for range 30 { // say nothing, and cost those who ask nothing
 		nettest.Dial(t, p.address)
 	}
 	nettest.Until(t, "all are accepted", func() bool {
@@ -335,7 +336,9 @@
 // Who connects and does not ask, or does not end, is told so or closed, and does not keep a place.
 func TestSlowClientsAreEnded(t *testing.T) {
 	p := start(t, nettest.NewDiscovery(t).Address, "null", 200)
-	for in, status := range map[string]int{"": 0, "GET / HT": 408, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n": 408} {
+	for in, status := range map[string]int{
+		"": 0, "GET / HT": 408, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n": 408,
+	} {
 		t.Run(in, func(t *testing.T) {
 			t.Parallel()
 			c := nettest.Dial(t, p.address)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -114,7 +114,8 @@
 			}
 			continue
 		}
-		c := &client{Conn: ring.NewConn(nc), woken: make(chan struct{}, 1), since: time.Now(), idle: true, fresh: true}
+		c := &client{Conn: ring.NewConn(nc), woken: make(chan struct{}, 1), since: time.Now(), idle: true,
+			fresh: true}
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
--- a/internal/ingress/wait_test.go
+++ b/internal/ingress/wait_test.go
@@ -54,7 +54,8 @@
 }
 
 func server(log io.Writer) *Server {
-	return New(nil, nil, nil, nil, sockets.NewBudget(100), &counters.Set{}, slog.New(slog.NewTextHandler(log, nil)))
+	lines := slog.New(slog.NewTextHandler(log, nil))
+	return New(nil, nil, nil, nil, sockets.NewBudget(100), &counters.Set{}, lines)
 }
 
 // Places go first from those that never asked, then from those stuck in a request, then from those that
@@ -103,8 +104,8 @@
 }
 
 func TestBegins(t *testing.T) {
-	for behind, want := range map[string]bool{"": true, "GET /api": true, "PO": true, "POST /": true, "xyz": false,
-		"\r\n": false, "GETaway": false} {
+	for behind, want := range map[string]bool{"": true, "GET /api": true, "PO": true, "POST /": true,
+		"xyz": false, "\r\n": false, "GETaway": false} {
 		r := bufio.NewReader(strings.NewReader(behind))
 		r.Peek(1)
 		if got := begins(r); got != want {
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -93,7 +93,9 @@
 	if !c.Quiet() {
 		t.Error("nothing was sent")
 	}
-	for what, do := range map[string]func(){"a byte": func() { far.Write([]byte{1}) }, "the end": func() { far.Close() }} {
+	for what, do := range map[string]func(){
+		"a byte": func() { far.Write([]byte{1}) }, "the end": func() { far.Close() },
+	} {
 		do()
 		end := time.Now().Add(20 * time.Second)
 		for c.Quiet() && time.Now().Before(end) {
