Keep servers that turned a request away in use

At fault: leaving a server alone for 0.1 s after a refusal, which crowded the rest into a jam. Taken out again.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,8 +26,6 @@
 	refusePart = 0.3
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
-	// turnedFor is how long a server that turned a request away is left alone: it may look idle to probes.
-	turnedFor = 100 * time.Millisecond
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
@@ -285,7 +283,7 @@
 			if now < s.ejected && (!panicking || s.cut && near > 0) && (bound == nil || pass == 0) {
 				continue
 			}
-			if pass == 0 && (b.stuck(now, r, s) || now < s.turned || r.tried(s) ||
+			if pass == 0 && (b.stuck(now, r, s) || r.tried(s) ||
 				s.suspect && b.set.Classes[r.Class].Effect == AtMostOnce) {
 				continue
 			}
@@ -818,11 +816,8 @@
 	case Done:
 		s.failures, s.ejections, s.suspect, s.cut = 0, 0, false, false
 		return
-	case Rejected:
-		s.turned = now + b.jitter(turnedFor)
-		return
-	case Cancelled, Skipped:
-		return
+	case Cancelled, Skipped, Rejected:
+		return // who turns some away takes others, and to leave it alone crowds the rest
 	case Refused, Reset:
 		need = 1
 		s.cut = res == Refused
--- a/balance/state.go
+++ b/balance/state.go
@@ -51,7 +51,6 @@
 	ejected   time.Duration // no traffic until then
 	suspect   bool          // ejected before, and no success since
 	cut       bool          // it could not be reached when last tried
-	turned    time.Duration // it turned one away; better none until then
 	classes   []health      // by class
 
 	probing bool
