Let each new client beyond a quarter of the places close the longest rested one

The clients had no connection left: they open one for each request, keep it, and hold at most a third of the descriptors, while ingress let each rest for 3 s. At fault: nothing closed a resting connection before places ran short on our side.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -122,6 +122,9 @@
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
 		go s.serve(c)
+		if s.budget.Crowded() {
+			s.closeOne()
+		}
 	}
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// Crowded tells whether clients hold a quarter of the places. They, too, hold only so many connections,
+// and some keep each for good after one request: what rests then keeps their next requests out.
+func (b *Budget) Crowded() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[Clients] > b.limit/4
+}
+
 func (b *Budget) close(side Side) bool { return b.reclaim[side] != nil && b.reclaim[side]() }
 
 // Give returns a place.
