--- /dev/null
+++ b/internal/cli/config.go
@@ -0,0 +1,162 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"cresshub/internal/config"
+)
+
+func newConfig() *cobra.Command {
+	c := &cobra.Command{
+		Use: "config", Short: "Check, show and document the configuration",
+		Example: "  cresshub config check cresshub.toml\n  cresshub config show -c cresshub.toml",
+	}
+	c.AddCommand(newCheck(), newShow(), newDocs(), newInit())
+	return c
+}
+
+func newCheck() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "check FILE",
+		Short: "Tell all mistakes of a file, a line each",
+		Long: "Tells all mistakes of a file, each as FILE:LINE: key: message, and ends with 1 if there are any.\n" +
+			"Variables are left aside. A file that ends in .json is read as the platform's.",
+		Example: "  cresshub config check cresshub.toml",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			in := config.Input{File: args[0], Environ: func() []string { return nil }}
+			if strings.HasSuffix(args[0], ".json") {
+				in.File = ""
+				in.Environ = func() []string { return []string{"EDGE_CONFIG=" + args[0]} }
+			}
+			_, err := config.Load(in)
+			problems := config.Problems{}
+			if err != nil && !errors.As(err, &problems) {
+				return err
+			}
+			if asJSON {
+				type row struct {
+					File    string `json:"file"`
+					Line    int    `json:"line"`
+					Key     string `json:"key"`
+					Message string `json:"message"`
+				}
+				rows := []row{}
+				for _, p := range problems {
+					rows = append(rows, row{p.Name, p.Line, p.Key, p.Message})
+				}
+				if err := printJSON(c.OutOrStdout(), rows); err != nil {
+					return err
+				}
+			} else if err != nil {
+				fmt.Fprintln(c.OutOrStdout(), err)
+			}
+			if err != nil {
+				return errTold
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print the mistakes as one JSON list")
+	return c
+}
+
+func newShow() *cobra.Command {
+	var from sources
+	var asJSON, all bool
+	c := &cobra.Command{
+		Use:   "show",
+		Short: "Print the values in force and where each comes from",
+		Long: "Prints the values in force, and for each whether it is a default or which file and line,\n" +
+			"variable or flag set it. Without --all, keys at their default are left out of the table.",
+		Example: "  cresshub config show -c cresshub.toml\n  cresshub config show -c cresshub.toml --json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			in, err := from.input()
+			if err != nil {
+				return err
+			}
+			cfg, err := config.Load(in)
+			if err != nil {
+				return err
+			}
+			values := cfg.Effective()
+			if asJSON {
+				return printJSON(c.OutOrStdout(), values)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			for _, v := range values {
+				if all || v.Source != "default" {
+					fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", v.Key, v.Value, v.Source, v.At)
+				}
+			}
+			return w.Flush()
+		},
+	}
+	from.add(c)
+	c.Flags().BoolVar(&asJSON, "json", false, "print all keys as one JSON list")
+	c.Flags().BoolVar(&all, "all", false, "also keys at their default")
+	return c
+}
+
+func newDocs() *cobra.Command {
+	var output string
+	c := &cobra.Command{
+		Use:     "docs",
+		Short:   "Write the reference page of all keys",
+		Example: "  cresshub config docs\n  cresshub config docs --output -",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return write(c.OutOrStdout(), output, config.Reference(), true)
+		},
+	}
+	c.Flags().StringVarP(&output, "output", "o", "docs/CONFIGURATION.md", "file to write, - for standard output")
+	return c
+}
+
+func newInit() *cobra.Command {
+	var force bool
+	c := &cobra.Command{
+		Use:   "init [FILE]",
+		Short: "Write a configuration to begin with",
+		Long: "Writes a file with all keys, their meaning and their defaults, cresshub.toml if none is\n" +
+			"named. A file that is there stays unless --force is given; - writes to standard output.",
+		Example: "  cresshub config init\n  cresshub config init -",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return write(c.OutOrStdout(), append(args, "cresshub.toml")[0], config.Beginning(), force)
+		},
+	}
+	c.Flags().BoolVar(&force, "force", false, "replace a file that is there")
+	return c
+}
+
+// write puts text into a file, or on w where the path is "-".
+func write(w io.Writer, path, text string, replace bool) error {
+	if path == "-" {
+		_, err := io.WriteString(w, text)
+		return err
+	}
+	mode := os.O_WRONLY | os.O_CREATE | os.O_TRUNC
+	if !replace {
+		mode = os.O_WRONLY | os.O_CREATE | os.O_EXCL
+	}
+	f, err := os.OpenFile(path, mode, 0o644)
+	if errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("%s is there already; --force replaces it", path)
+	}
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(f, text)
+	return errors.Join(err, f.Close())
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,56 @@
+package cli
+
+import (
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"cresshub/internal/config"
+	"cresshub/internal/serve"
+)
+
+// Signals listens for those that a serving program minds. It is called before anything else, for a signal
+// that nobody listens for ends the process.
+func Signals() <-chan os.Signal {
+	signals := make(chan os.Signal, 64)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	return signals
+}
+
+func newServe(signals <-chan os.Signal) *cobra.Command {
+	var from sources
+	c := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve clients until SIGTERM",
+		Long: "Serves clients until SIGTERM or SIGINT, answers all that was taken, and ends.\n\n" +
+			"SIGHUP reads the configuration again, SIGUSR1 logs the counters. The log goes to standard error.",
+		Example: "  cresshub serve --config cresshub.toml\n" +
+			"  cresshub serve -c cresshub.toml --set log.requests=true",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			in, err := from.input()
+			if err != nil {
+				return err
+			}
+			cfg, err := config.Load(in)
+			if err != nil {
+				return err
+			}
+			serve.Confine(cfg.Limits)
+			proxy, err := serve.New(cfg, os.Stderr)
+			if err != nil {
+				return err
+			}
+			// What the start read and parsed is of no more use; on a small machine its pages are.
+			debug.FreeOSMemory()
+			in.Again = true
+			proxy.Run(signals, func() (*config.Config, error) { return config.Load(in) })
+			return nil
+		},
+	}
+	from.add(c)
+	return c
+}
--- /dev/null
+++ b/internal/config/effective.go
@@ -0,0 +1,116 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Value is one key as it is in force.
+type Value struct {
+	Key    string `json:"key"`
+	Value  any    `json:"value"`
+	Source string `json:"source"`
+	At     string `json:"at,omitempty"` // file and line, variable or flag
+	Reload string `json:"reload"`
+}
+
+// Effective returns all keys in their order with where each value came from.
+func (c *Config) Effective() []Value {
+	var all []Value
+	root := reflect.ValueOf(c).Elem()
+	add := func(f *Field, path string, v reflect.Value) {
+		o := c.origins[path]
+		at := ""
+		if o.Source != "default" {
+			at = o.String()
+		}
+		all = append(all, Value{shown(path), f.plain(v), o.Source, at, f.Reload})
+	}
+	for _, f := range keys().fields {
+		if !strings.Contains(f.Path, "[]") {
+			add(f, f.Path, root.FieldByIndex(f.index))
+		}
+	}
+	for _, list := range []string{"class", "tenant", "server"} {
+		slice := root.Field(keys().lists[list])
+		for i := range slice.Len() {
+			for _, f := range keys().fields {
+				if l, key, _ := strings.Cut(f.Path, "[]."); l == list {
+					add(f, fmt.Sprintf("%s.%d.%s", list, i, key), slice.Index(i).FieldByIndex(f.index))
+				}
+			}
+		}
+	}
+	return all
+}
+
+// plain is a value as JSON and people read it: times and sizes with their units.
+func (f *Field) plain(v reflect.Value) any {
+	if f.Type == durationType || f.Type == sizeType {
+		return f.format(v)
+	}
+	return v.Interface()
+}
+
+// Changed returns the keys whose values differ, sorted into those taken over at once and those that need
+// a restart. Keys read at the start alone are passed over.
+func (c *Config) Changed(next *Config) (live, restart []string) {
+	before := map[string]string{}
+	reload := map[string]string{}
+	note := func(v Value) string { reload[v.Key] = v.Reload; return fmt.Sprint(v.Value) }
+	for _, v := range c.Effective() {
+		before[v.Key] = note(v)
+	}
+	changed := map[string]bool{}
+	for _, v := range next.Effective() {
+		if was, ok := before[v.Key]; !ok || was != note(v) {
+			changed[v.Key] = true
+		}
+		reload[v.Key] = v.Reload
+		delete(before, v.Key)
+	}
+	for key := range before { // of a table that is gone
+		changed[key] = true
+	}
+	if (c.Discovery.Address == "") != (next.Discovery.Address == "") {
+		reload["discovery.address"] = Restart // servers come from elsewhere then, by other rules
+		maps.DeleteFunc(changed, func(key string, _ bool) bool { return strings.HasPrefix(key, "server[") })
+	}
+	for _, key := range slices.Sorted(maps.Keys(changed)) {
+		switch reload[key] {
+		case Live:
+			live = append(live, key)
+		case Restart:
+			restart = append(restart, key)
+		}
+	}
+	return live, restart
+}
+
+// TakeLive returns these values with those of next for all keys that change in a running program.
+func (c *Config) TakeLive(next *Config) *Config {
+	all := *c
+	all.origins = maps.Clone(c.origins)
+	from, to := reflect.ValueOf(next).Elem(), reflect.ValueOf(&all).Elem()
+	for _, f := range keys().fields {
+		if f.Reload == Live && !strings.Contains(f.Path, "[]") {
+			to.FieldByIndex(f.index).Set(from.FieldByIndex(f.index))
+			all.origins[f.Path] = next.origins[f.Path]
+		}
+	}
+	all.Servers = next.Servers
+	return &all
+}
+
+// FromPlatform tells whether the platform's file had a part in the values.
+func (c *Config) FromPlatform() bool {
+	for _, o := range c.origins {
+		if o.Source == "platform" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/config/platform.go
@@ -0,0 +1,232 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/wire"
+)
+
+// readPlatform reads the platform's file, whose settings are the simulator's, as values of the same keys
+// that the own file sets. The list of servers it knows goes into c.
+func readPlatform(path string, read func(string) ([]byte, error), c *Config) (*layer, error) {
+	raw, err := read(path)
+	if err != nil {
+		return nil, err
+	}
+	var file struct {
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Discovery string `json:"discovery"`
+		Seed      string `json:"seed"`
+		Limits    struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int64   `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(raw, &file); err != nil {
+		return nil, err
+	}
+	if _, err := strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("field %q: %w", "seed", err)
+	}
+	if m := file.Limits.MemoryMB; m < 0 || m > 1<<20 {
+		return nil, fmt.Errorf("field %q: %d is no size", "limits.memory_mb", m)
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("field %q is missing", "settings")
+	}
+	set, err := wire.ReadSettings(file.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("field %q: %w", "settings", err)
+	}
+	if file.Listen == "" && file.Discovery == "" && len(set.Classes) == 0 {
+		return nil, errors.New("says nothing")
+	}
+	if string(file.Known) != "null" {
+		c.Known = file.Known
+	}
+	l := newLayer()
+	put := func(key string, v any) { l.set(key, v, Origin{"platform", path, 0}) }
+	for key, text := range map[string]string{
+		"name": file.Name, "listen.address": file.Listen, "discovery.address": file.Discovery,
+	} {
+		if text != "" {
+			put(key, text)
+		}
+	}
+	put("seed", file.Seed)
+	put("limits.cores", file.Limits.Cores)
+	put("limits.memory", Size(file.Limits.MemoryMB)<<20)
+	put("limits.sockets", file.Limits.Sockets)
+	fromSettings(&set, put)
+	return l, nil
+}
+
+// fromSettings tells the simulator's settings by the keys of the file; Settings is its inverse.
+func fromSettings(s *wire.Settings, put func(key string, v any)) {
+	hall := "#" + strconv.Itoa(s.Zone)
+	if s.Zone >= 0 && s.Zone < len(s.ZoneNames) {
+		hall = s.ZoneNames[s.Zone]
+	}
+	from, mode, by := "probe", "told", "request"
+	if s.ReportAnswers {
+		from = "answers"
+	}
+	if s.MustFollow {
+		mode = "ask"
+	}
+	if s.WorthByWork {
+		by = "work"
+	}
+	for key, v := range map[string]any{
+		"halls": s.ZoneNames, "kinds": s.KindNames, "policy.report": s.ReportNames,
+		"discovery.mode": mode, "discovery.ask_within": s.AskWithin,
+		"upstream.dial": s.DialTimeout, "upstream.idle_close": s.IdleClose,
+		"policy.rank": s.Rank, "policy.instances": s.Peers, "policy.hall": hall, "policy.tick": s.Tick,
+		"policy.attempts": s.MaxAttempts, "policy.probes": s.MayProbe, "policy.cancel": s.MayCancel,
+		"policy.duplicate": s.MayDuplicate, "policy.tell_wait": s.TellsBackoff, "policy.max_wait": s.MaxBackoff,
+		"policy.warm_keys": s.WarmKeys, "policy.report_from": from, "policy.worth_by": by,
+		"policy.over_share_worth": s.OverShareWorth, "policy.answer_slack": s.AnswerSlack,
+		"drain.grace": s.DrainGrace, "cold.start": s.ColdStart, "cold.warm_after": s.ColdFor,
+		"cold.fall_multiple": s.FallMultiple, "cold.fall_after": s.FallAfter,
+		"prices.cross_hall": s.Prices.CrossZone, "prices.probe": s.Prices.Probe, "prices.waste": s.Prices.Waste,
+		"prices.late_fail": s.Prices.LateFail,
+	} {
+		put(key, v)
+	}
+	for i, k := range s.Classes {
+		for key, v := range map[string]any{
+			"name": s.ClassNames[i], "aim": k.Aim, "aim_stretch": k.AimStretch, "deadline": k.Deadline,
+			"effect": wordFor(wire.Effects, k.Effect), "group": wordFor(wire.Groups, k.Group), "window": k.Window,
+			"worth": k.Worth, "late_worth": k.LateWorth, "stream": k.Stream,
+		} {
+			put(fmt.Sprintf("class.%d.%s", i, key), v)
+		}
+	}
+	for i, t := range s.Tenants {
+		put(fmt.Sprintf("tenant.%d.name", i), s.TenantNames[i])
+		put(fmt.Sprintf("tenant.%d.share", i), t.Share)
+		put(fmt.Sprintf("tenant.%d.quota", i), t.QuotaPerSec)
+	}
+}
+
+func wordFor[T comparable](words map[string]T, v T) string {
+	for _, w := range slices.Sorted(maps.Keys(words)) {
+		if words[w] == v {
+			return w
+		}
+	}
+	return ""
+}
+
+// Settings is what the decisions are told, with the names and figures that the sockets need beside.
+func (c *Config) Settings() wire.Settings {
+	p := &c.Policy
+	s := wire.Settings{
+		Settings: balance.Settings{
+			Seed: c.Seeded(), Rank: p.Rank, Peers: p.Instances, Zone: c.hall(), Tick: p.Tick,
+			Prices: balance.Prices{CrossZone: c.Prices.CrossHall, Probe: c.Prices.Probe, Waste: c.Prices.Waste,
+				LateFail: c.Prices.LateFail},
+			OverShareWorth: p.OverShare, WorthByWork: p.WorthBy == "work",
+			MustFollow: c.Discovery.Mode == "ask" && c.Discovery.Address != "", AskWithin: c.Discovery.AskWithin,
+			DrainGrace: c.Drain.Grace, AnswerSlack: p.Slack,
+			ColdStart: c.Cold.Start, ColdFor: c.Cold.Warm, FallMultiple: c.Cold.Multiple, FallAfter: c.Cold.After,
+			MaxAttempts: p.Attempts, MayProbe: p.Probes, MayCancel: p.Cancel, MayDuplicate: p.Duplicate,
+			TellsBackoff: p.TellWait, MaxBackoff: p.MaxWait, DialTimeout: c.Upstream.Dial, WarmKeys: p.WarmKeys,
+			ReportAnswers: p.ReportFrom == "answers",
+		},
+		ZoneNames: c.Halls, KindNames: c.Kinds, IdleClose: c.Upstream.IdleClose,
+	}
+	for _, k := range c.Classes {
+		s.ClassNames = append(s.ClassNames, k.Name)
+		s.Classes = append(s.Classes, balance.Class{
+			Aim: k.Aim, AimStretch: k.Stretch, Deadline: k.Deadline, Effect: wire.Effects[k.Effect],
+			Group: wire.Groups[k.Group], Window: k.Window, Worth: k.Worth, LateWorth: k.LateWorth, Stream: k.Stream,
+		})
+	}
+	for _, t := range c.Tenants {
+		s.TenantNames = append(s.TenantNames, t.Name)
+		s.Tenants = append(s.Tenants, balance.Tenant{Share: t.Share, QuotaPerSec: t.Quota})
+	}
+	if p.ReportFrom == "none" {
+		return s
+	}
+	for _, w := range p.Report {
+		s.Report = append(s.Report, wire.Fields[w])
+		s.ReportNames = append(s.ReportNames, w)
+	}
+	return s
+}
+
+// DialLimit is how long a connection may take to stand.
+func (u *Upstream) DialLimit() time.Duration {
+	if u.Dial <= 0 {
+		return 250 * time.Millisecond
+	}
+	return u.Dial
+}
+
+// ReuseLimit is how long a connection may have rested to be used again: well short of when its server
+// closes it.
+func (u *Upstream) ReuseLimit() time.Duration {
+	if u.IdleClose <= 0 {
+		return time.Second
+	}
+	return time.Duration(float64(u.IdleClose) * u.Reuse)
+}
+
+// ServerList is the servers of the file in discovery's form; nil where they come from discovery. since
+// keeps when each was first named. One that was not named before counts as started now: nothing tells
+// whether it is warm, and a cold one must not be pushed over.
+func (c *Config) ServerList(now time.Time, since map[string]time.Time) json.RawMessage {
+	if len(c.Servers) == 0 {
+		return nil
+	}
+	type entry struct {
+		Name    string  `json:"name"`
+		Address string  `json:"address"`
+		Zone    string  `json:"zone"`
+		Type    string  `json:"type"`
+		Group   int     `json:"group"`
+		Status  string  `json:"status"`
+		Weight  float64 `json:"weight"`
+		SinceMS int64   `json:"since_ms"`
+	}
+	list := struct {
+		Index     int64   `json:"index"`
+		Snapshot  bool    `json:"snapshot"`
+		Endpoints []entry `json:"endpoints"`
+	}{Snapshot: true}
+	named := map[string]bool{}
+	for _, s := range c.Servers {
+		key := s.Name + " " + s.Address
+		named[key] = true
+		if _, ok := since[key]; !ok {
+			since[key] = now
+		}
+		e := entry{s.Name, s.Address, s.Hall, s.Kind, s.Cell, "in_service", s.Weight, 0}
+		if !since[key].IsZero() {
+			e.SinceMS = since[key].UnixMilli()
+		}
+		if s.Drains {
+			e.Status = "terminating"
+		}
+		list.Endpoints = append(list.Endpoints, e)
+	}
+	maps.DeleteFunc(since, func(key string, _ time.Time) bool { return !named[key] })
+	raw, err := json.Marshal(list)
+	if err != nil {
+		return nil // no such value can stand in a checked struct
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/config/reference.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// sections are the headings of the reference page in the order of the struct.
+func sections() (names []string, by map[string][]*Field) {
+	by = map[string][]*Field{}
+	for _, f := range keys().fields {
+		name, _, nested := strings.Cut(f.Path, ".")
+		if !nested {
+			name = ""
+		}
+		if _, ok := by[name]; !ok {
+			names = append(names, name)
+		}
+		by[name] = append(by[name], f)
+	}
+	return names, by
+}
+
+func heading(section string) string {
+	if list, ok := strings.CutSuffix(section, "[]"); ok {
+		return "[[" + list + "]]"
+	}
+	return "[" + section + "]"
+}
+
+func (f *Field) last() string { return f.Path[strings.LastIndexByte(f.Path, '.')+1:] }
+
+const preface = `# Configuration
+
+Every key of cresshub.toml. This page is written by "cresshub config docs" from the program itself and a
+test fails where it is stale; change the tags in internal/config/config.go, not this page.
+
+- **Form.** TOML. Times and sizes carry a unit ("250ms", "64KiB"); a bare number where a unit belongs is an
+  error. An unknown key is an error and gets the likely one. All mistakes of a file are told in one go.
+- **Precedence.** Flags, then variables, then the platform's file (EDGE_CONFIG), then this file, then
+  defaults. Each key outside a list of tables has a variable: CRESSHUB_ and its path in capitals with "_"
+  for ".", so CRESSHUB_LOG_LEVEL. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY set name, listen.address and
+  discovery.address. CRESSHUB_CONFIG names the file where no flag does.
+- **Reload.** On SIGHUP the file is read again. "live" keys are taken over at once. If a "restart" key has
+  changed, the whole reload is refused and the log names the key; nothing is taken over by halves. "start"
+  keys are read at the start alone, and a change is passed over. From the platform's file only live keys
+  are taken and the rest waits for the restart.
+- **Checks.** "cresshub config check FILE" tells all mistakes, "cresshub config show" the values in force
+  and where each comes from, "cresshub config init" writes a file to begin with.
+`
+
+// Reference returns the reference page of all keys, in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString(preface)
+	names, by := sections()
+	for _, name := range names {
+		if name == "" {
+			b.WriteString("\n## At the top\n")
+		} else {
+			fmt.Fprintf(&b, "\n## %s\n", heading(name))
+		}
+		b.WriteString("\n| key | default | kind | allowed | reload |\n| --- | --- | --- | --- | --- |\n")
+		for _, f := range by[name] {
+			def := "`" + f.Default + "`"
+			if f.Must {
+				def = "must be set"
+			} else if f.Default == "" {
+				def = "empty"
+			}
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.last(), def, f.Kind(), f.Allowed(), f.Reload)
+		}
+		b.WriteString("\n")
+		for _, f := range by[name] {
+			b.WriteString(wrap(fmt.Sprintf("- `%s`: %s.", f.last(), f.Doc), "  "))
+		}
+	}
+	return b.String()
+}
+
+// wrap breaks text at 105 columns and indents what follows the first line.
+func wrap(text, indent string) string {
+	var b strings.Builder
+	room := 105
+	for i, w := range strings.Fields(text) {
+		if i > 0 {
+			if len(w)+1 > room {
+				b.WriteString("\n" + indent)
+				room = 105 - len(indent)
+			} else {
+				b.WriteString(" ")
+				room--
+			}
+		}
+		b.WriteString(w)
+		room -= len(w)
+	}
+	return b.String() + "\n"
+}
+
+const beginning = `# Configuration of cresshub. Lines that begin with "#" show defaults; what stands
+# without it is an example to be changed. "cresshub config check FILE" tells every mistake.
+
+`
+
+// examples are the keys of a first file that are set, in the form of the file.
+var examples = map[string]string{
+	"halls": `["kita"]`, "listen.address": `"127.0.0.1:8080"`, "policy.hall": `"kita"`,
+	"class[].name": `"zone-lookup"`, "class[].aim": `"600ms"`, "class[].deadline": `"1500ms"`,
+	"class[].effect": `"idempotent"`, "class[].worth": `2`,
+	"tenant[].name": `"ramen-kita"`, "tenant[].share": `1.0`, "tenant[].quota": `200`,
+	"server[].name": `"zone-1"`, "server[].address": `"127.0.0.1:9001"`, "server[].hall": `"kita"`,
+}
+
+// Beginning returns a file to begin with: every key with its meaning, those that have one at their default.
+func Beginning() string {
+	var b strings.Builder
+	b.WriteString(beginning)
+	names, by := sections()
+	for _, name := range names {
+		if name != "" {
+			fmt.Fprintf(&b, "\n%s\n", heading(name))
+		}
+		for _, f := range by[name] {
+			b.WriteString(wrap("# "+f.Doc, "# "))
+			if set, ok := examples[f.Path]; ok {
+				fmt.Fprintf(&b, "%s = %s\n", f.last(), set)
+			} else {
+				fmt.Fprintf(&b, "#%s = %s\n", f.last(), f.written())
+			}
+		}
+	}
+	b.WriteString(`
+[[class]]
+name = "rider-assign"
+aim = "500ms"
+deadline = "2s"
+effect = "at_most_once"
+worth = 8
+`)
+	return b.String()
+}
+
+// written is the default as the file would hold it.
+func (f *Field) written() string {
+	v, err := f.convert(words(f.Default))
+	if err != nil {
+		return `""`
+	}
+	switch x := v.Interface().(type) {
+	case bool, int, float64:
+		return fmt.Sprint(x)
+	case []string:
+		if len(x) == 0 {
+			return "[]"
+		}
+		return `["` + strings.Join(x, `", "`) + `"]`
+	}
+	return fmt.Sprintf("%q", f.Default)
+}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -13,10 +13,6 @@
 	"cresshub/balance"
 )
 
-// travel is how long before its deadline a request is answered at the latest, so that the answer is
-// with the client in time also when the machine is busy.
-const travel = 20 * time.Millisecond
-
 // These are plain data that both sides of the facade share.
 type (
 	ServerID = balance.ServerID
@@ -100,10 +96,11 @@
 
 // Decider makes the decisions of one client proxy. Its methods may be called from any goroutine.
 type Decider struct {
-	net   Network
-	start time.Time
-	base  time.Duration // the clock's reading at start
-	kick  chan struct{}
+	net    Network
+	travel time.Duration
+	start  time.Time
+	base   time.Duration // the clock's reading at start
+	kick   chan struct{}
 
 	mu     sync.Mutex
 	b      *balance.Balancer
@@ -115,13 +112,14 @@
 	follow bool             // likewise
 }
 
-// New returns a Decider that knows no server yet.
-func New(set balance.Settings, net Network) (*Decider, error) {
+// New returns a Decider that knows no server yet. A request is answered travel before its deadline at the
+// latest, so that the answer is with the client in time also when the machine is busy.
+func New(set balance.Settings, travel time.Duration, net Network) (*Decider, error) {
 	// The clock is monotonic and reads as Unix time at the start. Discovery tells starts of servers as
 	// Unix time, and a clock from 0 would make one that started before this process look long ago.
 	start := time.Now()
 	d := &Decider{
-		net: net, start: start, base: time.Duration(start.UnixNano()),
+		net: net, travel: travel, start: start, base: time.Duration(start.UnixNano()),
 		kick: make(chan struct{}, 1), calls: map[string]*Call{},
 	}
 	var err error
@@ -310,7 +308,7 @@
 		}
 		switch a.Kind {
 		case balance.Send:
-			until := c.deadline.Add(-travel)
+			until := c.deadline.Add(-d.travel)
 			if t := d.start.Add(now + a.Wait - d.base); a.Wait > 0 && t.Before(until) {
 				until = t
 			}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cresshub/balance"
@@ -26,13 +27,14 @@
 	"cresshub/internal/sockets"
 )
 
-const (
-	// silence is how long a watch may say nothing. A line is due every 2 s; one that stays out means
+// Limits are what discovery may keep this side waiting for; they may change while it is followed.
+type Limits struct {
+	// Silence is how long a watch may say nothing. A line is due every 2 s; one that stays out means
 	// that changes may be lost, which bind whether they arrived or not.
-	silence = 3 * time.Second
-	// maxLine bounds one object of the watch.
-	maxLine = 1 << 20
-)
+	Silence time.Duration
+	// MaxList bounds one object of the watch, in bytes.
+	MaxList int
+}
 
 // Sink takes in what discovery says.
 type Sink interface {
@@ -46,6 +48,7 @@
 // Client follows discovery, at one address at a time.
 type Client struct {
 	dial    time.Duration
+	limits  atomic.Pointer[Limits]
 	sink    Sink
 	changed func() // called after each list
 	budget  *sockets.Budget
@@ -53,6 +56,7 @@
 	log     *slog.Logger
 	asked   chan struct{}
 	moved   chan string
+	fixed   chan []byte // lists that come from elsewhere
 	told    chan *watch // a watch that has told the whole list afresh
 	ended   chan *watch
 
@@ -104,18 +108,23 @@
 }
 
 // New returns a Client that knows no server and asks nothing before Follow.
-func New(address string, dial time.Duration, names Names, budget *sockets.Budget, count *counters.Set,
-	log *slog.Logger) *Client {
-	return &Client{
+func New(address string, dial time.Duration, limits Limits, names Names, budget *sockets.Budget,
+	count *counters.Set, log *slog.Logger) *Client {
+	c := &Client{
 		address: address, dial: dial, budget: budget, count: count, log: log,
-		asked: make(chan struct{}, 1), moved: make(chan string, 1),
+		asked: make(chan struct{}, 1), moved: make(chan string, 1), fixed: make(chan []byte, 1),
 		told: make(chan *watch), ended: make(chan *watch),
 		names:  Names{slices.Clone(names.Zones), slices.Clone(names.Kinds)},
 		byName: map[string]decide.ServerID{}, taken: map[decide.ServerID]string{},
 		inService: map[decide.ServerID]string{},
 	}
+	c.SetLimits(limits)
+	return c
 }
 
+// SetLimits changes the limits; a watch goes on by the new ones.
+func (c *Client) SetLimits(l Limits) { c.limits.Store(&l) }
+
 // Known takes in the list as it was held before the start and returns it for the decisions.
 func (c *Client) Known(raw []byte) ([]decide.Server, error) {
 	_, list, err := c.take(nil, raw)
@@ -147,6 +156,22 @@
 	c.moved <- address
 }
 
+// Replace takes in a whole list that comes from elsewhere, in discovery's form; it returns at once.
+func (c *Client) Replace(raw []byte) {
+	select {
+	case <-c.fixed: // only the last of several counts
+	default:
+	}
+	c.fixed <- raw
+}
+
+// Name returns what a server is called, or "" where no list holds it.
+func (c *Client) Name(s decide.ServerID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken[s]
+}
+
 // Run watches whenever it is asked to, until ctx ends. After each list changed is called.
 func (c *Client) Run(ctx context.Context, sink Sink, changed func()) {
 	c.sink, c.changed = sink, changed
@@ -162,6 +187,10 @@
 			}
 		case address := <-c.moved:
 			c.move(ctx, address)
+		case raw := <-c.fixed:
+			if err := c.tell(nil, raw); err != nil {
+				c.log.Error("list kept, the new one cannot be used", "err", err)
+			}
 		case <-retry.C:
 			if c.now == nil && c.moving {
 				c.now = c.start(ctx, c.address, true)
@@ -263,11 +292,11 @@
 	conn := ring.NewConn(raw)
 	if w.afresh {
 		// Asked for the changes since 0 a service may send changes, and what left before those would stay.
-		body, err := ask(conn, w.address, "")
+		body, err := c.ask(conn, w.address, "")
 		if err != nil {
 			return err
 		}
-		list, err := io.ReadAll(io.LimitReader(body, maxLine))
+		list, err := io.ReadAll(io.LimitReader(body, int64(c.limits.Load().MaxList)))
 		if err != nil {
 			return err
 		}
@@ -279,14 +308,14 @@
 	c.mu.Lock()
 	from := strconv.FormatInt(c.index, 10)
 	c.mu.Unlock()
-	body, err := ask(conn, w.address, "?watch=1&from="+from)
+	body, err := c.ask(conn, w.address, "?watch=1&from="+from)
 	if err != nil {
 		return err
 	}
 	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxLine)
+	lines.Buffer(nil, c.limits.Load().MaxList)
 	for {
-		conn.SetReadDeadline(time.Now().Add(silence))
+		conn.SetReadDeadline(time.Now().Add(c.limits.Load().Silence))
 		if !lines.Scan() {
 			return errors.Join(lines.Err(), io.EOF)
 		}
@@ -300,8 +329,8 @@
 }
 
 // ask makes one call and returns the body of its answer.
-func ask(conn *ring.Conn, host, query string) (io.Reader, error) {
-	conn.SetDeadline(time.Now().Add(silence))
+func (c *Client) ask(conn *ring.Conn, host, query string) (io.Reader, error) {
+	conn.SetDeadline(time.Now().Add(c.limits.Load().Silence))
 	q := http1.Request{Method: "GET", Target: "/registry/instances" + query,
 		Header: http1.Header{{Name: "Host", Value: host}}}
 	if err := q.Write(conn.Out); err != nil {
--- /dev/null
+++ b/internal/ingress/answer.go
@@ -0,0 +1,143 @@
+package ingress
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/logging"
+	"cresshub/internal/upstream"
+)
+
+// answer finds a request's final answer; nil where its client is gone.
+func (s *Server) answer(c *client, q *http1.Request, arrived time.Time) *http1.Response {
+	if path, _, _ := bytes.Cut([]byte(q.Target), []byte("?")); string(path) == readyPath {
+		if s.draining.Load() {
+			return plain(503, "ending", true)
+		}
+		return plain(200, "ready", false)
+	}
+	r, status, reason := s.parse(q, arrived)
+	if status != 0 {
+		s.rejected(status, reason)
+		return plain(status, reason, false)
+	}
+	id := q.Header.Get(idField)
+	if !s.hold(id, true) {
+		s.rejected(409, "id in use")
+		return plain(409, "a request with this id is open", false)
+	}
+	defer s.release(id)
+	s.Count.Taken.Add()
+	if log := s.requests.Load(); log.Wants() {
+		c.final = &logging.Final{Request: id, Class: s.Classes[r.Class]}
+		if len(s.Tenants) > 0 {
+			c.final.Tenant = s.Tenants[r.Tenant]
+		}
+	}
+	return s.run(c, id, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body,
+		Header: q.Header.EndToEnd("X-Timeout")})
+}
+
+// hold notes that an id is in use once more. As the first use of it, it fails where there is another: what
+// is sent under an open id is a second copy to the server, whoever sent it.
+func (s *Server) hold(id string, first bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first && s.open[id] > 0 {
+		return false
+	}
+	s.open[id]++
+	return true
+}
+
+func (s *Server) release(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[id]--; s.open[id] == 0 {
+		delete(s.open, id)
+	}
+}
+
+// try is one attempt with what came of it. Report orders the writing before the reading.
+type try struct {
+	upstream.Attempt
+	out upstream.Outcome
+}
+
+// run does what the decisions say until they end the request.
+func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request) *http1.Response {
+	select {
+	case <-c.woken: // left over from the request before
+	default:
+	}
+	call := s.Decider.Open(r, c)
+	var tries []*try
+	for {
+		switch step := s.Decider.Pick(call); step.Kind {
+		case decide.Send:
+			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, Until: step.Until}}
+			t.Done = func(out upstream.Outcome) {
+				t.out = out
+				s.release(id)
+				s.Decider.Report(call, step.Attempt, out.Result, out.Load)
+			}
+			tries = append(tries, t)
+			s.hold(id, false) // it may outlast its client
+			s.Pool.Start(&t.Attempt)
+		case decide.Cancel:
+			tries[step.Attempt].Cancel()
+		case decide.Answer:
+			s.Count.Served.Add()
+			s.ended(c, "served", 200, tries, step.Attempt)
+			a := tries[step.Attempt].out.Answer
+			return &http1.Response{Status: 200, Body: a.Body, Header: a.Header.EndToEnd("X-Server-Load")}
+		case decide.Refuse:
+			s.Count.Refused.Add()
+			s.ended(c, "refused", 503, tries, len(tries)-1)
+			a := plain(503, "refused", false)
+			if step.Wait > 0 {
+				wait := strconv.FormatFloat(step.Wait.Seconds(), 'f', 3, 64)
+				a.Header = append(a.Header, http1.Field{Name: "Retry-After", Value: wait})
+			}
+			return a
+		case decide.Fail:
+			s.Count.Failed.Add()
+			status, reason := 502, "failed"
+			if n := len(tries); n > 0 && tries[n-1].out.Result == decide.TimedOut {
+				status, reason = 504, "no answer in time"
+			}
+			s.ended(c, "failed", status, tries, len(tries)-1)
+			return plain(status, reason, false)
+		case decide.Gone:
+			s.Count.Gone.Add()
+			s.ended(c, "gone", 0, tries, len(tries)-1)
+			return nil
+		}
+	}
+}
+
+// ended notes how a request ended, where it is to be logged; last is the attempt that decided it.
+func (s *Server) ended(c *client, outcome string, status int, tries []*try, last int) {
+	if c.final == nil {
+		return
+	}
+	c.final.Outcome, c.final.Status, c.final.Attempts = outcome, status, len(tries)
+	if last >= 0 {
+		c.final.Server = s.Name(tries[last].Server)
+	}
+}
+
+// logged writes the request's line, once its answer is out.
+func (s *Server) logged(c *client, arrived time.Time) {
+	if c.final == nil {
+		return
+	}
+	c.final.Took = time.Since(arrived)
+	if log := s.requests.Load(); log != nil {
+		log.Write(*c.final)
+	}
+	c.final = nil
+}
--- /dev/null
+++ b/internal/ingress/client.go
@@ -0,0 +1,94 @@
+package ingress
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"cresshub/internal/config"
+	"cresshub/internal/logging"
+	"cresshub/internal/ring"
+)
+
+// client is one connection of the application. The server's lock guards the four behind the first two.
+type client struct {
+	*ring.Conn
+	woken chan struct{}
+	since time.Time // in its present state from then on
+	idle  bool      // no request is whole; whoever unsets it owns the connection
+	half  bool      // but one has begun
+	fresh bool      // none ever was
+
+	final *logging.Final // of the request being served, where it is to be logged
+}
+
+// Wait sits in Read until Wake, or until the client closes its side.
+func (c *client) Wait() error {
+	for {
+		// The deadline first: a Wake that comes after this line sets it again, one before has left its
+		// token.
+		c.SetReadDeadline(time.Time{})
+		select {
+		case <-c.woken:
+			return nil
+		default:
+		}
+		if c.In.Buffered() > 0 { // the next request came early; there is nothing to learn from Read now
+			<-c.woken
+			return nil
+		}
+		if _, err := c.In.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+	}
+}
+
+// Wake ends Wait.
+func (c *client) Wake() {
+	select {
+	case c.woken <- struct{}{}:
+	default:
+	}
+	c.SetReadDeadline(time.Unix(1, 0))
+}
+
+// rest marks the connection as between two requests, begin as in one; begin returns false where the
+// connection was closed meanwhile.
+func (s *Server) rest(c *client) {
+	s.mu.Lock()
+	c.idle, c.half, c.fresh, c.since = true, false, false, time.Now()
+	s.mu.Unlock()
+}
+
+// starts notes the first byte of a request.
+func (s *Server) starts(c *client) {
+	s.mu.Lock()
+	c.half, c.since = true, time.Now()
+	s.mu.Unlock()
+}
+
+func (s *Server) begin(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := c.idle
+	c.idle = false
+	return was
+}
+
+// spare tells how well a connection can be done without, from 0, not at all, up. The time for those that
+// rest is short, for some clients open a connection for each request and keep it: at hundreds a second what
+// rests fills all places long before it is old.
+func (c *client) spare(now time.Time, l *config.Clients) int {
+	age := now.Sub(c.since)
+	switch {
+	case !c.idle:
+		return 0
+	case c.half && age > l.Half:
+		return 2
+	case !c.half && c.fresh && age > l.Silent:
+		return 3
+	case !c.half && !c.fresh && age > l.Rested:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/serve/confine.go
@@ -0,0 +1,36 @@
+package serve
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"cresshub/internal/config"
+)
+
+// Confine keeps the process within its limits on cores and memory.
+func Confine(l config.Limits) {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	}
+	if l.Memory > 0 {
+		// A quarter is left to what the runtime does not count: the program's text and kernel buffers.
+		debug.SetMemoryLimit(int64(l.Memory) / 4 * 3)
+		debug.SetGCPercent(300) // collecting rarely saves time on a shared core; the limit above binds first
+	}
+}
+
+// descriptors is how many the process may hold: what it was told or what the system allows, if less.
+func descriptors(told int) int {
+	var lim syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &lim); err == nil && lim.Cur < math.MaxInt32 {
+		if told <= 0 || int(lim.Cur) < told {
+			return int(lim.Cur)
+		}
+	}
+	if told <= 0 {
+		return 1024
+	}
+	return told
+}
--- /dev/null
+++ b/internal/serve/reload.go
@@ -0,0 +1,68 @@
+package serve
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"cresshub/internal/config"
+	"cresshub/internal/logging"
+)
+
+// reload takes over what changed. A configuration that cannot be used changes nothing, and neither does
+// one of our own file that changes a key which takes a restart: half of it in force would be a third
+// configuration that nobody wrote. The platform's file is another matter, for there it is agreed that
+// only discovery is followed; whatever else it changes waits for the restart.
+func (p *Proxy) reload(next *config.Config, err error) {
+	if err != nil {
+		var problems config.Problems
+		if !errors.As(err, &problems) {
+			p.log.Error("configuration kept, the new one cannot be used", logging.Err, err)
+		}
+		for _, one := range problems {
+			p.log.Error("configuration kept, the new one cannot be used", logging.Err, one.String())
+		}
+		return
+	}
+	live, restart := p.cfg.Changed(next)
+	if len(restart) > 0 {
+		if !next.FromPlatform() {
+			p.log.Error("configuration kept, a change needs a restart", "keys", strings.Join(restart, " "))
+			return
+		}
+		p.log.Warn("changes wait for a restart", "keys", strings.Join(restart, " "))
+	}
+	p.log.Info("configuration read again", "discovery", next.Discovery.Address,
+		"changed", strings.Join(live, " "))
+	p.cfg = p.cfg.TakeLive(next)
+	p.apply(live)
+}
+
+// apply hands the values of changed keys to the parts that use them.
+func (p *Proxy) apply(live []string) {
+	changed := func(prefixes ...string) bool {
+		return slices.ContainsFunc(live, func(key string) bool {
+			return slices.ContainsFunc(prefixes, func(prefix string) bool { return strings.HasPrefix(key, prefix) })
+		})
+	}
+	if changed("discovery.address") {
+		p.list.Move(p.cfg.Discovery.Address)
+	}
+	if changed("server[") {
+		p.list.Replace(p.cfg.ServerList(time.Now(), p.since))
+	}
+	if changed("discovery.") {
+		p.list.SetLimits(listLimits(p.cfg))
+	}
+	if changed("upstream.") {
+		p.pool.SetLimits(poolLimits(p.cfg))
+	}
+	if changed("clients.") {
+		p.server.SetLimits(p.cfg.Clients)
+	}
+	if changed("log.") {
+		p.log.Set(logging.ParseLevel(p.cfg.Log.Level), p.cfg.Log.Repeat)
+		p.server.LogRequests(p.requestLog())
+	}
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,143 @@
+// Package serve runs one client proxy: it wires the parts from a checked configuration, minds signals,
+// takes over what a changed configuration may change, and returns once nothing is owed.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"cresshub/internal/config"
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/discovery"
+	"cresshub/internal/ingress"
+	"cresshub/internal/logging"
+	"cresshub/internal/sockets"
+	"cresshub/internal/upstream"
+)
+
+// closing bounds how long the end waits for whoever reads the log.
+const closing = 500 * time.Millisecond
+
+// Proxy is one client proxy with its parts.
+type Proxy struct {
+	cfg      *config.Config
+	log      *logging.Logger
+	count    *counters.Set
+	decider  *decide.Decider
+	pool     *upstream.Pool
+	list     *discovery.Client
+	server   *ingress.Server
+	listener net.Listener
+	since    map[string]time.Time // when servers of the file were first named, by name and address
+}
+
+// Follow and Probe are what the decisions may set off by themselves.
+func (p *Proxy) Follow() { p.list.Follow() }
+
+// Probe asks a server for its load.
+func (p *Proxy) Probe(s decide.ServerID) {
+	p.pool.Probe(s, func(res decide.Result, took time.Duration, load []float64) {
+		p.decider.Probed(s, res, took, load)
+	})
+}
+
+// New wires a proxy and listens; it serves once Run is called. The log goes to w.
+func New(cfg *config.Config, w io.Writer) (*Proxy, error) {
+	set := cfg.Settings()
+	p := &Proxy{cfg: cfg, count: &counters.Set{}, since: map[string]time.Time{}}
+	p.log = logging.New(w, logging.Options{
+		Format: cfg.Log.Format, Level: logging.ParseLevel(cfg.Log.Level), Repeat: cfg.Log.Repeat,
+		Backlog: int(cfg.Log.Backlog),
+	})
+	log := p.log.With(logging.Name, cfg.Name)
+	p.log.Logger = log
+	var err error
+	if p.decider, err = decide.New(set.Settings, cfg.Policy.Travel, p); err != nil {
+		return nil, err
+	}
+	budget := sockets.NewBudget(descriptors(cfg.Limits.Sockets), cfg.Limits.Clients, cfg.Limits.Crowded)
+	p.list = discovery.New(cfg.Discovery.Address, cfg.Upstream.DialLimit(), listLimits(cfg),
+		discovery.Names{Zones: set.ZoneNames, Kinds: set.KindNames}, budget, p.count, log)
+	p.pool = upstream.New(p.list, poolLimits(cfg), set.ReportNames, budget, p.count)
+	p.server = ingress.New(ingress.Options{
+		Decider: p.decider, Pool: p.pool, Name: p.list.Name, Classes: set.ClassNames, Tenants: set.TenantNames,
+		Limits: cfg.Clients, Budget: budget, Count: p.count, Log: log,
+	})
+	p.server.LogRequests(p.requestLog())
+	known := cfg.Known
+	if list := cfg.ServerList(time.Time{}, p.since); list != nil {
+		known = list
+	}
+	var servers []decide.Server
+	if known != nil {
+		if servers, err = p.list.Known(known); err != nil {
+			return nil, fmt.Errorf("the list of known servers: %w", err)
+		}
+	}
+	p.listener, err = (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", cfg.Listen.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen.address: %w", err)
+	}
+	p.decider.Cached(servers)
+	return p, nil
+}
+
+// Address is where clients connect.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Run serves until SIGTERM or SIGINT and returns once nothing is owed. On SIGHUP reread gives the
+// configuration as it is then; on SIGUSR1 the counters are logged.
+func (p *Proxy) Run(signals <-chan os.Signal, reread func() (*config.Config, error)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go p.decider.Run(ctx.Done())
+	go p.list.Run(ctx, p.decider, p.pool.Sweep)
+	go p.server.Serve(p.listener)
+	p.log.Info("ready", "listen", p.Address())
+
+	var over chan struct{} // closes when nothing is owed any more
+	for ending := false; !ending; {
+		select {
+		case <-over:
+			ending = true
+		case sig := <-signals:
+			switch {
+			case sig == syscall.SIGUSR1:
+				p.count.Log(p.log.Logger, "asked", decide.ResultNames)
+			case sig == syscall.SIGHUP: // also while ending: what is owed still needs the list
+				p.reload(reread())
+			case over == nil:
+				p.log.Info("ending", "signal", sig.String())
+				over = make(chan struct{})
+				go func(times config.Shutdown) {
+					p.server.Shutdown(p.listener, times)
+					close(over)
+				}(p.cfg.Shutdown)
+			}
+		}
+	}
+	p.count.Log(p.log.Logger, "exit", decide.ResultNames)
+	p.log.Close(closing)
+}
+
+func listLimits(cfg *config.Config) discovery.Limits {
+	return discovery.Limits{Silence: cfg.Discovery.Silence, MaxList: int(cfg.Discovery.MaxList)}
+}
+
+func poolLimits(cfg *config.Config) upstream.Limits {
+	dial := cfg.Upstream.DialLimit()
+	return upstream.Limits{Dial: dial, Reuse: cfg.Upstream.ReuseLimit(), Probe: dial + cfg.Upstream.Probe}
+}
+
+func (p *Proxy) requestLog() *logging.Requests {
+	if !p.cfg.Log.Requests {
+		return nil
+	}
+	return logging.NewRequests(p.log.Logger, p.cfg.Log.Sample, p.cfg.Log.Rate)
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -21,15 +21,18 @@
 	mu      sync.Mutex
 	limit   int
 	most    [2]int // for each side
+	crowded int    // places of clients
 	used    [2]int
 	reclaim [2]func() bool
 }
 
-// NewBudget returns the budget of a process that may hold so many descriptors. Clients get three
-// fifths of the places: a request that is in but cannot get out only holds a place.
-func NewBudget(descriptors int) *Budget {
+// NewBudget returns the budget of a process that may hold so many descriptors. Clients get a part of the
+// places, for a request that is in but cannot get out only holds one; beyond the part crowded of all
+// places they count as many.
+func NewBudget(descriptors int, clients, crowded float64) *Budget {
 	limit := max(descriptors-reserve, 8)
-	return &Budget{limit: limit, most: [2]int{Clients: limit * 3 / 5, Servers: limit}}
+	part := func(of float64) int { return int(of*float64(limit) + 1e-9) }
+	return &Budget{limit: limit, most: [2]int{Clients: part(clients), Servers: limit}, crowded: part(crowded)}
 }
 
 // OnShort sets how to close one idle connection of a side; it gives its place back before it returns true.
@@ -55,12 +58,12 @@
 	}
 }
 
-// Crowded tells whether clients hold a quarter of the places. They, too, hold only so many connections,
-// and some keep each for good after one request: what rests then keeps their next requests out.
+// Crowded tells whether clients hold more than the part that counts as many. They, too, hold only so many
+// connections, and some keep each for good after one request: what rests then keeps their next ones out.
 func (b *Budget) Crowded() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.used[Clients] > b.limit/4
+	return b.used[Clients] > b.crowded
 }
 
 func (b *Budget) close(side Side) bool { return b.reclaim[side] != nil && b.reclaim[side]() }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/counters"
@@ -27,18 +28,17 @@
 	Address(decide.ServerID) (string, bool)
 }
 
-// Limits are the pool's figures.
+// Limits are the pool's figures; they may change while it is in use.
 type Limits struct {
-	Dial   time.Duration // a connection that does not stand by then is given up
-	Reuse  time.Duration // a connection idle for longer takes no new exchange
-	Probe  time.Duration // a probe is waited for so long
-	Report []string      // the values of a load report, in the order to hand them on, by their settings' names
+	Dial  time.Duration // a connection that does not stand by then is given up
+	Reuse time.Duration // a connection idle for longer takes no new exchange
+	Probe time.Duration // a probe is waited for so long
 }
 
 // Pool holds the connections to all zone servers.
 type Pool struct {
 	dir    Directory
-	limits Limits
+	limits atomic.Pointer[Limits]
 	budget *sockets.Budget
 	count  *counters.Set
 	report reportForm
@@ -47,16 +47,21 @@
 	idle map[decide.ServerID][]*conn // the last used at the end
 }
 
-// New returns a pool without connections.
-func New(dir Directory, limits Limits, budget *sockets.Budget, count *counters.Set) *Pool {
+// New returns a pool without connections. report is the values of a load report in the order to hand them
+// on, by their settings' names.
+func New(dir Directory, limits Limits, report []string, budget *sockets.Budget, count *counters.Set) *Pool {
 	p := &Pool{
-		dir: dir, limits: limits, budget: budget, count: count, report: newReportForm(limits.Report),
+		dir: dir, budget: budget, count: count, report: newReportForm(report),
 		idle: map[decide.ServerID][]*conn{},
 	}
+	p.SetLimits(limits)
 	budget.OnShort(sockets.Servers, p.closeOne)
 	return p
 }
 
+// SetLimits changes the figures; what is out goes on by the old ones.
+func (p *Pool) SetLimits(l Limits) { p.limits.Store(&l) }
+
 // Outcome is how an exchange ended.
 type Outcome struct {
 	Result decide.Result
@@ -93,7 +98,7 @@
 // Probe asks a server for its load and returns; done is called once, from another goroutine.
 func (p *Pool) Probe(s decide.ServerID, done func(res decide.Result, took time.Duration, load []float64)) {
 	began := time.Now()
-	a := &Attempt{Server: s, probe: true, Until: began.Add(p.limits.Probe)}
+	a := &Attempt{Server: s, probe: true, Until: began.Add(p.limits.Load().Probe)}
 	a.Done = func(o Outcome) {
 		a.cancel()
 		p.count.Probed.Add(int(o.Result))
@@ -136,7 +141,7 @@
 		return false
 	}
 	c := list[len(list)-1]
-	if c.address != address || time.Since(c.since) > p.limits.Reuse {
+	if c.address != address || time.Since(c.since) > p.limits.Load().Reuse {
 		return false // the rest is older still; each closes itself when its time comes
 	}
 	p.idle[a.Server] = list[:len(list)-1]
@@ -249,7 +254,7 @@
 	p := c.pool
 	p.mu.Lock()
 	if c.next == nil {
-		c.nc.SetReadDeadline(c.since.Add(p.limits.Reuse))
+		c.nc.SetReadDeadline(c.since.Add(p.limits.Load().Reuse))
 	}
 	p.mu.Unlock()
 	_, err := c.nc.In.Peek(1)
@@ -269,7 +274,7 @@
 	if !c.pool.budget.Take(sockets.Servers) {
 		return decide.NotSent, false
 	}
-	until := time.Now().Add(c.pool.limits.Dial)
+	until := time.Now().Add(c.pool.limits.Load().Dial)
 	cut := a.Until.Before(until)
 	if cut {
 		until = a.Until
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -11,15 +11,18 @@
 	"cresshub/balance"
 )
 
-var effects = map[string]balance.Effect{
+// Effects are the words for what a second run of a request would do.
+var Effects = map[string]balance.Effect{
 	"idempotent": balance.Idempotent, "deduplicated": balance.Deduplicated, "at_most_once": balance.AtMostOnce,
 }
 
-var groups = map[string]balance.Group{
+// Groups are the words for who drops each other's repeats.
+var Groups = map[string]balance.Group{
 	"all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
 }
 
-var fields = map[string]balance.Field{
+// Fields are the words for the values of a load report that decisions read; any other word is passed over.
+var Fields = map[string]balance.Field{
 	"active": balance.FieldHeld, "waiting": balance.FieldWaiting, "cpu": balance.FieldUtil,
 }
 
@@ -142,7 +145,7 @@
 		"report": nested(map[string]reader{
 			"fields": array(func(j *jx.Decoder) error {
 				b, err := j.StrBytes()
-				s.Report = append(s.Report, fields[string(b)])
+				s.Report = append(s.Report, Fields[string(b)])
 				s.ReportNames = append(s.ReportNames, string(b))
 				return err
 			}),
@@ -161,8 +164,8 @@
 		"aim-ms": ms(&c.Aim), "aim-stretch": float(&c.AimStretch), "deadline-ms": ms(&c.Deadline),
 		"late-worth": float(&c.LateWorth), "value": float(&c.Worth), "window-ms": ms(&c.Window),
 		"stream": truth(&c.Stream), "name": text(&name),
-		"effect": into(&c.Effect, func(j *jx.Decoder) (balance.Effect, error) { return word(j, effects) }),
-		"group":  into(&c.Group, func(j *jx.Decoder) (balance.Group, error) { return word(j, groups) }),
+		"effect": into(&c.Effect, func(j *jx.Decoder) (balance.Effect, error) { return word(j, Effects) }),
+		"group":  into(&c.Group, func(j *jx.Decoder) (balance.Group, error) { return word(j, Groups) }),
 	})
 	return c, name, err
 }
