--- /dev/null
+++ b/cmd/cresshub/bench_test.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cresshub/internal/config"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+	"cresshub/internal/serve"
+)
+
+// The benchmarks drive requests over real loopback sockets, one after the other on kept connections, to a
+// server that answers at once. What client and server cost is the same beside each rival of a run.
+
+// drive sends b.N requests and reads their answers.
+func drive(b *testing.B, address string) {
+	b.Helper()
+	var ids atomic.Int64
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		nc, err := net.Dial("tcp", address)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer nc.Close()
+		c := ring.NewConn(nc)
+		for pb.Next() {
+			c.SetDeadline(time.Now().Add(nettest.Patience))
+			io.WriteString(c.Out, nettest.Request("GET", "lookup", strconv.FormatInt(ids.Add(1), 10), time.Second))
+			if err := c.Flush(); err != nil {
+				b.Error(err)
+				return
+			}
+			if a, err := http1.ReadResponse(c.In); err != nil || a.Status != 200 {
+				b.Errorf("%+v, %v", a, err)
+				return
+			}
+		}
+	})
+	b.StopTimer()
+}
+
+func quickZone(b *testing.B) *nettest.Party {
+	return nettest.Serve(b, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("done\n") }))
+}
+
+// BenchmarkRequest is what a request costs directly, through a front of net/http's ReverseProxy, and
+// through ingress, decide and upstream in this process: with the log of requests off and on.
+func BenchmarkRequest(b *testing.B) {
+	zone := quickZone(b)
+	b.Run("direct", func(b *testing.B) { drive(b, zone.Address) })
+	b.Run("ReverseProxy", func(b *testing.B) {
+		target := &url.URL{Scheme: "http", Host: zone.Address}
+		proxy := httputil.NewSingleHostReverseProxy(target)
+		proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		server := &http.Server{Handler: proxy}
+		go server.Serve(l)
+		defer server.Close()
+		drive(b, l.Addr().String())
+	})
+	for _, c := range []struct{ name, set string }{
+		{"cresshub", ""}, {"cresshub-log", "[log]\nrequests = true\nrequest_rate = 0.0\n"},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			file := filepath.Join(b.TempDir(), "c.toml")
+			if err := os.WriteFile(file, []byte(own(zone)+c.set), 0o600); err != nil {
+				b.Fatal(err)
+			}
+			cfg, err := config.Load(config.Input{File: file, Environ: func() []string { return nil }})
+			if err != nil {
+				b.Fatal(err)
+			}
+			p, err := serve.New(cfg, io.Discard)
+			if err != nil {
+				b.Fatal(err)
+			}
+			signals := make(chan os.Signal, 1)
+			ended := make(chan struct{})
+			go func() {
+				p.Run(signals, nil)
+				close(ended)
+			}()
+			drive(b, p.Address())
+			signals <- os.Interrupt
+			<-ended
+		})
+	}
+}
+
+// BenchmarkProcess compares binaries as the platform starts them: CRESSHUB_BENCH_BINARIES names some as
+// name=path,name=path. Beside the cost of a request it tells the time from the start to readiness and the
+// resident memory before and after the load.
+func BenchmarkProcess(b *testing.B) {
+	binaries := os.Getenv("CRESSHUB_BENCH_BINARIES")
+	if binaries == "" {
+		b.Skip("CRESSHUB_BENCH_BINARIES names none")
+	}
+	zone := quickZone(b)
+	for pair := range strings.SplitSeq(binaries, ",") {
+		name, path, _ := strings.Cut(pair, "=")
+		b.Run(name, func(b *testing.B) {
+			file := filepath.Join(b.TempDir(), "config.json")
+			text := configuration("127.0.0.1:1", known("in_service", zone), 200)
+			text = strings.Replace(text, `"memory_mb":64`, `"memory_mb":32`, 1)
+			if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+				b.Fatal(err)
+			}
+			began := time.Now()
+			p := spawn(b, exec.Command(path), file, "EDGE_CONFIG="+file)
+			_, address, _ := strings.Cut(p.expect(b, "msg=ready"), "listen=")
+			ready := time.Since(began)
+			idle := resident(b, p.cmd.Process.Pid)
+			drive(b, address)
+			b.ReportMetric(float64(ready.Microseconds())/1000, "start-ms")
+			b.ReportMetric(idle, "idle-MB")
+			b.ReportMetric(resident(b, p.cmd.Process.Pid), "loaded-MB")
+		})
+	}
+}
+
+// resident is a process's resident memory in MB.
+func resident(b *testing.B, pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), "VmRSS:")
+	kb := 0.0
+	fmt.Sscan(rest, &kb)
+	return kb / 1024
+}
--- /dev/null
+++ b/cmd/cresshub/cli_test.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+)
+
+// own is a file of ours for servers that stand in it.
+func own(parties ...*nettest.Party) string {
+	var b strings.Builder
+	b.WriteString("[listen]\naddress = \"127.0.0.1:0\"\n[cold]\nstart = 1\n" +
+		"[[class]]\nname = \"lookup\"\naim = \"4s\"\ndeadline = \"15s\"\neffect = \"idempotent\"\n[[class]]\nname = \"assign\"\naim = \"4s\"\n" +
+		"deadline = \"15s\"\neffect = \"at_most_once\"\n[[tenant]]\nname = \"acme\"\nshare = 1\nquota = 1000\n")
+	for i, p := range parties {
+		fmt.Fprintf(&b, "[[server]]\nname = \"s-%d\"\naddress = %q\n", i, p.Address)
+	}
+	return b.String()
+}
+
+func writeFile(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// serveOwn starts the program with a file of ours and waits until it is ready.
+func serveOwn(t *testing.T, text string, args ...string) *process {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "cresshub.toml")
+	writeFile(t, file, text)
+	p := run(t, file, append([]string{"serve", "-c", file}, args...))
+	line := p.expect(t, "msg=ready")
+	_, p.address, _ = strings.Cut(line, "listen=")
+	return p
+}
+
+// call runs one command to its end.
+func call(t *testing.T, args ...string) (stdout, stderr string, code int) {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), asProgram+"=1")
+	var out, errs bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	cmd.Run()
+	return out.String(), errs.String(), cmd.ProcessState.ExitCode()
+}
+
+func TestExitCodesAndMessages(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.toml")
+	writeFile(t, file, own()+"[log]\nlevl = \"info\"\nrepeat = \"x\"\n[[server]]\nname = \"a\"\n"+
+		"address = \"127.0.0.1:1\"\n")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	good := filepath.Join(t.TempDir(), "good.toml")
+	if _, stderr, code := call(t, "config", "init", good); code != 0 {
+		t.Fatal(stderr)
+	}
+	for _, c := range []struct {
+		args        string
+		code, lines int    // lines on standard output; -1 for any number
+		stdout      string // part of it
+		stderr      string // part of it, "" for none at all
+	}{
+		{"", 2, 0, "", `a command is missing; see "cresshub --help"`},
+		{"srve", 2, 0, "", `"srve" is no command; did you mean serve?`},
+		{"config chek", 2, 0, "", "did you mean check?"},
+		{"config check", 2, 0, "", "accepts 1 arg(s)"},
+		{"serve --bogus", 2, 0, "", "unknown flag: --bogus"},
+		{"serve --set x", 2, 0, "", "is no KEY=VALUE"},
+		{"serve", 1, 0, "", "class: is missing"},
+		{"serve -c none.toml", 1, 0, "", "none.toml: cannot be read"},
+		{"serve -c " + good + " --listen " + taken.Addr().String(), 1, 0, "", "cresshub: listen.address: "},
+		{"config check " + file, 1, 2, file + ":20: log.levl: is no key; did you mean log.level?\n", ""},
+		{"config check --json " + file, 1, 1, `"line":21,"key":"log.repeat"`, ""},
+		{"config check " + good, 0, 0, "", ""},
+		{"config init " + good, 1, 0, "", "is there already; --force replaces it"},
+		{"config show -c " + good + " --set log.level=warn", 0, -1, "--set log.level", ""},
+		{"config docs -o -", 0, -1, "# Configuration", ""},
+		{"try --trouble storm", 2, 0, "", `--trouble "storm" is none of drain, pause, crash, cold`},
+		{"try --for 0s", 2, 0, "", "--for 0s is out of range"},
+		{"standin discovery --server x", 2, 0, "", "is no NAME=HOST:PORT"},
+		{"version --json", 0, 1, `"go":"go1`, ""},
+		{"completion bash", 0, -1, "complete", ""},
+		{"completion tcsh", 2, 0, "", "invalid argument"},
+		{"serve --help", 0, -1, "cresshub serve -c cresshub.toml --set log.requests=true", ""},
+	} {
+		stdout, stderr, code := call(t, strings.Fields(c.args)...)
+		if code != c.code || c.lines >= 0 && strings.Count(stdout, "\n") != c.lines ||
+			!strings.Contains(stdout, c.stdout) || !strings.Contains(stderr, c.stderr) ||
+			c.stderr == "" && stderr != "" {
+			t.Errorf("%q: status %d\n%s\n%s", c.args, code, stdout, stderr)
+		}
+	}
+}
+
+func TestShowTellsSources(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "c.toml")
+	writeFile(t, file, strings.Replace(own(), "[listen]", "[discovery]\naddress = \"127.0.0.1:1\"\n[listen]", 1))
+	t.Setenv("EDGE_NAME", "n7")
+	stdout, stderr, _ := call(t, "config", "show", "--json", "-c", file, "--set", "clients.idle=1500ms")
+	var rows []struct {
+		Key, Source, At string
+		Value           any
+	}
+	if err := json.Unmarshal([]byte(stdout), &rows); err != nil {
+		t.Fatal(err, stderr)
+	}
+	got := map[string]string{}
+	for _, r := range rows {
+		got[r.Key] = fmt.Sprintf("%v %s %s", r.Value, r.Source, strings.TrimPrefix(r.At, file))
+	}
+	for key, want := range map[string]string{
+		"name": "n7 environment EDGE_NAME", "clients.idle": "1.5s flag --set clients.idle",
+		"clients.write": "3s default ", "listen.address": "127.0.0.1:0 file :4",
+		"class[2].effect": "at_most_once file :16",
+	} {
+		if got[key] != want {
+			t.Errorf("%s: %q, want %q", key, got[key], want)
+		}
+	}
+}
+
+// Reloads with requests in flight: a bad file and one that needs a restart change nothing, live keys and
+// servers are taken over, ten in a row and one that crosses the end do no harm, and whatever was in flight
+// is answered.
+func TestReloadInFlight(t *testing.T) {
+	release := make(chan bool)
+	slow := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response {
+		<-release
+		return nettest.OK("slow")
+	}))
+	quick := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("quick") }))
+	p := serveOwn(t, own(slow))
+	c := nettest.Dial(t, p.address)
+	io.WriteString(c, nettest.Request("POST", "assign", "id", 15*time.Second))
+	nettest.Until(t, "the attempt arrives", func() bool { return len(slow.Got("/api")) == 1 })
+	reload := func(text, expect string) {
+		t.Helper()
+		writeFile(t, p.config, text)
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		if line := p.expect(t, "configuration"); !strings.Contains(line, expect) {
+			t.Errorf("%s, want %s", line, expect)
+		}
+	}
+	reload("[", "cresshub.toml:1: ")
+	reload(strings.Replace(own(quick), "4s", "5s", 1),
+		"a change needs a restart\" name=cresshub keys=class[1].aim")
+	ask := func(id string, wait time.Duration) *http1.Response {
+		t.Helper()
+		return nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request("GET", "lookup", id, wait))
+	}
+	if a := ask("no", 200*time.Millisecond); a.Status == 200 {
+		t.Error("the server of a file that was refused answers")
+	}
+	reload(own(quick)+"[log]\nrequests = true\n", "configuration read again")
+	if a := ask("q", 15*time.Second); string(a.Body) != "quick" {
+		t.Errorf("%d %q after the reload", a.Status, a.Body)
+	}
+	want := "request=q class=lookup tenant=acme server=s-0 attempt=1 outcome=served status=200"
+	if line := p.expect(t, "msg=request"); !strings.Contains(line, want) {
+		t.Error(line)
+	}
+	for range 10 {
+		p.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.expect(t, "msg=ending")
+	close(release)
+	if a, err := http1.ReadResponse(c.In); err != nil || string(a.Body) != "slow" {
+		t.Errorf("what was in flight: %+v, %v", a, err)
+	}
+	p.expect(t, "msg=counters")
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Nobody reads the log, and it is more than the pipe and the backlog hold: requests go on, and so does the
+// end.
+func TestStalledLogKeepsNobodyWaiting(t *testing.T) {
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") }))
+	p := serveOwn(t, own(x)+"[log]\nrequests = true\nrequest_rate = 0.0\nbacklog = \"4KiB\"\n")
+	c := nettest.Dial(t, p.address)
+	for i := range 1000 { // about 170 bytes a line, and a pipe holds 64 KiB
+		a := nettest.Ask(t, c, nettest.Request("GET", "lookup", fmt.Sprint("id", i), 15*time.Second))
+		if a.Status != 200 {
+			t.Fatalf("request %d gets %d", i, a.Status)
+		}
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	ended := make(chan error, 1)
+	go func() { _, err := p.cmd.Process.Wait(); ended <- err }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(nettest.Patience):
+		t.Error("the end waits for who reads the log")
+	}
+}
+
+func TestTry(t *testing.T) {
+	for _, trouble := range []string{"", "drain", "crash"} {
+		t.Run(trouble, func(t *testing.T) {
+			t.Parallel()
+			stdout, stderr, code := call(t, "try", "--for", "3s", "--servers", "5", "--load", "0.3", "--json",
+				"--trouble", trouble)
+			var r struct {
+				Offered, Served, Refused, Failed int
+				InTime                           *int     `json:"served_in_time"`
+				P50                              *float64 `json:"p50_ms"`
+				Rules                            map[string]int
+				Servers                          []struct{ Requests int }
+			}
+			if err := json.Unmarshal([]byte(stdout), &r); err != nil || code != 0 {
+				t.Fatalf("status %d: %v\n%s%s", code, err, stdout, stderr)
+			}
+			attempts := 0
+			for _, s := range r.Servers {
+				attempts += s.Requests
+			}
+			if r.Offered < 10 || r.Served+r.Refused+r.Failed != r.Offered || r.Served < r.Offered/2 ||
+				attempts < r.Served || len(r.Rules) != 4 || r.InTime == nil || r.P50 == nil {
+				t.Errorf("%+v, %d attempts", r, attempts)
+			}
+		})
+	}
+}
+
+// An interrupt leaves no process and no socket behind, and what was measured is told.
+func TestTryInterrupted(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "log")
+	cmd := exec.Command(os.Args[0], "try", "--for", "10m", "--servers", "2", "--log", log)
+	cmd.Env = append(os.Environ(), asProgram+"=1", "TMPDIR="+t.TempDir())
+	out, err := cmd.StdoutPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	address := ""
+	nettest.Until(t, "the proxy listens", func() bool {
+		text, _ := os.ReadFile(log)
+		_, rest, _ := strings.Cut(string(text), "msg=ready")
+		_, rest, _ = strings.Cut(rest, "listen=")
+		line, _, whole := strings.Cut(rest, "\n")
+		address = line
+		return whole
+	})
+	cmd.Process.Signal(os.Interrupt)
+	told := false
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		told = told || strings.Contains(lines.Text(), "rider_assign_once")
+	}
+	if cmd.Wait(); cmd.ProcessState.ExitCode() != 1 || !told {
+		t.Errorf("%v, counts told: %v", cmd.ProcessState, told)
+	}
+	if c, err := net.Dial("tcp", address); err == nil {
+		c.Close()
+		t.Error("the proxy still listens")
+	}
+	left, _ := os.ReadDir(strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "TMPDIR="))
+	if len(left) > 0 {
+		t.Errorf("files left: %v", left)
+	}
+}
--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -19,9 +19,12 @@
 	"cresshub/internal/ring"
 )
 
+// asProgram is the variable that has the test binary be the program.
+const asProgram = "BE_THE_PROGRAM"
+
 // The test binary is also the program, so that tests speak to a process of its own.
 func TestMain(m *testing.M) {
-	if os.Getenv("EDGE_CONFIG") != "" {
+	if os.Getenv("EDGE_CONFIG") != "" || os.Getenv(asProgram) != "" {
 		main()
 		return
 	}
@@ -65,8 +68,19 @@
 	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(os.Args[0]), config: file}
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+file)
+	return run(t, file, nil, "EDGE_CONFIG="+file)
+}
+
+// run starts the program with arguments and variables; its log can be read by expect.
+func run(t testing.TB, file string, args []string, env ...string) *process {
+	t.Helper()
+	return spawn(t, exec.Command(os.Args[0], args...), file, env...)
+}
+
+func spawn(t testing.TB, cmd *exec.Cmd, file string, env ...string) *process {
+	t.Helper()
+	p := &process{cmd: cmd, config: file}
+	p.cmd.Env = append(append(os.Environ(), asProgram+"=1"), env...)
 	out, err := p.cmd.StderrPipe()
 	if err == nil {
 		err = p.cmd.Start()
@@ -83,7 +97,7 @@
 }
 
 // expect reads the log up to a line that holds word.
-func (p *process) expect(t *testing.T, word string) string {
+func (p *process) expect(t testing.TB, word string) string {
 	t.Helper()
 	for p.log.Scan() {
 		if strings.Contains(p.log.Text(), word) {
--- /dev/null
+++ b/internal/cli/standin.go
@@ -0,0 +1,126 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cresshub/internal/standin"
+)
+
+func newStandin() *cobra.Command {
+	c := &cobra.Command{
+		Use: "standin", Short: "Run a party that stands in for a real one",
+		Example: "  cresshub standin zone --name zone-1 --listen 127.0.0.1:9001\n" +
+			"  cresshub standin discovery --listen 127.0.0.1:8500 --server zone-1=127.0.0.1:9001",
+	}
+	c.AddCommand(newStandinZone(), newStandinDiscovery())
+	return c
+}
+
+// untilEnd waits for SIGINT or SIGTERM, or for so long.
+func untilEnd(c *cobra.Command, limit time.Duration) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	<-ctx.Done()
+}
+
+func newStandinZone() *cobra.Command {
+	var o standin.ZoneOptions
+	var limit, lookup, assign time.Duration
+	var cold, asJSON bool
+	c := &cobra.Command{
+		Use:   "zone",
+		Short: "A zone server with cores, a queue and a cold start",
+		Long: "Answers requests after the time that their work takes, turns away with X-Not-Processed\n" +
+			"what finds its places full, and tells its load at GET /stats. SIGUSR1 drains it. It prints\n" +
+			"its counts at the end.",
+		Example: "  cresshub standin zone --name zone-1 --listen 127.0.0.1:9001 --cores 2 --speed 0.9",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			o.Work = map[string]time.Duration{"zone-lookup": lookup, "rider-assign": assign}
+			since := time.Time{}
+			if cold {
+				since = time.Now()
+				o.Cold = standin.Cold{Start: 0.12, Warm: 23 * time.Second, Multiple: 4, After: 1500 * time.Millisecond}
+			}
+			z, err := standin.StartZone(o, since)
+			if err != nil {
+				return err
+			}
+			defer z.Close()
+			drain := make(chan os.Signal, 1)
+			signal.Notify(drain, syscall.SIGUSR1)
+			go func() {
+				for range drain {
+					z.Drain()
+				}
+			}()
+			fmt.Fprintln(c.ErrOrStderr(), "listening on", z.Address())
+			untilEnd(c, limit)
+			if asJSON {
+				return printJSON(c.OutOrStdout(), z.Counts())
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%+v\n", z.Counts())
+			return err
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&o.Name, "name", "zone", "its name, told in answers")
+	f.StringVar(&o.Listen, "listen", "127.0.0.1:0", "host:port; port 0 lets the system choose")
+	f.IntVar(&o.Cores, "cores", 2, "requests worked on at once")
+	f.Float64Var(&o.Speed, "speed", 1.8, "of a core; 1 is the yardstick")
+	f.IntVar(&o.Waiting, "waiting", 16, "places to wait in")
+	f.IntVar(&o.Connections, "connections", 1500, "open at once")
+	f.DurationVar(&o.Handshake, "handshake", 2*time.Millisecond, "time that a new connection costs")
+	f.DurationVar(&lookup, "lookup", 125*time.Millisecond, "mean work of a zone-lookup on a core of speed 1")
+	f.DurationVar(&assign, "assign", 108*time.Millisecond, "mean work of a rider-assign")
+	f.Float64Var(&o.Spread, "spread", 0.3, "work varies by this part of its mean")
+	f.BoolVar(&cold, "cold", false, "start cold, and fall over when pushed")
+	f.Uint64Var(&o.Seed, "seed", 1, "for the work of requests")
+	f.DurationVar(&limit, "for", time.Hour, "end after this time")
+	f.BoolVar(&asJSON, "json", false, "print the counts as one JSON object")
+	return c
+}
+
+func newStandinDiscovery() *cobra.Command {
+	var listen string
+	var servers []string
+	var limit time.Duration
+	c := &cobra.Command{
+		Use:     "discovery",
+		Short:   "The service that lists zone servers",
+		Example: "  cresshub standin discovery --listen 127.0.0.1:8500 --server zone-1=127.0.0.1:9001",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			d, err := standin.StartDiscovery(listen)
+			if err != nil {
+				return err
+			}
+			defer d.Close()
+			for _, s := range servers {
+				name, address, ok := strings.Cut(s, "=")
+				if !ok {
+					return wrong("--server %q is no NAME=HOST:PORT", s)
+				}
+				d.Set(standin.Endpoint{Name: name, Address: address, Status: "in_service", Weight: 1})
+			}
+			fmt.Fprintln(c.ErrOrStderr(), "listening on", d.Address())
+			untilEnd(c, limit)
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:8500", "host:port; port 0 lets the system choose")
+	f.StringArrayVar(&servers, "server", nil, "NAME=HOST:PORT of a zone server; may be repeated")
+	f.DurationVar(&limit, "for", time.Hour, "end after this time")
+	return c
+}
--- /dev/null
+++ b/internal/cli/try.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"cresshub/internal/standin"
+	"cresshub/internal/trial"
+)
+
+func newTry() *cobra.Command {
+	var asJSON bool
+	var logFile string
+	var o trial.Options
+	c := &cobra.Command{
+		Use:   "try",
+		Short: "Try the proxy on this machine against stand-in servers",
+		Long: "Starts a discovery and zone servers that stand in for real ones, one proxy as a process of its\n" +
+			"own, and a load that waits for nothing, all on loopback; closes with what became of the\n" +
+			"requests and whether the rules were kept. It ends with 1 if one was broken.",
+		Example: "  cresshub try --for 10s\n  cresshub try --for 20s --trouble crash\n" +
+			"  cresshub try --for 5s --json",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			switch {
+			case o.For < 100*time.Millisecond || o.For > time.Hour:
+				return wrong("--for %s is out of range, 100ms to 1h is allowed", o.For)
+			case o.Servers < 1 || o.Servers > 200:
+				return wrong("--servers %d is out of range, 1 to 200 is allowed", o.Servers)
+			case !(o.Rate >= 0 && o.Rate <= 20000):
+				return wrong("--rate %g is out of range, 0 to 20000 is allowed", o.Rate)
+			case !(o.Load > 0 && o.Load <= 10):
+				return wrong("--load %g is out of range, above 0 to 10 is allowed", o.Load)
+			}
+			if err := trial.CheckTrouble(o.Trouble); err != nil {
+				return usageError{err}
+			}
+			var err error
+			if o.Program, err = os.Executable(); err != nil {
+				return err
+			}
+			if logFile != "" {
+				f, err := os.Create(logFile)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				o.Log = f
+			}
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			end := watchTrial(c.ErrOrStderr(), &o)
+			r, err := trial.Run(ctx, o)
+			end()
+			if r != nil {
+				if perr := printTrial(c.OutOrStdout(), r, asJSON); err == nil {
+					err = perr
+				}
+			}
+			switch {
+			case ctx.Err() != nil:
+				return fmt.Errorf("interrupted; what was measured until then is above")
+			case err != nil:
+				return err
+			case r.Broken() > 0:
+				return fmt.Errorf("rules were broken %d times", r.Broken())
+			}
+			return nil
+		},
+	}
+	c.SetContext(context.Background())
+	f := c.Flags()
+	f.DurationVar(&o.For, "for", 10*time.Second, "how long the load lasts")
+	f.IntVar(&o.Servers, "servers", 10, "zone servers, two in five of half speed")
+	f.Float64Var(&o.Rate, "rate", 0, "requests a second; 0 goes by --load")
+	f.Float64Var(&o.Load, "load", 0.6, "part of what the servers can do with cold keys")
+	f.StringVar(&o.Trouble, "trouble", "", "in the middle: "+strings.Join(trial.Troubles, ", "))
+	f.Uint64Var(&o.Seed, "seed", 1, "for arrivals, work and keys")
+	f.StringVar(&logFile, "log", "", "file for the proxy's log")
+	f.BoolVar(&asJSON, "json", false, "print one JSON object")
+	return c
+}
+
+// watchTrial shows a live line where somebody can see it, and returns what ends that.
+func watchTrial(w io.Writer, o *trial.Options) func() {
+	f, ok := w.(*os.File)
+	if !ok || !isatty.IsTerminal(f.Fd()) {
+		return func() {}
+	}
+	bar := progressbar.NewOptions64(o.For.Milliseconds(), progressbar.OptionSetWriter(w),
+		progressbar.OptionSetWidth(20), progressbar.OptionSetPredictTime(false), progressbar.OptionClearOnFinish(),
+		progressbar.OptionSetElapsedTime(false))
+	o.Live = func(done time.Duration, t standin.Totals) {
+		bar.Describe(fmt.Sprintf("offered %d  in time %d  refused %d  p99 %s", t.Offered, t.InTime,
+			t.By[standin.Refused], t.P99.Round(time.Millisecond)))
+		bar.Set64(min(done, o.For).Milliseconds())
+	}
+	return func() { bar.Finish() }
+}
+
+func printTrial(w io.Writer, r *trial.Report, asJSON bool) error {
+	if asJSON {
+		return printJSON(w, r)
+	}
+	fmt.Fprintf(w, "%.1f s at %.0f requests a second", r.Seconds, r.Rate)
+	if r.Trouble != "" {
+		fmt.Fprintf(w, ", trouble: %s", r.Trouble)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	part := func(n int) float64 { return 100 * float64(n) / float64(max(r.Offered, 1)) }
+	fmt.Fprintln(t, "\noffered\tin time\tserved\trefused\tfailed\tp50\tp99\t")
+	fmt.Fprintf(t, "%d\t%d (%.1f%%)\t%d\t%d\t%d\t%.0f ms\t%.0f ms\t\n", r.Offered, r.InTime, part(r.InTime),
+		r.Served, r.Refused, r.Failed, r.P50, r.P99)
+	fmt.Fprintln(t, "\nserver\tattempts\tserved\tturned away\tprobes\tconnections\t")
+	for _, s := range r.Servers {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t\n", s.Name, s.Requests, s.Served, s.TurnedAway, s.Probes, s.Opened)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	for _, rule := range []string{trial.OneAnswer, trial.NeverTwice, trial.DrainKept, trial.ColdKept} {
+		state := "kept"
+		if n := r.Rules[rule]; n > 0 {
+			state = fmt.Sprintf("BROKEN %d times", n)
+		}
+		fmt.Fprintf(w, "%-22s %s\n", rule, state)
+	}
+	return nil
+}
--- a/internal/nettest/nettest.go
+++ b/internal/nettest/nettest.go
@@ -14,6 +14,7 @@
 
 	"cresshub/internal/http1"
 	"cresshub/internal/ring"
+	"cresshub/internal/standin"
 )
 
 // Patience bounds every wait of a test; no verdict depends on how much of it is used.
@@ -80,25 +81,12 @@
 // Listen accepts connections and gives each a goroutine, until the test ends.
 func Listen(t testing.TB, serve func(c *ring.Conn)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := standin.Listen("127.0.0.1:0", 0, serve)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-			go func() {
-				defer c.Close()
-				serve(ring.NewConn(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(l.End)
+	return l.Address()
 }
 
 // Zone is a zone server's handler: probes tell an idle server, all else gets what work returns.
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,211 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/ring"
+)
+
+// The rules that stand-ins count breaks of.
+const (
+	DrainGrace   = 1500 * time.Millisecond
+	UnsafePrefix = "rider" // classes whose names begin so must never run twice
+)
+
+// Endpoint is one line of discovery's list.
+type Endpoint struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Type    string  `json:"type"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"` // in_service, terminating or terminated
+	Weight  float64 `json:"weight"`
+	SinceMS int64   `json:"since_ms"`
+}
+
+// document is what discovery sends.
+type document struct {
+	Index     int64      `json:"index"`
+	Snapshot  bool       `json:"snapshot"`
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// heartbeat is how often a watch says something while nothing changes.
+const heartbeat = 2 * time.Second
+
+// kept is how many changes discovery remembers; who asks from before gets the whole list.
+const kept = 1024
+
+// Discovery is the service that tells which zone servers there are.
+type Discovery struct {
+	l *Listener
+
+	mu      sync.Mutex
+	index   int64
+	now     map[string]Endpoint
+	changes []change
+	changed chan struct{} // closes with the next change
+	ended   chan struct{}
+	failing bool
+	asked   int
+	once    sync.Once
+}
+
+type change struct {
+	index int64
+	entry Endpoint
+}
+
+// StartDiscovery starts a discovery with an empty list.
+func StartDiscovery(address string) (*Discovery, error) {
+	d := &Discovery{now: map[string]Endpoint{}, changed: make(chan struct{}), ended: make(chan struct{})}
+	var err error
+	d.l, err = Listen(address, 0, d.serve)
+	return d, err
+}
+
+// Address is where it listens.
+func (d *Discovery) Address() string { return d.l.Address() }
+
+// Asked is how many calls it took.
+func (d *Discovery) Asked() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked
+}
+
+// Set changes entries and tells every watch. A terminated one leaves the list.
+func (d *Discovery) Set(entries ...Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range entries {
+		d.index++
+		d.changes = append(d.changes, change{d.index, e})
+		if e.Status == "terminated" {
+			delete(d.now, e.Name)
+		} else {
+			d.now[e.Name] = e
+		}
+	}
+	if extra := len(d.changes) - kept; extra > 0 {
+		d.changes = slices.Delete(d.changes, 0, extra)
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Fail has all calls answered with 503 and ends the watches, or ends that.
+func (d *Discovery) Fail(failing bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failing = failing
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Close ends it.
+func (d *Discovery) Close() {
+	d.once.Do(func() { close(d.ended) })
+	d.l.Close(false)
+}
+
+// since returns what changed after a version, or the whole list where that is not known any more, and a
+// channel that closes with the next change.
+func (d *Discovery) since(from int64, whole bool) (document, <-chan struct{}, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	doc := document{Index: d.index, Endpoints: []Endpoint{}}
+	if whole || from > d.index || len(d.changes) > 0 && from < d.changes[0].index-1 {
+		doc.Snapshot = true
+		for _, e := range d.now {
+			doc.Endpoints = append(doc.Endpoints, e)
+		}
+		slices.SortFunc(doc.Endpoints, func(a, b Endpoint) int { return strings.Compare(a.Name, b.Name) })
+		return doc, d.changed, d.failing
+	}
+	for _, c := range d.changes {
+		if c.index > from {
+			doc.Endpoints = append(doc.Endpoints, c.entry)
+		}
+	}
+	return doc, d.changed, d.failing
+}
+
+func (d *Discovery) serve(c *ring.Conn) {
+	for {
+		c.SetDeadline(time.Now().Add(time.Minute))
+		q, err := http1.ReadRequest(c.In)
+		if err != nil {
+			return
+		}
+		path, query, _ := strings.Cut(q.Target, "?")
+		_, from, watch := strings.Cut(query, "watch=1&from=")
+		version, err := strconv.ParseInt(from, 10, 64)
+		d.mu.Lock()
+		d.asked++
+		failing := d.failing
+		d.mu.Unlock()
+		answer := &http1.Response{Status: 200}
+		switch {
+		case failing:
+			answer.Status = 503
+		case path != "/registry/instances" || watch && err != nil:
+			answer.Status = 404
+		case watch:
+			d.watch(c, version)
+			return
+		default:
+			doc, _, _ := d.since(0, true)
+			answer.Body, _ = json.Marshal(doc)
+		}
+		if answer.Write(c.Out) != nil || c.Flush() != nil {
+			return
+		}
+	}
+}
+
+// watch tells changes until the other side or this one ends.
+func (d *Discovery) watch(c *ring.Conn, from int64) {
+	io.WriteString(c.Out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		c.SetReadDeadline(time.Time{})
+		io.Copy(io.Discard, c.In)
+	}()
+	beat := time.NewTicker(heartbeat)
+	defer beat.Stop()
+	for first := true; ; first = false {
+		doc, changed, failing := d.since(from, from == 0 && first)
+		if failing {
+			return
+		}
+		line := []byte{}
+		if first || len(doc.Endpoints) > 0 {
+			line, _ = json.Marshal(doc)
+			from = doc.Index
+		}
+		c.SetWriteDeadline(time.Now().Add(heartbeat))
+		fmt.Fprintf(c.Out, "%x\r\n%s\n\r\n", len(line)+1, line)
+		if c.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-beat.C:
+		case <-left:
+			return
+		case <-d.ended:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/standin_test.go
@@ -0,0 +1,216 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/ring"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 20 * time.Second
+
+func dial(t *testing.T, address string) *ring.Conn {
+	t.Helper()
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	nc.SetDeadline(time.Now().Add(patience))
+	return ring.NewConn(nc)
+}
+
+func ask(t *testing.T, c *ring.Conn, target, id, class string) *http1.Response {
+	t.Helper()
+	q := &http1.Request{Method: "GET", Target: target, Header: http1.Header{{Name: "Host", Value: "h"},
+		{Name: "X-Request-ID", Value: id}, {Name: "X-Priority-Class", Value: class}}}
+	if err := q.Write(c.Out); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	a, err := http1.ReadResponse(c.In)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func zone(t *testing.T, o ZoneOptions) *Zone {
+	t.Helper()
+	o.Name, o.Listen, o.Speed = "z", "127.0.0.1:0", 1
+	o.Cores = max(o.Cores, 1)
+	z, err := StartZone(o, time.Time{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(z.Close)
+	return z
+}
+
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
+
+// One is worked on, one waits, the third is turned away unseen; what is turned away never ran.
+func TestZoneTurnsAwayWhatFindsItFull(t *testing.T) {
+	z := zone(t, ZoneOptions{Waiting: 1, Work: map[string]time.Duration{"rider": time.Hour}})
+	for i := range 2 {
+		c := dial(t, z.Address())
+		go io.Copy(io.Discard, c)
+		q := http1.Request{Method: "GET", Target: "/", Header: http1.Header{{Name: "Host", Value: "h"},
+			{Name: "X-Request-ID", Value: fmt.Sprint(i)}, {Name: "X-Priority-Class", Value: "rider"}}}
+		q.Write(c.Out)
+		c.Flush()
+		until(t, "it is in", func() bool { return z.Counts().Requests == i+1 })
+	}
+	a := ask(t, dial(t, z.Address()), "/", "third", "rider")
+	report := string(ask(t, dial(t, z.Address()), "/stats", "", "").Body)
+	if a.Status != 503 || a.Header.Get("X-Not-Processed") != "1" || report != "inflight=2,queue=1,util=1.00" {
+		t.Errorf("%d, %s", a.Status, report)
+	}
+	if ran := z.Ran(); len(ran) > 1 || ran["third"] != 0 {
+		t.Errorf("ran: %v", ran)
+	}
+}
+
+// A breach of each rule that the stand-ins are there to count is counted.
+func TestBreachesAreCounted(t *testing.T) {
+	z := zone(t, ZoneOptions{Work: map[string]time.Duration{"rider": time.Millisecond}})
+	c := dial(t, z.Address())
+	for range 2 {
+		ask(t, c, "/", "same", "rider")
+	}
+	z.Told(time.Now().Add(-DrainGrace - time.Second))
+	ask(t, c, "/", "late", "rider")
+	f := &Fleet{all: []*Zone{z, z}} // an id that ran on two servers ran twice
+	if n := z.Counts(); n.RanTwice != 1 || n.AfterDrain != 1 || f.RanTwice() != 2 {
+		t.Errorf("%+v, over the fleet %d", n, f.RanTwice())
+	}
+	cold := zone(t, ZoneOptions{Cores: 1, Work: map[string]time.Duration{"a": 50 * time.Millisecond},
+		Cold: Cold{Start: 0.1, Warm: time.Hour, Multiple: 1, After: time.Hour}})
+	cold.started = time.Now()
+	now := time.Now()
+	cold.window = now
+	for range 3 { // of an hour's capacity a quarter, a half, and more than all with one request in hand
+		cold.push(time.Hour, now)
+	}
+	if n := cold.Counts(); n.FellOver != 1 {
+		t.Errorf("%+v", n)
+	}
+	if a := ask(t, dial(t, cold.Address()), "/", "x", "a"); a.Status != 503 {
+		t.Errorf("one that fell over answers %d", a.Status)
+	}
+}
+
+func TestDiscoveryTellsChanges(t *testing.T) {
+	d, err := StartDiscovery("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	d.Set(Endpoint{Name: "a", Status: "in_service"}, Endpoint{Name: "b", Status: "in_service"})
+	var doc document
+	body := ask(t, dial(t, d.Address()), "/registry/instances", "", "").Body
+	err = json.Unmarshal(body, &doc)
+	if err != nil || !doc.Snapshot || doc.Index != 2 || len(doc.Endpoints) != 2 {
+		t.Fatalf("%s, %v", body, err)
+	}
+	c := dial(t, d.Address())
+	io.WriteString(c, "GET /registry/instances?watch=1&from=2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, stream, err := http1.ReadStream(c.In)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := json.NewDecoder(stream)
+	next := func() (doc document) {
+		if err := lines.Decode(&doc); err != nil {
+			t.Fatal(err)
+		}
+		return doc
+	}
+	first := next()
+	d.Set(Endpoint{Name: "a", Status: "terminated"})
+	if second := next(); first.Snapshot || len(first.Endpoints) != 0 || len(second.Endpoints) != 1 ||
+		second.Endpoints[0].Status != "terminated" || second.Index != 3 {
+		t.Errorf("%+v, %+v", first, second)
+	}
+	for i := range kept + 1 { // who asks from before what is remembered gets all
+		d.Set(Endpoint{Name: "b", Group: i, Status: "in_service"})
+	}
+	if doc, _, _ := d.since(2, false); !doc.Snapshot || len(doc.Endpoints) != 1 {
+		t.Errorf("%+v", doc)
+	}
+	d.Fail(true)
+	if a := ask(t, dial(t, d.Address()), "/registry/instances", "", ""); a.Status != 503 {
+		t.Errorf("%d while failing", a.Status)
+	}
+}
+
+// The load counts each request once, whatever the other side does with it.
+func TestLoadCountsEachOnce(t *testing.T) {
+	answers := map[string]string{
+		"a-0": "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\na-0 served by z\n", "a-1": "HTTP/1.1 503 x\r\n" +
+			"Content-Length: 0\r\n\r\n", "a-2": "HTTP/1.1 502 x\r\nContent-Length: 0\r\n\r\n", "a-3": "",
+		"a-4": "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nother x", // to another request
+	}
+	l, err := Listen("127.0.0.1:0", 0, func(c *ring.Conn) {
+		for {
+			q, err := http1.ReadRequest(c.In)
+			if err != nil {
+				return
+			}
+			text, ok := answers[q.Header.Get("X-Request-ID")]
+			if !ok {
+				text = answers["a-1"]
+			}
+			io.WriteString(c.Out, text)
+			if c.Flush() != nil || text == "" {
+				return
+			}
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close(false)
+	load := NewLoad(LoadOptions{Address: l.Address(), Rate: 500, IDs: "a", Open: 50, Classes: []LoadClass{
+		{Name: "x", Share: 1, Aim: time.Hour, Deadline: patience, Worth: 2}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for load.Tally().Totals().Offered < 20 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	load.Run(ctx)
+	got := load.Tally().Totals()
+	sum := 0
+	for _, n := range got.By {
+		sum += n
+	}
+	if got.By[Served] != 2 || got.By[Failed] != 1 || got.By[NoAnswer] != 1 || got.Wrong != 1 ||
+		got.By[Refused] != got.Offered-4 || sum != got.Offered || got.Servers["z"] != 1 || got.InTime != 2 {
+		t.Errorf("%+v", got)
+	}
+	if !strings.HasPrefix(fmt.Sprint(load.idle), "[]") || load.open != 0 {
+		t.Errorf("%d connections left", load.open)
+	}
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,222 @@
+// Package trial tries the proxy on loopback: a discovery and zone servers that stand in for real ones, the
+// program itself as a child process, and an open-loop load, with a trouble in the middle if wanted. What
+// comes out is counted on both sides, and so are breaks of the rules.
+package trial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"cresshub/internal/standin"
+)
+
+// Options are what is tried.
+type Options struct {
+	Program string        // path of the proxy's binary
+	For     time.Duration // how long the load lasts
+	Servers int
+	Rate    float64 // requests a second; 0 is Load times what the servers can do
+	Load    float64 // part of the servers' capacity that the load takes
+	Trouble string  // "", or one of Troubles
+	Seed    uint64
+	Log     io.Writer // the proxy's log, if wanted
+	// Live is called a few times a second while the load lasts, if it is set.
+	Live func(done time.Duration, t standin.Totals)
+}
+
+// Report is what came of it. Times are in milliseconds.
+type Report struct {
+	Offered  int            `json:"offered"`
+	Served   int            `json:"served"`
+	InTime   int            `json:"served_in_time"`
+	Refused  int            `json:"refused"`
+	Failed   int            `json:"failed"`
+	P50      float64        `json:"p50_ms"`
+	P99      float64        `json:"p99_ms"`
+	Max      float64        `json:"max_ms"`
+	Service  float64        `json:"service"` // worth served in time over worth asked for
+	Seconds  float64        `json:"seconds"`
+	Rate     float64        `json:"rate"`
+	Trouble  string         `json:"trouble,omitempty"`
+	Lag      float64        `json:"load_lag_ms"` // the load itself sent that late at worst
+	Short    int            `json:"load_short"`  // requests not sent for want of connections; among the failed
+	Rules    map[string]int `json:"rules"`       // breaks of each
+	Servers  []ServerReport `json:"servers"`
+	ListAsks int            `json:"list_calls"`
+}
+
+// ServerReport is what one zone server saw.
+type ServerReport struct {
+	Name string `json:"name"`
+	standin.ZoneCounts
+}
+
+// The names of the rules in a report.
+const (
+	OneAnswer  = "one_final_answer"
+	NeverTwice = "rider_assign_once"
+	DrainKept  = "drain_obeyed"
+	ColdKept   = "cold_not_pushed_over"
+)
+
+// Broken is how many breaks of rules there were.
+func (r *Report) Broken() (n int) {
+	for _, k := range r.Rules {
+		n += k
+	}
+	return n
+}
+
+var halls = []string{"kita-hall", "chuo-hall", "toyohira-hall"}
+
+// The classes of the brief, with the middle of each range.
+var classes = []standin.LoadClass{
+	{Name: "zone-lookup", Share: 0.6, Aim: 600 * time.Millisecond, Deadline: 1500 * time.Millisecond,
+		Worth: 2},
+	{Name: "rider-assign", Share: 0.4, Aim: 500 * time.Millisecond, Deadline: 2 * time.Second, Worth: 8,
+		Unsafe: true},
+}
+
+var work = map[string]time.Duration{
+	"zone-lookup": 125 * time.Millisecond, "rider-assign": 108 * time.Millisecond,
+}
+
+// meanWork of a request, on a core of speed 1.
+func meanWork() (mean time.Duration) {
+	for _, c := range classes {
+		mean += time.Duration(c.Share * float64(work[c.Name]))
+	}
+	return mean
+}
+
+var tenants = []string{"ramen-kita", "soup-curry-chuo", "jingisukan-east"}
+
+// stopping is how long the proxy may take to end: what clients may still send, and the longest deadline.
+const stopping = 10 * time.Second
+
+// Run tries the proxy until the time is over or ctx ends; then what was measured so far is reported with
+// ctx's error. Nothing is left behind: no process, no socket, no file.
+func Run(ctx context.Context, o Options) (_ *Report, err error) {
+	dir, err := os.MkdirTemp("", "cresshub-try-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	cold := standin.Cold{Start: 0.12, Warm: 10 * time.Second, Multiple: 4, After: 1500 * time.Millisecond}
+	fleet, err := standin.StartFleet(standin.FleetOptions{
+		Servers: o.Servers, Halls: halls, Work: work, HalfSpeed: 0.4, Waiting: 16, Cold: cold, Seed: o.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	if o.Rate <= 0 {
+		o.Rate = o.Load * fleet.Capacity(o.Servers) / meanWork().Seconds()
+	}
+	file := filepath.Join(dir, "cresshub.toml")
+	if err := os.WriteFile(file, []byte(configuration(fleet.Discovery.Address(), o, cold)), 0o600); err != nil {
+		return nil, err
+	}
+	proxy, err := StartProxy(ctx, o.Program, file, o.Log)
+	if err != nil {
+		return nil, err
+	}
+	stopped := false
+	defer func() {
+		if !stopped {
+			proxy.Stop(stopping)
+		}
+	}()
+	starting, cancel := context.WithTimeout(ctx, 10*time.Second)
+	defer cancel()
+	if err := standin.AwaitReady(starting, proxy.Address); err != nil {
+		return nil, fmt.Errorf("%w\n%s", err, proxy.Tail())
+	}
+	load := standin.NewLoad(standin.LoadOptions{
+		Address: proxy.Address, Rate: o.Rate, Classes: classes, Tenants: tenants, Keys: 300, Seed: o.Seed,
+		Open: 2000,
+	})
+	began := time.Now()
+	lasting, done := context.WithTimeout(ctx, o.For)
+	defer done()
+	troubled := make(chan error, 1)
+	go func() { troubled <- trouble(lasting, fleet, o) }()
+	go live(lasting, began, load.Tally(), o.Live)
+	load.Run(lasting)
+	seconds := min(time.Since(began), o.For).Seconds()
+	stopped = true
+	err = errors.Join(ctx.Err(), <-troubled, proxy.Stop(stopping))
+	return report(fleet, load.Tally().Totals(), o, seconds), err
+}
+
+func live(ctx context.Context, began time.Time, t *standin.Tally, show func(time.Duration, standin.Totals)) {
+	if show == nil {
+		return
+	}
+	tick := time.NewTicker(200 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			show(time.Since(began), t.Totals())
+		}
+	}
+}
+
+func report(f *standin.Fleet, t standin.Totals, o Options, seconds float64) *Report {
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	r := &Report{
+		Offered: t.Offered, Served: t.By[standin.Served], InTime: t.InTime, Refused: t.By[standin.Refused],
+		P50: ms(t.P50), P99: ms(t.P99), Max: ms(t.Max), Seconds: seconds, Rate: o.Rate, Trouble: o.Trouble,
+		Lag: ms(t.Lag), Short: t.By[standin.NotSent], ListAsks: f.Discovery.Asked(), Servers: []ServerReport{},
+		Rules: map[string]int{
+			OneAnswer:  t.By[standin.NoAnswer] + t.Wrong + t.Second,
+			NeverTwice: f.RanTwice(), DrainKept: 0, ColdKept: 0,
+		},
+	}
+	r.Failed = r.Offered - r.Served - r.Refused
+	if t.Asked > 0 {
+		r.Service = t.Worth / t.Asked
+	}
+	for name, c := range f.Counts() {
+		r.Servers = append(r.Servers, ServerReport{name, c})
+		r.Rules[DrainKept] += c.AfterDrain
+		r.Rules[ColdKept] += c.FellOver
+	}
+	slices.SortFunc(r.Servers, func(a, b ServerReport) int { return strings.Compare(a.Name, b.Name) })
+	return r
+}
+
+// configuration is the proxy's file, as an operator of this fleet would write it.
+func configuration(discovery string, o Options, cold standin.Cold) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"try\"\nseed = \"%x\"\nhalls = [%q, %q, %q]\nkinds = [%q, %q]\n", o.Seed,
+		halls[0], halls[1], halls[2], standin.Standard, standin.HalfSpeed)
+	fmt.Fprintf(&b, "[listen]\naddress = \"127.0.0.1:0\"\n[discovery]\naddress = %q\n", discovery)
+	fmt.Fprintf(&b, "[policy]\nhall = %q\nwarm_keys = true\n", halls[0])
+	fmt.Fprintf(&b, "[drain]\ngrace = %q\n", standin.DrainGrace)
+	fmt.Fprintf(&b, "[cold]\nstart = %g\nwarm_after = %q\nfall_multiple = %g\nfall_after = %q\n", cold.Start,
+		cold.Warm, cold.Multiple, cold.After)
+	for _, c := range classes {
+		effect := "idempotent"
+		if c.Unsafe {
+			effect = "at_most_once"
+		}
+		fmt.Fprintf(&b, "[[class]]\nname = %q\naim = %q\ndeadline = %q\neffect = %q\nworth = %g\n", c.Name, c.Aim,
+			c.Deadline, effect, c.Worth)
+	}
+	for _, t := range tenants {
+		fmt.Fprintf(&b, "[[tenant]]\nname = %q\nshare = %.3f\nquota = %g\n", t, 1/float64(len(tenants)),
+			o.Rate*2/float64(len(tenants)))
+	}
+	return b.String()
+}
