Ask for the list within 100 ms where no server is known at the start

Cause: a proxy that starts without a known list waited up to a fifth of ask_within, 2 s, before it asked discovery, and refused all until then; what it held back reached the servers as one burst.

Change: with an empty list the first question is spread over a twentieth of that time. The load of trials took each request's time from a later arrival (a variable shared with the loop, found by the race detector); it takes its own now. mpb in place of progressbar, which linked net/http and TLS.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -75,7 +75,11 @@
 		return append(acts, b.timer(b.jitter(wait), timerFollow, 0))
 	}
 	if kind == ListCached && b.set.MustFollow {
-		acts = append(acts, b.timer(time.Duration(b.rng.Float64()*float64(b.set.AskWithin)/5), timerFollow, 0))
+		spread := b.set.AskWithin / 5
+		if len(list) == 0 { // whoever knows no server can serve nobody
+			spread /= 20
+		}
+		acts = append(acts, b.timer(time.Duration(b.rng.Float64()*float64(spread)), timerFollow, 0))
 	} else {
 		b.failed = 0
 	}
--- a/cmd/cresshub/bench_test.go
+++ b/cmd/cresshub/bench_test.go
@@ -107,13 +107,13 @@
 	}
 }
 
-// BenchmarkProcess compares binaries as the platform starts them: CRESSHUB_BENCH_BINARIES names some as
+// BenchmarkProcess compares binaries as the platform starts them: BENCH_BINARIES names some as
 // name=path,name=path. Beside the cost of a request it tells the time from the start to readiness and the
 // resident memory before and after the load.
 func BenchmarkProcess(b *testing.B) {
-	binaries := os.Getenv("CRESSHUB_BENCH_BINARIES")
+	binaries := os.Getenv("BENCH_BINARIES")
 	if binaries == "" {
-		b.Skip("CRESSHUB_BENCH_BINARIES names none")
+		b.Skip("BENCH_BINARIES names none")
 	}
 	zone := quickZone(b)
 	for pair := range strings.SplitSeq(binaries, ",") {
--- a/cmd/cresshub/cli_test.go
+++ b/cmd/cresshub/cli_test.go
@@ -23,7 +23,8 @@
 func own(parties ...*nettest.Party) string {
 	var b strings.Builder
 	b.WriteString("[listen]\naddress = \"127.0.0.1:0\"\n[cold]\nstart = 1\n" +
-		"[[class]]\nname = \"lookup\"\naim = \"4s\"\ndeadline = \"15s\"\neffect = \"idempotent\"\n[[class]]\nname = \"assign\"\naim = \"4s\"\n" +
+		"[[class]]\nname = \"lookup\"\naim = \"4s\"\ndeadline = \"15s\"\neffect = \"idempotent\"\n" +
+		"[[class]]\nname = \"assign\"\naim = \"4s\"\n" +
 		"deadline = \"15s\"\neffect = \"at_most_once\"\n[[tenant]]\nname = \"acme\"\nshare = 1\nquota = 1000\n")
 	for i, p := range parties {
 		fmt.Fprintf(&b, "[[server]]\nname = \"s-%d\"\naddress = %q\n", i, p.Address)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,7 +3,6 @@
 import (
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/spf13/cobra"
@@ -44,8 +43,6 @@
 			if err != nil {
 				return err
 			}
-			// What the start read and parsed is of no more use; on a small machine its pages are.
-			debug.FreeOSMemory()
 			in.Again = true
 			proxy.Run(signals, func() (*config.Config, error) { return config.Load(in) })
 			return nil
--- a/internal/cli/try.go
+++ b/internal/cli/try.go
@@ -7,13 +7,15 @@
 	"os"
 	"os/signal"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"text/tabwriter"
 	"time"
 
 	"github.com/mattn/go-isatty"
-	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
+	"github.com/vbauerster/mpb/v8"
+	"github.com/vbauerster/mpb/v8/decor"
 
 	"cresshub/internal/standin"
 	"cresshub/internal/trial"
@@ -87,6 +89,7 @@
 	f.Float64Var(&o.Load, "load", 0.6, "part of what the servers can do with cold keys")
 	f.StringVar(&o.Trouble, "trouble", "", "in the middle: "+strings.Join(trial.Troubles, ", "))
 	f.Uint64Var(&o.Seed, "seed", 1, "for arrivals, work and keys")
+	f.StringArrayVar(&o.Set, "set", nil, "KEY=VALUE of the proxy's configuration; may be repeated")
 	f.StringVar(&logFile, "log", "", "file for the proxy's log")
 	f.BoolVar(&asJSON, "json", false, "print one JSON object")
 	return c
@@ -98,15 +101,23 @@
 	if !ok || !isatty.IsTerminal(f.Fd()) {
 		return func() {}
 	}
-	bar := progressbar.NewOptions64(o.For.Milliseconds(), progressbar.OptionSetWriter(w),
-		progressbar.OptionSetWidth(20), progressbar.OptionSetPredictTime(false), progressbar.OptionClearOnFinish(),
-		progressbar.OptionSetElapsedTime(false))
+	var now atomic.Pointer[standin.Totals]
+	now.Store(&standin.Totals{})
+	lines := mpb.New(mpb.WithOutput(w), mpb.WithWidth(24))
+	bar := lines.AddBar(o.For.Milliseconds(), mpb.BarRemoveOnComplete(),
+		mpb.AppendDecorators(decor.Any(func(decor.Statistics) string {
+			t := now.Load()
+			return fmt.Sprintf("offered %d  in time %d  refused %d  p99 %s", t.Offered, t.InTime,
+				t.By[standin.Refused], t.P99.Round(time.Millisecond))
+		})))
 	o.Live = func(done time.Duration, t standin.Totals) {
-		bar.Describe(fmt.Sprintf("offered %d  in time %d  refused %d  p99 %s", t.Offered, t.InTime,
-			t.By[standin.Refused], t.P99.Round(time.Millisecond)))
-		bar.Set64(min(done, o.For).Milliseconds())
+		now.Store(&t)
+		bar.SetCurrent(min(done, o.For).Milliseconds())
+	}
+	return func() {
+		bar.Abort(true)
+		lines.Wait()
 	}
-	return func() { bar.Finish() }
 }
 
 func printTrial(w io.Writer, r *trial.Report, asJSON bool) error {
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -90,10 +90,10 @@
 		class := l.class()
 		q := l.request(class, n)
 		l.all.Add(1)
-		go func() {
+		go func(due time.Time) { // the loop goes on with its own
 			defer l.all.Done()
 			l.one(class, q, due)
-		}()
+		}(due)
 	}
 }
 
--- a/internal/trial/proxy.go
+++ b/internal/trial/proxy.go
@@ -28,10 +28,13 @@
 // tailLines is how many lines of the child's log are kept to explain a failure.
 const tailLines = 20
 
-// StartProxy starts program with a configuration file and waits until it listens. Its log also goes to
-// log, if there is one.
-func StartProxy(ctx context.Context, program, file string, log io.Writer) (*Proxy, error) {
+// StartProxy starts program with a configuration file and keys set beside it, and waits until it listens.
+// Its log also goes to log, if there is one.
+func StartProxy(ctx context.Context, program, file string, set []string, log io.Writer) (*Proxy, error) {
 	cmd := exec.Command(program, "serve", "--config", file)
+	for _, pair := range set {
+		cmd.Args = append(cmd.Args, "--set", pair)
+	}
 	for _, v := range os.Environ() { // what this shell has set must not change what is tried
 		if !strings.HasPrefix(v, "EDGE_") && !strings.HasPrefix(v, "CRESSHUB_") {
 			cmd.Env = append(cmd.Env, v)
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -26,6 +26,7 @@
 	Load    float64 // part of the servers' capacity that the load takes
 	Trouble string  // "", or one of Troubles
 	Seed    uint64
+	Set     []string  // KEY=VALUE of the proxy's configuration, over what the trial sets
 	Log     io.Writer // the proxy's log, if wanted
 	// Live is called a few times a second while the load lasts, if it is set.
 	Live func(done time.Duration, t standin.Totals)
@@ -124,7 +125,7 @@
 	if err := os.WriteFile(file, []byte(configuration(fleet.Discovery.Address(), o, cold)), 0o600); err != nil {
 		return nil, err
 	}
-	proxy, err := StartProxy(ctx, o.Program, file, o.Log)
+	proxy, err := StartProxy(ctx, o.Program, file, o.Set, o.Log)
 	if err != nil {
 		return nil, err
 	}
