--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: all build test race lint run clean
+.PHONY: all build test race lint run bench clean
 
 all: build lint test
 
@@ -19,7 +19,12 @@
 
 # Takes the EDGE_* variables from the environment.
 run: build
-	exec bin/cresshub
+	exec bin/cresshub serve
 
 clean:
 	rm -rf bin
+
+# What a request costs, beside net/http/httputil.ReverseProxy. BENCH_BINARIES=name=path,... adds whole
+# programs, with their start-up time and resident memory.
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem -benchtime 3s ./cmd/cresshub
--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -196,7 +196,10 @@
 	}
 	list.Send(t, nettest.List(false, "terminating", map[string]string{"s-0": x.Address}))
 	list.Send(t, nettest.List(false, "in_service", map[string]string{"s-1": y.Address}))
-	list.Send(t, "") // taken only once the line before was read
+	nettest.Until(t, "both changes are taken in", func() bool {
+		p.cmd.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(p.expect(t, "msg=counters"), "lists.read=2")
+	})
 	for i := range 20 {
 		a := nettest.Ask(t, c, nettest.Request("GET", "lookup", fmt.Sprint("id", i), 15*time.Second))
 		if a.Status != 200 {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"log/slog"
 	"sync/atomic"
+
+	"cresshub/internal/logging"
 )
 
 // Counter is one figure; it only rises.
@@ -49,7 +51,7 @@
 	num := func(name string, c *Counter) slog.Attr { return slog.Int64(name, c.n.Load()) }
 	sent, probed := s.Sent.log(names), s.Probed.log(names)
 	sent.Key, probed.Key = "sent", "probed"
-	log.Info("counters", "why", why,
+	log.Info(logging.CountersLine, "why", why,
 		slog.Group("requests", num("taken", &s.Taken), num("served", &s.Served), num("refused", &s.Refused),
 			num("failed", &s.Failed), num("gone", &s.Gone), num("invalid", &s.Invalid)),
 		slog.Group("clients", num("accepted", &s.Accepted), num("turned_away", &s.TurnedAway)),
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -353,9 +353,9 @@
 	if err != nil {
 		return err
 	}
-	c.count.Lists.Add()
 	c.sink.Listed(whole, list)
 	c.changed()
+	c.count.Lists.Add()
 	return nil
 }
 
--- a/internal/ingress/wait_test.go
+++ b/internal/ingress/wait_test.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// With the log of requests off, it costs a request no allocation.
+func TestRequestLogOffIsFree(t *testing.T) {
+	s := server()
+	c, _ := pair()
+	tries := []*try{{}}
+	if n := testing.AllocsPerRun(1000, func() {
+		if s.requests.Load().Wants() {
+			t.Fatal("a line is wanted")
+		}
+		s.ended(c, "served", 200, tries, 0)
+		s.logged(c, time.Time{})
+	}); n > 0 {
+		t.Errorf("%v allocations", n)
+	}
+}
+
 func TestBegins(t *testing.T) {
 	for behind, want := range map[string]bool{"": true, "GET /api": true, "PO": true, "POST /": true,
 		"xyz": false, "\r\n": false, "GETaway": false} {
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -87,7 +87,7 @@
 }
 
 func (h *limited) Handle(ctx context.Context, r slog.Record) error {
-	dropped, ok := h.repeat.take(r.Level, r.Message, r.Time)
+	dropped, ok := h.repeat.take(r.Message, r.Time)
 	if !ok {
 		return nil
 	}
@@ -130,11 +130,11 @@
 	r.mu.Unlock()
 }
 
-// take tells whether a line may be written, and how many were left out before it. Errors always may.
-func (r *repeats) take(level slog.Level, words string, now time.Time) (dropped int64, ok bool) {
+// take tells whether a line may be written, and how many were left out before it.
+func (r *repeats) take(words string, now time.Time) (dropped int64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.rate <= 0 || words == RequestLine { // which has a bound of its own
+	if r.rate <= 0 || words == RequestLine || words == CountersLine {
 		return 0, true
 	}
 	b := r.by[words]
--- a/internal/logging/request.go
+++ b/internal/logging/request.go
@@ -9,8 +9,12 @@
 	"golang.org/x/time/rate"
 )
 
-// RequestLine is the message of a line in the log of requests.
-const RequestLine = "request"
+// The messages of lines that are asked for one by one, and so have no bound on their repeats: in the log of
+// requests, which has one of its own, and the counters.
+const (
+	RequestLine  = "request"
+	CountersLine = "counters"
+)
 
 // Requests is the log of requests: one line for a final answer. A nil one is off and costs a comparison.
 type Requests struct {
