--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"cresshub/internal/config"
+	"cresshub/internal/keyed"
 )
 
 func newConfig() *cobra.Command {
@@ -39,7 +40,7 @@
 				in.Environ = func() []string { return []string{"EDGE_CONFIG=" + args[0]} }
 			}
 			_, err := config.Load(in)
-			problems := config.Problems{}
+			problems := keyed.Problems{}
 			if err != nil && !errors.As(err, &problems) {
 				return err
 			}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -7,12 +7,13 @@
 	"strings"
 
 	"cresshub/balance"
+	"cresshub/internal/keyed"
 )
 
 // check finds what is wrong between keys; each by itself has been checked, and one that failed then is
 // left out here, so that no mistake is told twice. What the platform says is held only to what the
 // decisions need, for there it is the platform that must be right.
-func (c *Config) check(ps *Problems) {
+func (c *Config) check(ps *keyed.Problems) {
 	k := &checker{Config: c, Problems: ps, bad: map[string]bool{}}
 	for _, p := range *ps {
 		k.bad[p.Key] = true
@@ -32,43 +33,48 @@
 	}
 	k.serversKnown()
 	if s := &c.Shutdown; s.CloseAll < s.Accept && k.good("shutdown.close_all_after", "shutdown.accept_for") {
-		ps.add(c.where("shutdown.close_all_after", "shutdown.accept_for"), "shutdown.close_all_after",
-			"%s is before accept_for %s, so that connections taken last would be cut", short(s.CloseAll),
-			short(s.Accept))
+		ps.Add(c.where("shutdown.close_all_after", "shutdown.accept_for"), "shutdown.close_all_after",
+			"%s is before accept_for %s, so that connections taken last would be cut", keyed.Short(s.CloseAll),
+			keyed.Short(s.Accept))
 	}
 	if len(*ps) > 0 {
 		return
 	}
 	if _, err := balance.New(c.Settings().Settings, 0); err != nil {
-		ps.add(c.anywhere(), "", "%v", err)
+		ps.Add(c.anywhere(), "", "%v", err)
 	}
 }
 
 type checker struct {
 	*Config
-	*Problems
+	*keyed.Problems
 	bad    map[string]bool // keys and sections with a mistake, as shown
 	unread bool            // parts of the file say nothing that can be told
 }
 
+func (k *checker) tell(o keyed.Origin, path, format string, args ...any) {
+	k.Add(o, schema().Shown(path), format, args...)
+}
+
 // good tells whether none of the keys has a mistake of its own.
 func (k *checker) good(paths ...string) bool {
-	return !slices.ContainsFunc(paths, func(p string) bool { return k.bad[shown(p)] })
+	return !slices.ContainsFunc(paths, func(p string) bool { return k.bad[schema().Shown(p)] })
 }
 
 func (k *checker) classes() {
 	if len(k.Classes) == 0 && !k.unread && !k.bad["class"] {
-		k.add(k.anywhere(), "class",
+		k.tell(k.anywhere(), "class",
 			"is missing; at least one [[class]] with name, aim, deadline and effect is wanted")
 	}
 	for i, class := range k.Classes {
 		path := func(key string) string { return fmt.Sprintf("class.%d.%s", i, key) }
 		if class.Aim > class.Deadline && k.good(path("aim"), path("deadline")) {
-			k.add(k.where(path("aim"), path("name")), path("aim"),
-				"%s is beyond the deadline %s; the aim is the shorter one", short(class.Aim), short(class.Deadline))
+			k.tell(k.where(path("aim"), path("name")), path("aim"),
+				"%s is beyond the deadline %s; the aim is the shorter one", keyed.Short(class.Aim),
+				keyed.Short(class.Deadline))
 		}
 		if class.Effect == "deduplicated" && class.Window == 0 && k.good(path("effect"), path("window")) {
-			k.add(k.where(path("effect")), path("window"),
+			k.tell(k.where(path("effect")), path("window"),
 				"is missing; a deduplicated class says how long repeats are dropped")
 		}
 	}
@@ -83,7 +89,7 @@
 			continue
 		}
 		if j, ok := first[word(i)]; ok {
-			k.add(k.where(path), path, "%q is the %s of %s[%d] already", word(i), key, list, j+1)
+			k.tell(k.where(path), path, "%q is the %s of %s[%d] already", word(i), key, list, j+1)
 			continue
 		}
 		first[word(i)] = i
@@ -97,7 +103,7 @@
 	}
 	if total > 1.0001 {
 		path := fmt.Sprintf("tenant.%d.share", len(k.Tenants)-1)
-		k.add(k.where(path), path, "all shares add up to %.4g, 1 is the most", total)
+		k.tell(k.where(path), path, "all shares add up to %.4g, 1 is the most", total)
 	}
 }
 
@@ -106,10 +112,10 @@
 		return
 	}
 	hint := ""
-	if w := likely(k.Policy.Hall, k.Halls); w != "" {
+	if w := keyed.Likely(k.Policy.Hall, k.Halls); w != "" {
 		hint = "; did you mean " + w + "?"
 	}
-	k.add(k.where("policy.hall"), "policy.hall", "%q is none of halls = [%s]%s", k.Policy.Hall,
+	k.tell(k.where("policy.hall"), "policy.hall", "%q is none of halls = [%s]%s", k.Policy.Hall,
 		strings.Join(k.Halls, ", "), hint)
 }
 
@@ -117,15 +123,15 @@
 	at := k.Discovery.Address
 	switch {
 	case at != "" && len(k.Servers) > 0:
-		k.add(k.where("discovery.address"), "discovery.address",
+		k.tell(k.where("discovery.address"), "discovery.address",
 			"is set and [[server]] tables are there too; servers come from one of the two")
 	case at == "" && len(k.Servers) == 0 && k.Known == nil && !k.unread && k.good("discovery", "server"):
-		k.add(k.anywhere(), "discovery.address", "is missing; set it or name servers with [[server]]")
+		k.tell(k.anywhere(), "discovery.address", "is missing; set it or name servers with [[server]]")
 	}
 }
 
 // where tells where the first of the paths stands that somebody set.
-func (c *Config) where(paths ...string) Origin {
+func (c *Config) where(paths ...string) keyed.Origin {
 	for _, p := range paths {
 		if o, ok := c.origins[p]; ok && o.Source != "default" {
 			return o
@@ -135,11 +141,11 @@
 }
 
 // anywhere is the origin of what should be there and is not: the file that was read, if any.
-func (c *Config) anywhere() Origin {
-	best := Origin{Source: "none", Name: "configuration"}
+func (c *Config) anywhere() keyed.Origin {
+	best := keyed.Origin{Source: "none", Name: "configuration"}
 	for _, o := range c.origins {
 		if o.Source == "file" && (best.Source != "file" || o.Name < best.Name) {
-			best = Origin{Source: "file", Name: o.Name, Line: 1}
+			best = keyed.Origin{Source: "file", Name: o.Name, Line: 1}
 		}
 	}
 	return best
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,18 +6,24 @@
 
 import (
 	"encoding/json"
+	"sync"
 	"time"
+
+	"cresshub/internal/keyed"
 )
 
 // Size is a number of bytes.
-type Size int64
+type Size = keyed.Size
 
-// How a changed key reaches a running program, as the tag `reload` says it.
-const (
-	Live    = "live"    // taken over at once
-	Restart = "restart" // the whole reload is refused and says so
-	AtStart = "start"   // read at the start alone; a change is passed over
-)
+// schema is the keys of Config.
+var schema = sync.OnceValue(func() *keyed.Schema {
+	return keyed.NewSchema[Config](variablePrefix, "`cresshub config docs` lists all")
+})
+
+// Fields returns all keys in the order of the reference page.
+func Fields() []*keyed.Field { return schema().Fields }
+
+const variablePrefix = "CRESSHUB_"
 
 // about stands before a key, takes no room and carries what the key is for: a tag of its own keeps the
 // lines short.
@@ -53,13 +59,13 @@
 	Known json.RawMessage
 
 	drawn   uint64 // stands for an empty Seed
-	origins map[string]Origin
+	origins map[string]keyed.Origin
 }
 
 // Listen is where clients connect.
 type Listen struct {
 	_       about  `doc:"host and port that clients connect to; port 0 lets the system choose"`
-	Address string `key:"address" default:"127.0.0.1:8080" form:"address"`
+	Address string `key:"address" default:"127.0.0.1:8080" form:"listen"`
 }
 
 // Discovery is where the list of servers comes from.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"cresshub/internal/keyed"
 	"cresshub/internal/wire"
 )
 
@@ -178,7 +179,7 @@
 address = "nowhere:70000"
 `
 	_, err := loadTOML(text)
-	var got Problems
+	var got keyed.Problems
 	if !errors.As(err, &got) {
 		t.Fatal(err)
 	}
@@ -253,7 +254,7 @@
 	var lines []string
 	for l := range strings.Lines(commented) {
 		key, _, set := strings.Cut(l, " = ")
-		if set && strings.Trim(key, bareKey) == "" || strings.HasPrefix(l, "[") {
+		if set && strings.Trim(key, "abcdefghijklmnopqrstuvwxyz_") == "" || strings.HasPrefix(l, "[") {
 			lines = append(lines, l)
 		}
 	}
@@ -261,11 +262,11 @@
 		t.Error(err)
 	}
 	for _, f := range Fields() { // bounds that can be read, and defaults within them
-		if f.Doc == "" || f.Reload != Live && f.Reload != Restart && f.Reload != AtStart {
+		if f.Doc == "" || f.Reload != keyed.Live && f.Reload != keyed.Restart && f.Reload != keyed.AtStart {
 			t.Errorf("%s: doc %q, reload %q", f.Path, f.Doc, f.Reload)
 		}
 		if !f.Must {
-			if _, err := f.decode(words(f.Default)); err != nil {
+			if _, err := f.Decode(keyed.Words(f.Default)); err != nil {
 				t.Errorf("%s: %v", f.Path, err)
 			}
 		}
@@ -275,9 +276,9 @@
 // An open bracket takes all that follows with it: reading on at each next line must not take the square of
 // the file's length.
 func TestBrokenLinesAreBounded(t *testing.T) {
-	_, err := loadTOML(strings.Repeat("a = [\n", maxFile/6))
-	var ps Problems
-	if !errors.As(err, &ps) || len(ps) > maxBroken+2 {
+	_, err := loadTOML(strings.Repeat("a = [\n", 1<<20/6))
+	var ps keyed.Problems
+	if !errors.As(err, &ps) || len(ps) > 52 {
 		t.Errorf("%d problems: %.200v", len(ps), err)
 	}
 }
@@ -358,7 +359,7 @@
 
 func checkText(t rapid.TB, text string) {
 	c, err := loadTOML(text)
-	var ps Problems
+	var ps keyed.Problems
 	switch {
 	case err == nil:
 		for _, v := range c.Effective() {
--- a/internal/config/effective.go
+++ b/internal/config/effective.go
@@ -6,6 +6,9 @@
 	"reflect"
 	"slices"
 	"strings"
+	"time"
+
+	"cresshub/internal/keyed"
 )
 
 // Value is one key as it is in force.
@@ -21,25 +24,25 @@
 func (c *Config) Effective() []Value {
 	var all []Value
 	root := reflect.ValueOf(c).Elem()
-	add := func(f *Field, path string, v reflect.Value) {
+	add := func(f *keyed.Field, path string, v reflect.Value) {
 		o := c.origins[path]
 		at := ""
 		if o.Source != "default" {
 			at = o.String()
 		}
-		all = append(all, Value{shown(path), f.plain(v), o.Source, at, f.Reload})
+		all = append(all, Value{schema().Shown(path), plain(f, v), o.Source, at, f.Reload})
 	}
-	for _, f := range keys().fields {
+	for _, f := range schema().Fields {
 		if !strings.Contains(f.Path, "[]") {
-			add(f, f.Path, root.FieldByIndex(f.index))
+			add(f, f.Path, root.FieldByIndex(f.Index))
 		}
 	}
 	for _, list := range []string{"class", "tenant", "server"} {
-		slice := root.Field(keys().lists[list])
+		slice := root.Field(schema().Lists()[list])
 		for i := range slice.Len() {
-			for _, f := range keys().fields {
+			for _, f := range schema().Fields {
 				if l, key, _ := strings.Cut(f.Path, "[]."); l == list {
-					add(f, fmt.Sprintf("%s.%d.%s", list, i, key), slice.Index(i).FieldByIndex(f.index))
+					add(f, fmt.Sprintf("%s.%d.%s", list, i, key), slice.Index(i).FieldByIndex(f.Index))
 				}
 			}
 		}
@@ -48,11 +51,13 @@
 }
 
 // plain is a value as JSON and people read it: times and sizes with their units.
-func (f *Field) plain(v reflect.Value) any {
-	if f.Type == durationType || f.Type == sizeType {
-		return f.format(v)
+func plain(f *keyed.Field, v reflect.Value) any {
+	switch x := v.Interface().(type) {
+	case time.Duration, Size:
+		return f.Format(v)
+	default:
+		return x
 	}
-	return v.Interface()
 }
 
 // Changed returns the keys whose values differ, sorted into those taken over at once and those that need
@@ -76,14 +81,14 @@
 		changed[key] = true
 	}
 	if (c.Discovery.Address == "") != (next.Discovery.Address == "") {
-		reload["discovery.address"] = Restart // servers come from elsewhere then, by other rules
+		reload["discovery.address"] = keyed.Restart // servers come from elsewhere then, by other rules
 		maps.DeleteFunc(changed, func(key string, _ bool) bool { return strings.HasPrefix(key, "server[") })
 	}
 	for _, key := range slices.Sorted(maps.Keys(changed)) {
 		switch reload[key] {
-		case Live:
+		case keyed.Live:
 			live = append(live, key)
-		case Restart:
+		case keyed.Restart:
 			restart = append(restart, key)
 		}
 	}
@@ -95,9 +100,9 @@
 	all := *c
 	all.origins = maps.Clone(c.origins)
 	from, to := reflect.ValueOf(next).Elem(), reflect.ValueOf(&all).Elem()
-	for _, f := range keys().fields {
-		if f.Reload == Live && !strings.Contains(f.Path, "[]") {
-			to.FieldByIndex(f.index).Set(from.FieldByIndex(f.index))
+	for _, f := range schema().Fields {
+		if f.Reload == keyed.Live && !strings.Contains(f.Path, "[]") {
+			to.FieldByIndex(f.Index).Set(from.FieldByIndex(f.Index))
 			all.origins[f.Path] = next.origins[f.Path]
 		}
 	}
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -10,12 +10,13 @@
 	"time"
 
 	"cresshub/balance"
+	"cresshub/internal/keyed"
 	"cresshub/internal/wire"
 )
 
 // readPlatform reads the platform's file, whose settings are the simulator's, as values of the same keys
 // that the own file sets. The list of servers it knows goes into c.
-func readPlatform(path string, read func(string) ([]byte, error), c *Config) (*layer, error) {
+func readPlatform(path string, read func(string) ([]byte, error), c *Config) (*keyed.Layer, error) {
 	raw, err := read(path)
 	if err != nil {
 		return nil, err
@@ -55,8 +56,8 @@
 	if string(file.Known) != "null" {
 		c.Known = file.Known
 	}
-	l := newLayer()
-	put := func(key string, v any) { l.set(key, v, Origin{"platform", path, 0}) }
+	l := keyed.NewLayer()
+	put := func(key string, v any) { l.Set(key, v, keyed.At("platform", path)) }
 	for key, text := range map[string]string{
 		"name": file.Name, "listen.address": file.Listen, "discovery.address": file.Discovery,
 	} {
--- a/internal/config/reference.go
+++ b/internal/config/reference.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"strings"
+
+	"cresshub/internal/keyed"
 )
 
 // sections are the headings of the reference page in the order of the struct.
-func sections() (names []string, by map[string][]*Field) {
-	by = map[string][]*Field{}
-	for _, f := range keys().fields {
+func sections() (names []string, by map[string][]*keyed.Field) {
+	by = map[string][]*keyed.Field{}
+	for _, f := range schema().Fields {
 		name, _, nested := strings.Cut(f.Path, ".")
 		if !nested {
 			name = ""
@@ -28,7 +30,7 @@
 	return "[" + section + "]"
 }
 
-func (f *Field) last() string { return f.Path[strings.LastIndexByte(f.Path, '.')+1:] }
+func last(f *keyed.Field) string { return f.Path[strings.LastIndexByte(f.Path, '.')+1:] }
 
 const preface = `# Configuration
 
@@ -68,11 +70,11 @@
 			} else if f.Default == "" {
 				def = "empty"
 			}
-			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.last(), def, f.Kind(), f.Allowed(), f.Reload)
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", last(f), def, f.Kind(), f.Allowed(), f.Reload)
 		}
 		b.WriteString("\n")
 		for _, f := range by[name] {
-			b.WriteString(wrap(fmt.Sprintf("- `%s`: %s.", f.last(), f.Doc), "  "))
+			b.WriteString(wrap(fmt.Sprintf("- `%s`: %s.", last(f), f.Doc), "  "))
 		}
 	}
 	return b.String()
@@ -124,9 +126,9 @@
 		for _, f := range by[name] {
 			b.WriteString(wrap("# "+f.Doc, "# "))
 			if set, ok := examples[f.Path]; ok {
-				fmt.Fprintf(&b, "%s = %s\n", f.last(), set)
+				fmt.Fprintf(&b, "%s = %s\n", last(f), set)
 			} else {
-				fmt.Fprintf(&b, "#%s = %s\n", f.last(), f.written())
+				fmt.Fprintf(&b, "#%s = %s\n", last(f), written(f))
 			}
 		}
 	}
@@ -142,8 +144,8 @@
 }
 
 // written is the default as the file would hold it.
-func (f *Field) written() string {
-	v, err := f.convert(words(f.Default))
+func written(f *keyed.Field) string {
+	v, err := f.Decode(keyed.Words(f.Default))
 	if err != nil {
 		return `""`
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -23,6 +23,7 @@
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
 	"cresshub/internal/http1"
+	"cresshub/internal/logging"
 	"cresshub/internal/ring"
 	"cresshub/internal/sockets"
 )
@@ -189,7 +190,7 @@
 			c.move(ctx, address)
 		case raw := <-c.fixed:
 			if err := c.tell(nil, raw); err != nil {
-				c.log.Error("list kept, the new one cannot be used", "err", err)
+				c.log.Error("list kept, the new one cannot be used", logging.Err, err)
 			}
 		case <-retry.C:
 			if c.now == nil && c.moving {
@@ -244,7 +245,7 @@
 	}
 	c.now = nil
 	c.count.ListsFailed.Add()
-	c.log.Warn("watch ended", "address", w.address, "err", w.err)
+	c.log.Warn("watch ended", logging.Address, w.address, logging.Err, w.err)
 	if c.moving {
 		c.retries++
 		// Every client proxy is told of a move in the same moment, so the tries are spread.
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,292 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cresshub/balance"
+)
+
+// queues are equal servers with exponential work, and nothing else.
+func queues(n, cores int, load float64, model string, delay float64, requests int) *Scenario {
+	return &Scenario{Name: "queues", Duration: forever, Requests: requests, MostHeld: 1 << 20,
+		Servers: Servers{Count: n, Cores: cores, ColdStart: 1, ChokeSlow: 1},
+		Load:    Load{Utilisation: load, Arrivals: "poisson", Work: "exponential"},
+		Proxies: Proxies{Count: 1}, Clients: Clients{Tries: 1, GiveUp: 1},
+		Network: Network{Idle: 5 * time.Second}, Reports: Reports{Model: model, Delay: delay, Spread: "fixed"},
+		Rules:   Rules{Attempts: 3, Grace: time.Second, Slack: time.Second},
+		Classes: []Class{{Name: "job", Share: 1, Work: time.Second, Worth: 1}}}
+}
+
+// evening has all that may go wrong: cold halls, choking, drains, late lists, retries.
+func evening(load float64) *Scenario {
+	return &Scenario{Name: "evening", Duration: 30 * time.Second, WarmUp: time.Second, MostHeld: 1 << 20,
+		Halls: []string{"a", "b", "c"},
+		Servers: Servers{Count: 10, Waiting: 30, Conns: 500, Handshake: 2 * time.Millisecond, Crowded: 6,
+			ChokeAfter: 2 * time.Second, ChokeSlow: 2.8, ChokeIdle: 3 * time.Second, ChokeFor: 20 * time.Second,
+			ColdStart: 0.12, ColdFor: 10 * time.Second, WarmFor: 5 * time.Second, WarmPart: 0.5, WarmMost: 64},
+		Load:    Load{Utilisation: load, Arrivals: "poisson", Work: "uniform", Spread: 0.3, Keys: 300, Skew: 1.1},
+		Proxies: Proxies{Count: 5, Skew: 0.5}, Clients: Clients{Tries: 5, GiveUp: 0.5, Honour: 0.5},
+		Network: Network{Within: 200 * time.Microsecond, Across: 600 * time.Microsecond, Jitter: 0.2,
+			Dial: 250 * time.Millisecond, Idle: 5 * time.Second},
+		Reports:   Reports{Model: "probe", Refresh: 100 * time.Millisecond, Cost: 500 * time.Microsecond},
+		Discovery: Discovery{Delay: 2 * time.Second, Service: 5 * time.Millisecond, Within: 10 * time.Second},
+		Rules: Rules{Slack: 20 * time.Millisecond, Grace: 1500 * time.Millisecond, Multiple: 4,
+			After: 1500 * time.Millisecond, Attempts: 3},
+		Prices: Prices{CrossHall: 0.03, Handshake: 0.02, Probe: 0.01, Waste: 0.04, LateFail: 0.033, OverShare: 0.1},
+		Kinds: []Kind{{Name: "standard", Share: 0.6, Cores: 2, Slow: 1.5, Fast: 2.1},
+			{Name: "half", Share: 0.4, Cores: 2, Slow: 0.77, Fast: 1}},
+		Classes: []Class{
+			{Name: "lookup", Share: 0.6, Work: 125 * time.Millisecond, Aim: 600 * time.Millisecond,
+				Deadline: 1500 * time.Millisecond, Worth: 2},
+			{Name: "assign", Share: 0.4, Work: 108 * time.Millisecond, Aim: 500 * time.Millisecond,
+				Deadline: 2 * time.Second, Worth: 8, Unsafe: true}},
+		Tenants: []Tenant{{Name: "x", Share: 0.7, Quota: 300}, {Name: "y", Share: 0.3, Quota: 300}},
+		Troubles: []Trouble{
+			{What: "hall_loss", At: 5 * time.Second, For: 6 * time.Second, Hall: "b", Proxies: true},
+			{What: "hall_loss", At: 14 * time.Second, For: 3 * time.Second, Hall: "c", Silent: true},
+			{What: "burst", At: 12 * time.Second, For: 4 * time.Second, Size: 1.5},
+			{What: "pauses", At: 18 * time.Second, For: 4 * time.Second, Size: 0.3,
+				Pause: 200 * time.Millisecond, Every: time.Second},
+			{What: "discovery_stale", At: 3 * time.Second, For: 9 * time.Second, Behind: 3 * time.Second},
+			{What: "rolling", At: 20 * time.Second, For: 6 * time.Second, Size: 0.3, Every: 2 * time.Second},
+			{What: "crash", At: 27 * time.Second, For: 2 * time.Second}}}
+}
+
+func play(t testing.TB, sc *Scenario, o Options) *Result {
+	t.Helper()
+	s, err := New(sc, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Run(o)
+}
+
+// erlang is the mean response time of M/M/c in service times.
+func erlang(c int, load float64) float64 {
+	a := load * float64(c)
+	term, sum := 1.0, 0.0
+	for k := range c {
+		sum += term
+		term *= a / float64(k+1)
+	}
+	wait := term / (1 - load)
+	return 1 + wait/(sum+wait)/(float64(c)*(1-load))
+}
+
+// What is known of queues, and what the paper tells of its policies, within what these many requests leave
+// to chance.
+func TestAgainstWhatIsKnown(t *testing.T) {
+	for _, c := range []struct {
+		name, policy, model string
+		n, cores            int
+		load, delay         float64
+		want, within        float64
+	}{
+		{"M/M/1", "random", "fresh", 1, 1, 0.5, 0, 2, 0.03},
+		{"M/M/1 at 0.8", "random", "fresh", 1, 1, 0.8, 0, 5, 0.07},
+		{"M/M/4", "random", "fresh", 1, 4, 0.8, 0, erlang(4, 0.8), 0.04},
+		{"random of 100", "random", "fresh", 100, 1, 0.9, 0, 10, 0.08},
+		{"two choices, mean field 2.614 and 3% for n = 100", "two-choices", "fresh", 100, 1, 0.9, 0, 2.69, 0.04},
+		{"Basic LI, fresh, is the shortest queue", "basic-li", "fresh", 50, 1, 0.5, 0, 1, 0.01},
+		{"Basic LI at T = 40, 41% faster than any k", "basic-li", "periodic", 100, 1, 0.9, 40, 10 / 1.41, 0.06},
+		{"Basic LI at T = 200, 9% faster than random", "basic-li", "periodic", 100, 1, 0.9, 200, 10 / 1.09, 0.08},
+	} {
+		r := play(t, queues(c.n, c.cores, c.load, c.model, c.delay, 300000), Options{Policy: c.policy, Seed: 7})
+		if math.Abs(r.Mean/c.want-1) > c.within {
+			t.Errorf("%s: %.3f service times, %.3f are known", c.name, r.Mean, c.want)
+		}
+		if little := r.Rate * r.MeanMS / 1000; math.Abs(r.Held/little-1) > 0.01 {
+			t.Errorf("%s: %.3f held, Little's law wants %.3f", c.name, r.Held, little)
+		}
+	}
+}
+
+// The same scenario and seed give the same bytes, whatever the processors; another seed does not, and two
+// policies meet the same requests.
+func TestSameSeedSameBytes(t *testing.T) {
+	for _, policy := range Policies {
+		text := func(seed uint64, procs int) (string, int) {
+			defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(procs))
+			r := play(t, evening(0.5), Options{Policy: policy, Seed: seed})
+			b, err := json.Marshal(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(b), r.Requests
+		}
+		a, asked := text(3, 1)
+		b, _ := text(3, 4)
+		c, _ := text(4, 4)
+		if diff := cmp.Diff(a, b); diff != "" || a == c {
+			t.Errorf("%s: %s", policy, diff)
+		}
+		if _, random := text(3, 1); random != asked {
+			t.Errorf("%s met %d requests, then %d", policy, asked, random)
+		}
+	}
+}
+
+// Every request ends once, nothing is left open, and the module keeps the rules through all troubles.
+func TestEachEndsOnceThroughTroubles(t *testing.T) {
+	for _, policy := range Policies {
+		for _, load := range []float64{0.4, 0.9} {
+			s, err := New(evening(load), Options{Policy: policy, Seed: 5})
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := s.Run(Options{Policy: policy, Seed: 5})
+			if r.Served+r.Refused+r.Failed != r.Requests || r.Requests == 0 || s.held != 0 {
+				t.Errorf("%s at %g: %d of %d ended, %d held", policy, load, r.Served+r.Refused+r.Failed, r.Requests,
+					s.held)
+			}
+			if n := r.Rules[NeverTwice] + r.Rules[OneAnswer] + r.Rules[DrainKept]; policy == "module" && n > 0 {
+				t.Errorf("the module breaks rules: %v\n%s", r.Rules, strings.Join(r.Breaks, "\n"))
+			}
+			for i := range s.servers {
+				if s.servers[i].open < 0 {
+					t.Errorf("%s: server %d has %d connections", policy, i, s.servers[i].open)
+				}
+			}
+		}
+	}
+}
+
+// reckless breaks each rule in turn.
+type reckless struct {
+	sent map[string]int
+	how  string
+}
+
+func (r *reckless) List(_ time.Duration, _ balance.ListKind, _ []balance.Server,
+	a []balance.Action) []balance.Action {
+	return a
+}
+func (r *reckless) Probed(_ time.Duration, _ balance.ProbeResult, a []balance.Action) []balance.Action {
+	return a
+}
+func (r *reckless) Timer(_ time.Duration, _ uint64, a []balance.Action) []balance.Action { return a }
+func (r *reckless) ClientGone(_ time.Duration, _ string, a []balance.Action) []balance.Action {
+	return a
+}
+
+func (r *reckless) Request(_ time.Duration, q balance.Request, a []balance.Action) []balance.Action {
+	send := balance.Action{Kind: balance.Send, ID: q.ID, Server: 1}
+	switch r.how {
+	case NeverTwice:
+		return append(a, send, send)
+	case OneAnswer:
+		return a
+	}
+	return append(a, send)
+}
+
+func (r *reckless) Outcome(_ time.Duration, o balance.Outcome, a []balance.Action) []balance.Action {
+	if o.Over {
+		return a
+	}
+	return append(a, balance.Action{Kind: balance.Fail, ID: o.ID})
+}
+
+// A break of each rule is seen and told with what led to it.
+func TestMonitorsSeeBreaks(t *testing.T) {
+	for _, rule := range []string{NeverTwice, OneAnswer, DrainKept, ColdKept} {
+		sc := evening(0.3)
+		sc.Troubles = nil
+		sc.Clients.Tries = 1
+		switch rule {
+		case DrainKept:
+			sc.Discovery = Discovery{}
+			sc.Troubles = []Trouble{{What: "shrink", At: time.Second, For: time.Second, Size: 1, Every: time.Hour}}
+		case ColdKept:
+			sc.Troubles = []Trouble{{What: "crash", At: time.Second, For: time.Second}}
+			sc.Load.Utilisation = 2
+		}
+		o := Options{Policy: "module", Seed: 1, Strict: true,
+			Module: func(balance.Settings, time.Duration) (Agent, error) { return &reckless{how: rule}, nil }}
+		r := play(t, sc, o)
+		if r.Rules[rule] == 0 || len(r.Breaks) == 0 || !strings.Contains(r.Breaks[0], "request") || r.Note == "" {
+			t.Errorf("%s: %v, %q", rule, r.Rules, r.Breaks)
+		}
+	}
+}
+
+// More than the servers can do for ever ends, and says so; so does a table that is full.
+func TestOverloadEnds(t *testing.T) {
+	sc := queues(2, 1, 1.5, "fresh", 0, 20000)
+	r := play(t, sc, Options{Policy: "random", Seed: 1})
+	if !strings.Contains(r.Note, "beyond") || r.Served != 20000 {
+		t.Errorf("%q, %d served", r.Note, r.Served)
+	}
+	sc.MostHeld = 1000
+	if r := play(t, sc, Options{Policy: "random", Seed: 1}); !strings.Contains(r.Note, "most_held") {
+		t.Errorf("%q", r.Note)
+	}
+}
+
+// The queue hands events out in order of time and making, without allocating once it has grown.
+func TestKernelOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var k Kernel
+		last := event{at: -1}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "add") {
+				k.add(k.now+int64(rapid.IntRange(-2, 20).Draw(t, "wait")), 0, 0, 0, 0)
+			} else if e, ok := k.next(); ok {
+				if e.before(&last) {
+					t.Fatalf("%v after %v", e, last)
+				}
+				last = e
+			}
+		}
+	})
+	k := warmKernel(1000)
+	if n := testing.AllocsPerRun(1000, func() { step(k) }); n > 0 {
+		t.Errorf("%v allocations an event", n)
+	}
+}
+
+func warmKernel(n int) *Kernel {
+	k := &Kernel{}
+	for i := range n + 1 {
+		k.add(int64(i), 0, 0, 0, 0)
+	}
+	k.next()
+	return k
+}
+
+func step(k *Kernel) {
+	e, _ := k.next()
+	k.add(e.at+int64(e.seq*2654435761%1000), e.kind, e.a, e.b, e.c)
+}
+
+func BenchmarkKernel(b *testing.B) {
+	k := warmKernel(10000)
+	b.ReportAllocs()
+	for b.Loop() {
+		step(k)
+	}
+}
+
+// BenchmarkDecision is what one request with all its events costs the module, by the number of servers.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		for _, policy := range []string{"module", "random", "basic-li"} {
+			b.Run(fmt.Sprint(policy, "/", n), func(b *testing.B) {
+				sc := queues(n, 2, 0.7, "fresh", 0, max(b.N, 100))
+				sc.Reports = Reports{Model: "probe", Refresh: 100 * time.Millisecond}
+				b.ReportAllocs()
+				b.ResetTimer()
+				play(b, sc, Options{Policy: policy, Seed: 1})
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/keyed/builder.go
@@ -0,0 +1,112 @@
+package keyed
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+
+	"github.com/knadh/koanf/providers/confmap"
+	"github.com/knadh/koanf/v2"
+)
+
+// Builder lays sources over one another.
+type Builder struct {
+	Origins  map[string]Origin // of each value, by path
+	Problems Problems
+	schema   *Schema
+	merged   *koanf.Koanf
+	tables   map[string][]Origin
+}
+
+// NewBuilder returns one without sources.
+func (s *Schema) NewBuilder() *Builder {
+	return &Builder{
+		Origins: map[string]Origin{}, schema: s, merged: koanf.New("."), tables: map[string][]Origin{},
+	}
+}
+
+// Add lays a source over those before. A list of tables is replaced as a whole.
+func (b *Builder) Add(l *Layer) {
+	for list := range b.schema.lists {
+		if slices.ContainsFunc(slices.Collect(maps.Keys(l.Values)), func(path string) bool {
+			return strings.HasPrefix(path, list+".")
+		}) {
+			b.merged.Delete(list)
+			delete(b.tables, list)
+			maps.DeleteFunc(b.Origins, func(path string, _ Origin) bool { return strings.HasPrefix(path, list+".") })
+		}
+	}
+	maps.Copy(b.tables, l.Tables)
+	known := map[string]any{}
+	for path, v := range l.Values {
+		if _, _, _, ok := b.schema.Generic(path); ok {
+			known[path] = v
+			b.Origins[path] = l.Origins[path]
+		} else if b.schema.Section(path) || b.schema.lists[path] > 0 {
+			b.Problems.Add(l.Origins[path], b.schema.Shown(path), "is a section, and found is %s", Described(v))
+		} else {
+			b.Problems.Add(l.Origins[path], b.schema.Shown(path), "is no key%s", b.schema.Meant(path))
+		}
+	}
+	if err := b.merged.Load(confmap.Provider(known, "."), nil); err != nil {
+		b.Problems.Add(Origin{Source: "file"}, "", "%v", err)
+	}
+}
+
+// Into puts the merged values into the struct that to points to, or what is wrong with each into the
+// problems.
+func (b *Builder) Into(to any) {
+	root := reflect.ValueOf(to).Elem()
+	for _, f := range b.schema.Fields {
+		list, key, inList := strings.Cut(f.Path, "[].")
+		if !inList {
+			b.one(f, f.Path, root.FieldByIndex(f.Index))
+			continue
+		}
+		slice := root.Field(b.schema.lists[list])
+		n := max(len(b.merged.MapKeys(list)), len(b.tables[list]))
+		if slice.Len() < n {
+			slice.Set(reflect.MakeSlice(slice.Type(), n, n))
+		}
+		for i := range n {
+			b.one(f, fmt.Sprintf("%s.%d.%s", list, i, key), slice.Index(i).FieldByIndex(f.Index))
+		}
+	}
+}
+
+func (b *Builder) one(f *Field, path string, to reflect.Value) {
+	raw := b.merged.Get(path)
+	o, set := b.Origins[path]
+	switch {
+	case !set && f.Must:
+		b.Problems.Add(b.tableOf(path), b.schema.Shown(path), "is missing; %s is wanted", f.Kind())
+		return
+	case !set:
+		raw, o = Words(f.Default), Origin{Source: "default"}
+		b.Origins[path] = o
+	}
+	v, err := f.Decode(raw)
+	if err != nil {
+		b.Problems.Add(o, b.schema.Shown(path), "%v", err)
+		return
+	}
+	to.Set(v)
+}
+
+// tableOf tells where the table begins that a missing key belongs to: at its header or, where it has none,
+// at the first of its keys.
+func (b *Builder) tableOf(path string) Origin {
+	if _, list, n, _ := b.schema.Generic(path); n < len(b.tables[list]) {
+		return b.tables[list][n]
+	}
+	prefix := path[:strings.LastIndexByte(path, '.')+1]
+	var first Origin
+	for p, o := range b.Origins {
+		if strings.HasPrefix(p, prefix) && o.Source != "default" && (first.Line == 0 || o.Line < first.Line) {
+			first = o
+		}
+	}
+	return first
+}
--- a/internal/config/problem.go
+++ b/internal/keyed/problem.go
@@ -1,4 +1,4 @@
-package config
+package keyed
 
 import (
 	"cmp"
@@ -16,6 +16,9 @@
 	Line   int    // in a file, from 1; 0 where it is not known
 }
 
+// At is an origin without a line.
+func At(source, name string) Origin { return Origin{Source: source, Name: name} }
+
 func (o Origin) String() string {
 	switch {
 	case o.Source == "default" || o.Name == "":
@@ -51,8 +54,9 @@
 	return strings.Join(lines, "\n")
 }
 
-func (ps *Problems) add(o Origin, key, format string, args ...any) {
-	*ps = append(*ps, Problem{o, shown(key), fmt.Sprintf(format, args...)})
+// Add notes a mistake; key is as a person would write it.
+func (ps *Problems) Add(o Origin, key, format string, args ...any) {
+	*ps = append(*ps, Problem{o, key, fmt.Sprintf(format, args...)})
 }
 
 func (ps Problems) sort() {
@@ -61,8 +65,8 @@
 	})
 }
 
-// err returns the problems as an error, nil where there are none.
-func (ps Problems) err() error {
+// Err returns the problems as an error, nil where there are none.
+func (ps Problems) Err() error {
 	if len(ps) == 0 {
 		return nil
 	}
@@ -70,22 +74,8 @@
 	return ps
 }
 
-// shown is a path as a person would say it: "class.0.aim" is "class[1].aim".
-func shown(path string) string {
-	parts := strings.Split(path, ".")
-	if _, ok := keys().lists[parts[0]]; ok && len(parts) > 1 && digits(parts[1]) {
-		n := 0
-		fmt.Sscan(parts[1], &n)
-		parts[0] = fmt.Sprintf("%s[%d]", parts[0], n+1)
-		parts = slices.Delete(parts, 1, 2)
-	}
-	return strings.Join(parts, ".")
-}
-
-func digits(s string) bool { return s != "" && strings.Trim(s, "0123456789") == "" }
-
-// likely returns the word that was probably meant, or "".
-func likely(word string, words []string) string {
+// Likely returns the word that was probably meant, or "".
+func Likely(word string, words []string) string {
 	best, least := "", max(2, len(word)/4)+1
 	for _, w := range words {
 		if d := levenshtein.ComputeDistance(word, w); d < least {
@@ -97,32 +87,3 @@
 	}
 	return best
 }
-
-// meant words the likely key for one that is not known, given by path.
-func meant(path string) string {
-	field, list, n, _ := keys().generic(path)
-	var all []string
-	for _, f := range keys().fields {
-		all = append(all, f.Path)
-	}
-	for l := range keys().lists {
-		all = append(all, l)
-	}
-	hit := likely(field, all)
-	if hit == "" { // right word, other section
-		_, last, nested := strings.Cut(field, ".")
-		for _, f := range keys().fields {
-			if _, l, ok := strings.Cut(f.Path, "."); ok && nested && l == last {
-				hit = f.Path
-				break
-			}
-		}
-	}
-	if hit == "" {
-		return "; `cresshub config docs` lists all keys"
-	}
-	if list != "" {
-		hit = strings.Replace(hit, list+"[].", fmt.Sprintf("%s[%d].", list, n+1), 1)
-	}
-	return "; did you mean " + strings.ReplaceAll(hit, "[].", ".") + "?"
-}
--- /dev/null
+++ b/internal/keyed/schema.go
@@ -0,0 +1,225 @@
+// Package keyed reads files of settings into structs whose tags carry each key's default, bounds, words and
+// meaning. It tells all mistakes of a file in one go, each with its line and a likely fix. The program's
+// own configuration and the laboratory's scenarios are such structs.
+package keyed
+
+import (
+	"cmp"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// How a changed key reaches a running program, as the tag `reload` says it.
+const (
+	Live    = "live"    // taken over at once
+	Restart = "restart" // takes a restart
+	AtStart = "start"   // read at the start alone; a change is passed over
+)
+
+// Field is one key that may be set, as its tags and the line above it describe it. A key without the tag
+// `reload` takes a restart.
+type Field struct {
+	Path    string // with "[]" behind the name of a list of tables
+	Type    reflect.Type
+	Default string // in the form of the file; "" also where a key must be set
+	Must    bool   // has no default
+	Min     string
+	Max     string
+	Enum    []string
+	Form    string // "address", "address?", "hex", "name", "hall" or ""
+	Reload  string
+	Doc     string
+	Index   []int // where it stands in its struct
+}
+
+// Size is a number of bytes.
+type Size int64
+
+var (
+	durationType = reflect.TypeFor[time.Duration]()
+	sizeType     = reflect.TypeFor[Size]()
+)
+
+// Schema is a struct's keys in their order, and its lists of tables.
+type Schema struct {
+	Fields   []*Field
+	byPath   map[string]*Field
+	lists    map[string]int // position in the struct by key
+	Variable string         // what variables that set keys begin with; "" where none do
+	Help     string         // where all keys are listed, for messages
+}
+
+// NewSchema reads the tags of a struct type.
+func NewSchema[T any](variable, help string) *Schema {
+	s := &Schema{byPath: map[string]*Field{}, lists: map[string]int{}, Variable: variable, Help: help}
+	s.walk(reflect.TypeFor[T](), "", nil)
+	for _, f := range s.Fields {
+		s.byPath[f.Path] = f
+	}
+	return s
+}
+
+func (s *Schema) walk(t reflect.Type, prefix string, index []int) {
+	doc := ""
+	for i := range t.NumField() {
+		sf := t.Field(i)
+		if text, ok := sf.Tag.Lookup("doc"); ok {
+			doc = text
+			continue
+		}
+		key, ok := sf.Tag.Lookup("key")
+		if !ok {
+			continue
+		}
+		at := append(append([]int(nil), index...), i)
+		switch {
+		case sf.Type.Kind() == reflect.Struct:
+			s.walk(sf.Type, prefix+key+".", at)
+		case sf.Type.Kind() == reflect.Slice && sf.Type.Elem().Kind() == reflect.Struct:
+			s.lists[key] = i
+			s.walk(sf.Type.Elem(), key+"[].", nil)
+		default:
+			f := &Field{Path: prefix + key, Type: sf.Type, Min: sf.Tag.Get("min"), Max: sf.Tag.Get("max"),
+				Form: sf.Tag.Get("form"), Reload: cmp.Or(sf.Tag.Get("reload"), Restart), Doc: doc, Index: at}
+			def, has := sf.Tag.Lookup("default")
+			f.Default, f.Must = def, !has
+			if e := sf.Tag.Get("enum"); e != "" {
+				f.Enum = strings.Split(e, "|")
+			}
+			s.Fields = append(s.Fields, f)
+		}
+	}
+}
+
+// Kind says what a value looks like, for people.
+func (f *Field) Kind() string {
+	switch {
+	case len(f.Enum) > 0:
+		return "one of " + strings.Join(f.Enum, ", ")
+	case f.Type == durationType:
+		return "time with a unit"
+	case f.Type == sizeType:
+		return "size with a unit"
+	case f.Form == "address" || f.Form == "address?" || f.Form == "listen":
+		return "host:port"
+	case f.Form == "hex":
+		return "hex digits"
+	}
+	switch f.Type.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int:
+		return "whole number"
+	case reflect.Float64:
+		return "number"
+	case reflect.Slice:
+		return "list of words"
+	}
+	return "text"
+}
+
+// Allowed says which values are taken, for people; "" where all of the kind are.
+func (f *Field) Allowed() string {
+	switch {
+	case f.Min != "" && f.Max != "":
+		return f.Min + " to " + f.Max
+	case f.Min != "":
+		return "from " + f.Min + " on"
+	}
+	return ""
+}
+
+// VariableOf is the environment variable that sets a key; "" for keys in lists of tables.
+func (s *Schema) VariableOf(f *Field) string {
+	if s.Variable == "" || strings.Contains(f.Path, "[]") {
+		return ""
+	}
+	return s.Variable + strings.ToUpper(strings.ReplaceAll(f.Path, ".", "_"))
+}
+
+// Lists returns the keys of the lists of tables with their positions in the struct.
+func (s *Schema) Lists() map[string]int { return s.lists }
+
+// Generic turns the path of one value into that of its field and, where it stands in a list of tables,
+// tells which: "class.2.aim" is "class[].aim" of table 2 of "class".
+func (s *Schema) Generic(path string) (field, list string, n int, ok bool) {
+	list, rest, _ := strings.Cut(path, ".")
+	if _, isList := s.lists[list]; !isList {
+		_, ok = s.byPath[path]
+		return path, "", 0, ok
+	}
+	number, rest, _ := strings.Cut(rest, ".")
+	n, err := strconv.Atoi(number)
+	field = list + "[]." + rest
+	_, ok = s.byPath[field]
+	return field, list, n, ok && err == nil
+}
+
+// Shown is a path as a person would say it: "class.0.aim" is "class[1].aim".
+func (s *Schema) Shown(path string) string {
+	parts := strings.Split(path, ".")
+	if _, ok := s.lists[parts[0]]; ok && len(parts) > 1 && digits(parts[1]) {
+		n, _ := strconv.Atoi(parts[1])
+		parts[0] = fmt.Sprintf("%s[%d]", parts[0], n+1)
+		parts = slices.Delete(parts, 1, 2)
+	}
+	return strings.Join(parts, ".")
+}
+
+func digits(s string) bool { return s != "" && strings.Trim(s, "0123456789") == "" }
+
+// Meant words the likely key for one that is not known, given by path.
+func (s *Schema) Meant(path string) string {
+	field, list, n, _ := s.Generic(path)
+	var all []string
+	for _, f := range s.Fields {
+		all = append(all, f.Path)
+	}
+	for l := range s.lists {
+		all = append(all, l)
+	}
+	hit := Likely(field, all)
+	if hit == "" { // right word, other section
+		_, last, nested := strings.Cut(field, ".")
+		for _, f := range s.Fields {
+			if _, l, ok := strings.Cut(f.Path, "."); ok && nested && l == last {
+				hit = f.Path
+				break
+			}
+		}
+	}
+	if hit == "" {
+		return "; " + s.Help
+	}
+	if list != "" {
+		hit = strings.Replace(hit, list+"[].", fmt.Sprintf("%s[%d].", list, n+1), 1)
+	}
+	return "; did you mean " + strings.ReplaceAll(hit, "[].", ".") + "?"
+}
+
+// Section tells whether keys may stand under that name.
+func (s *Schema) Section(name string) bool {
+	for _, f := range s.Fields {
+		if strings.HasPrefix(f.Path, name+".") {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Schema) meantSection(name string) string {
+	var all []string
+	for _, f := range s.Fields {
+		if section, _, ok := strings.Cut(f.Path, "."); ok {
+			all = append(all, strings.TrimSuffix(section, "[]"))
+		}
+	}
+	if hit := Likely(name, all); hit != "" {
+		return "; did you mean " + hit + "?"
+	}
+	return "; " + s.Help
+}
--- a/internal/config/toml.go
+++ b/internal/keyed/toml.go
@@ -1,4 +1,4 @@
-package config
+package keyed
 
 import (
 	"bytes"
@@ -11,18 +11,20 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// layer is what one source says: values by path, with where each stands.
-type layer struct {
-	values  map[string]any
-	origins map[string]Origin
-	tables  map[string][]Origin // where each table of a list begins
+// Layer is what one source says: values by path, with where each stands.
+type Layer struct {
+	Values  map[string]any
+	Origins map[string]Origin
+	Tables  map[string][]Origin // where each table of a list begins
 }
 
-func newLayer() *layer {
-	return &layer{map[string]any{}, map[string]Origin{}, map[string][]Origin{}}
+// NewLayer returns an empty one.
+func NewLayer() *Layer {
+	return &Layer{map[string]any{}, map[string]Origin{}, map[string][]Origin{}}
 }
 
-func (l *layer) set(path string, v any, o Origin) { l.values[path], l.origins[path] = v, o }
+// Set puts a value in.
+func (l *Layer) Set(path string, v any, o Origin) { l.Values[path], l.Origins[path] = v, o }
 
 const (
 	maxFile   = 1 << 20 // bytes of a configuration file
@@ -32,24 +34,25 @@
 // tomlReader flattens one file. The library's syntax tree is read rather than its decoded values, for
 // only the tree knows lines, and only a reader that goes on after a mistake can list them all.
 type tomlReader struct {
+	schema   *Schema
 	file     string
 	raw      []byte
 	ends     []int // offsets of the ends of lines
 	broken   int
 	base     int // where the parser's part of raw begins
 	p        unstable.Parser
-	out      *layer
+	out      *Layer
 	problems Problems
 	prefix   string
 	skip     bool           // the table in force is a mistake: its keys would be told twice
 	tables   map[string]int // lines of the sections begun
 }
 
-// readTOML reads a whole file; mistakes do not end it, so that all are found.
-func readTOML(file string, raw []byte) (*layer, Problems) {
-	r := &tomlReader{file: file, raw: raw, out: newLayer(), tables: map[string]int{}}
+// ReadTOML reads a whole file; mistakes do not end it, so that all are found.
+func (s *Schema) ReadTOML(file string, raw []byte) (*Layer, Problems) {
+	r := &tomlReader{schema: s, file: file, raw: raw, out: NewLayer(), tables: map[string]int{}}
 	if len(raw) > maxFile {
-		r.problems.add(Origin{"file", file, 0}, "", "holds %d bytes, %d are allowed", len(raw), maxFile)
+		r.problems.Add(Origin{"file", file, 0}, "", "holds %d bytes, %d are allowed", len(raw), maxFile)
 		return r.out, r.problems
 	}
 	for i, b := range raw {
@@ -90,7 +93,7 @@
 	}
 	line := r.lineOf(at)
 	if r.broken++; r.broken >= maxBroken {
-		r.problems.add(Origin{"file", r.file, line}, "", "%v; the rest was not looked at after %d such lines", err,
+		r.problems.Add(Origin{"file", r.file, line}, "", "%v; the rest was not looked at after %d such lines", err,
 			maxBroken)
 		return len(r.raw)
 	}
@@ -101,7 +104,7 @@
 	} else {
 		key = ""
 	}
-	r.problems.add(Origin{"file", r.file, line}, key, "%s", hint(message, text))
+	r.problems.Add(Origin{"file", r.file, line}, r.schema.Shown(key), "%s", hint(message, text))
 	return r.resume(at)
 }
 
@@ -180,22 +183,22 @@
 
 func (r *tomlReader) table(n *unstable.Node, listed bool) {
 	name, o := r.key(n)
-	_, isList := keys().lists[name]
+	_, isList := r.schema.lists[name]
 	r.prefix, r.skip = name+".", true
 	switch before := r.tables[name]; {
 	case listed && isList:
 		r.prefix = r.begin(name, o) + "."
-	case listed && keys().section(name):
-		r.problems.add(o, name, "stands once, as [%s], and is no list", name)
+	case listed && r.schema.Section(name):
+		r.problems.Add(o, r.schema.Shown(name), "stands once, as [%s], and is no list", name)
 		return
 	case !listed && isList:
-		r.problems.add(o, name, "is a list; each of its tables begins with [[%s]]", name)
+		r.problems.Add(o, r.schema.Shown(name), "is a list; each of its tables begins with [[%s]]", name)
 		return
-	case !keys().section(name):
-		r.problems.add(o, name, "is no section%s", meantSection(name))
+	case !r.schema.Section(name):
+		r.problems.Add(o, r.schema.Shown(name), "is no section%s", r.schema.meantSection(name))
 		return
 	case before > 0:
-		r.problems.add(o, name, "stands twice, first on line %d", before)
+		r.problems.Add(o, r.schema.Shown(name), "stands twice, first on line %d", before)
 		return
 	}
 	r.tables[name] = o.Line
@@ -204,8 +207,8 @@
 
 // begin begins the next table of a list and returns its path.
 func (r *tomlReader) begin(list string, o Origin) string {
-	n := len(r.out.tables[list])
-	r.out.tables[list] = append(r.out.tables[list], o)
+	n := len(r.out.Tables[list])
+	r.out.Tables[list] = append(r.out.Tables[list], o)
 	return fmt.Sprintf("%s.%d", list, n)
 }
 
@@ -219,11 +222,11 @@
 
 // value takes a value in; tables and lists of tables written in line are taken apart.
 func (r *tomlReader) value(path string, o Origin, n *unstable.Node) {
-	if before, ok := r.out.origins[path]; ok {
-		r.problems.add(o, path, "is set twice, first on line %d", before.Line)
+	if before, ok := r.out.Origins[path]; ok {
+		r.problems.Add(o, r.schema.Shown(path), "is set twice, first on line %d", before.Line)
 		return
 	}
-	_, isList := keys().lists[path]
+	_, isList := r.schema.lists[path]
 	switch {
 	case n.Kind == unstable.InlineTable:
 		for it := n.Children(); it.Next(); {
@@ -233,7 +236,7 @@
 	case n.Kind == unstable.Array && isList:
 		for it := n.Children(); it.Next(); {
 			if it.Node().Kind != unstable.InlineTable {
-				r.problems.add(o, path, "is a list of tables; each begins with [[%s]]", path)
+				r.problems.Add(o, r.schema.Shown(path), "is a list of tables; each begins with [[%s]]", path)
 				return
 			}
 			r.value(r.begin(path, o), o, it.Node())
@@ -241,10 +244,10 @@
 	default:
 		v, err := r.scalar(n)
 		if err != nil {
-			r.problems.add(o, path, "%v", err)
+			r.problems.Add(o, r.schema.Shown(path), "%v", err)
 			return
 		}
-		r.out.set(path, v, o)
+		r.out.Set(path, v, o)
 	}
 }
 
@@ -280,26 +283,3 @@
 	}
 	return nil, fmt.Errorf("found a %s, which no key takes", strings.ToLower(n.Kind.String()))
 }
-
-// section tells whether keys may stand under that name.
-func (s *schema) section(name string) bool {
-	for _, f := range s.fields {
-		if strings.HasPrefix(f.Path, name+".") {
-			return true
-		}
-	}
-	return false
-}
-
-func meantSection(name string) string {
-	var all []string
-	for _, f := range keys().fields {
-		if section, _, ok := strings.Cut(f.Path, "."); ok {
-			all = append(all, strings.TrimSuffix(section, "[]"))
-		}
-	}
-	if hit := likely(name, all); hit != "" {
-		return "; did you mean " + hit + "?"
-	}
-	return "; `cresshub config docs` lists all"
-}
--- a/internal/config/value.go
+++ b/internal/keyed/value.go
@@ -1,4 +1,4 @@
-package config
+package keyed
 
 import (
 	"fmt"
@@ -12,13 +12,13 @@
 	"github.com/dustin/go-humanize"
 )
 
-// words is a value that came as text from a variable or a flag, where the form of the file does not tell
+// Words is a value that came as text from a variable or a flag, where the form of the file does not tell
 // a number from a word.
-type words string
+type Words string
 
-// decode turns a raw value into the field's type and checks it against the tags. The error says what was
+// Decode turns a raw value into the field's type and checks it against the tags. The error says what was
 // found and what is allowed.
-func (f *Field) decode(raw any) (reflect.Value, error) {
+func (f *Field) Decode(raw any) (reflect.Value, error) {
 	v, err := f.convert(raw)
 	if err != nil {
 		return v, err
@@ -27,7 +27,7 @@
 }
 
 func (f *Field) convert(raw any) (reflect.Value, error) {
-	if w, ok := raw.(words); ok {
+	if w, ok := raw.(Words); ok {
 		raw = f.fromWords(string(w))
 	}
 	if v := reflect.ValueOf(raw); v.IsValid() && v.Type() == f.Type {
@@ -60,7 +60,7 @@
 			return reflect.ValueOf(all), nil
 		}
 	}
-	return reflect.Value{}, fmt.Errorf("found %s, %s is wanted", described(raw), f.Kind())
+	return reflect.Value{}, fmt.Errorf("found %s, %s is wanted", Described(raw), f.Kind())
 }
 
 func parseSize(s string) (Size, error) {
@@ -104,7 +104,7 @@
 	s, ok := raw.(string)
 	switch n := strings.Trim(s, "+-.0123456789 "); {
 	case !ok:
-		return reflect.Value{}, fmt.Errorf("found %s, a %s needs a unit: %s", described(raw), what, examples)
+		return reflect.Value{}, fmt.Errorf("found %s, a %s needs a unit: %s", Described(raw), what, examples)
 	case n == "":
 		return reflect.Value{}, fmt.Errorf("found %q without a unit, a %s is written %s", s, what, examples)
 	}
@@ -115,7 +115,8 @@
 	return reflect.ValueOf(v), nil
 }
 
-func described(raw any) string {
+// Described is a raw value as a message names it.
+func Described(raw any) string {
 	switch v := raw.(type) {
 	case string:
 		return strconv.Quote(v)
@@ -133,7 +134,7 @@
 
 func (f *Field) check(v reflect.Value) error {
 	if f.Min != "" && less(v, f.bound(f.Min)) || f.Max != "" && less(f.bound(f.Max), v) {
-		return fmt.Errorf("%s is out of range, %s is allowed", f.format(v), f.Allowed())
+		return fmt.Errorf("%s is out of range, %s is allowed", f.Format(v), f.Allowed())
 	}
 	switch x := v.Interface().(type) {
 	case float64:
@@ -155,7 +156,7 @@
 			}
 		}
 		hint := ""
-		if w := likely(s, f.Enum); w != "" {
+		if w := Likely(s, f.Enum); w != "" {
 			hint = "; did you mean " + w + "?"
 		}
 		return fmt.Errorf("found %q, allowed are %s%s", s, strings.Join(f.Enum, ", "), hint)
@@ -165,15 +166,15 @@
 		if _, err := strconv.ParseUint(s, 16, 64); err != nil {
 			return fmt.Errorf("%q is not up to 16 hex digits", s)
 		}
-	case f.Form == "address" || f.Form == "address?" && s != "":
+	case f.Form == "address" || f.Form == "listen" || f.Form == "address?" && s != "":
 		_, port, err := net.SplitHostPort(s)
 		if err != nil {
 			return fmt.Errorf("%q is no address; one is written 127.0.0.1:8080", s)
 		}
 		if n, err := strconv.ParseUint(port, 10, 16); err != nil {
 			return fmt.Errorf("%q has port %q, 0 to 65535 is allowed", s, port)
-		} else if n == 0 && f.Path != "listen.address" {
-			return fmt.Errorf("%q has port 0, which only listen.address may have", s)
+		} else if n == 0 && f.Form != "listen" {
+			return fmt.Errorf("%q has port 0, which only an address to listen at may have", s)
 		}
 	}
 	return nil
@@ -182,9 +183,9 @@
 // bound reads a bound of the tags, which are written as in the file; a wrong one is a mistake in this
 // package.
 func (f *Field) bound(text string) reflect.Value {
-	v, err := f.convert(words(text))
+	v, err := f.convert(Words(text))
 	if err != nil {
-		panic("config: tag of " + f.Path + ": " + err.Error())
+		panic("keyed: tag of " + f.Path + ": " + err.Error())
 	}
 	return v
 }
@@ -196,11 +197,11 @@
 	return a.Int() < b.Int()
 }
 
-// format writes a value as the file would hold it.
-func (f *Field) format(v reflect.Value) string {
+// Format writes a value as the file would hold it.
+func (f *Field) Format(v reflect.Value) string {
 	switch x := v.Interface().(type) {
 	case time.Duration:
-		return short(x)
+		return Short(x)
 	case Size:
 		return x.String()
 	case []string:
@@ -210,8 +211,8 @@
 	}
 }
 
-// short writes a time without parts that are zero: 1m0s is 1m.
-func short(d time.Duration) string {
+// Short writes a time without parts that are zero: 1m0s is 1m.
+func Short(d time.Duration) string {
 	s := d.String()
 	if strings.HasSuffix(s, "m0s") {
 		s = strings.TrimSuffix(s, "0s")
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cresshub/internal/config"
+	"cresshub/internal/keyed"
 	"cresshub/internal/logging"
 )
 
@@ -16,7 +17,7 @@
 // only discovery is followed; whatever else it changes waits for the restart.
 func (p *Proxy) reload(next *config.Config, err error) {
 	if err != nil {
-		var problems config.Problems
+		var problems keyed.Problems
 		if !errors.As(err, &problems) {
 			p.log.Error("configuration kept, the new one cannot be used", logging.Err, err)
 		}
