--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -10,6 +10,7 @@
 // Every command says what it is for and shows how it is called; examples name commands that are there.
 func TestHelpIsWhole(t *testing.T) {
 	root := newRoot(nil)
+	Group(root)
 	var walk func(c *cobra.Command)
 	walk = func(c *cobra.Command) {
 		if c.Short == "" || c.Example == "" {
@@ -26,6 +27,9 @@
 				t.Errorf("%s: example %q calls nothing: %v", c.CommandPath(), line, err)
 				continue
 			}
+			if found.DisableFlagParsing {
+				continue // another program reads them
+			}
 			if err := found.ParseFlags(rest); err != nil {
 				t.Errorf("%s: example %q: %v", c.CommandPath(), line, err)
 			}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -20,6 +20,12 @@
 
 func wrong(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
 
+// Wrong is the error of a call that cannot be understood.
+func Wrong(format string, args ...any) error { return wrong(format, args...) }
+
+// Reported is the error of a failure that the command has told in its own way.
+var Reported = errTold
+
 // errTold is a failure that the command has told in its own way.
 var errTold = errors.New("told already")
 
@@ -28,7 +34,16 @@
 	if len(args) == 0 && os.Getenv("EDGE_CONFIG") != "" {
 		args = []string{"serve"} // as the platform starts it
 	}
-	root := newRoot(signals)
+	return Execute(newRoot(signals), args, stdout, stderr)
+}
+
+// Execute runs one call of a tree of commands and returns its exit status. Errors are one line each on
+// standard error.
+func Execute(root *cobra.Command, args []string, stdout, stderr io.Writer) int {
+	Group(root)
+	root.SilenceErrors, root.SilenceUsage = true, true
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
@@ -40,11 +55,11 @@
 	case errors.Is(err, errTold):
 		return 1
 	case errors.As(err, &usage):
-		fmt.Fprintf(stderr, "cresshub: %v; see \"%s --help\"\n", err, cmd.CommandPath())
+		fmt.Fprintf(stderr, "%s: %v; see \"%s --help\"\n", root.Name(), err, cmd.CommandPath())
 		return 2
 	}
 	for line := range strings.SplitSeq(err.Error(), "\n") {
-		fmt.Fprintln(stderr, "cresshub:", line)
+		fmt.Fprintf(stderr, "%s: %s\n", root.Name(), line)
 	}
 	return 1
 }
@@ -59,24 +74,21 @@
 			"Called without a command, it serves where EDGE_CONFIG names the platform's file.",
 		Example: "  cresshub try --for 10s\n  cresshub config init cresshub.toml\n" +
 			"  cresshub serve --config cresshub.toml",
-		SilenceErrors: true, SilenceUsage: true,
 	}
-	root.CompletionOptions.DisableDefaultCmd = true
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(newServe(signals), newTry(), newConfig(), newStandin(), newVersion(), newCompletion(root))
-	for _, c := range root.Commands() {
-		group(c)
-	}
-	group(root)
+	root.AddCommand(newServe(signals), newTry(), newConfig(), newStandin(), newLab(), newVersion(),
+		newCompletion(root))
 	return root
 }
 
-// group has a command that only holds others say so when it is called by itself or with a wrong word.
-func group(c *cobra.Command) {
+// Group has a command that only holds others say so when it is called by itself or with a wrong word.
+func Group(c *cobra.Command) {
 	for _, sub := range c.Commands() {
-		group(sub)
+		Group(sub)
 	}
 	if !c.HasSubCommands() {
+		if c.DisableFlagParsing {
+			return
+		}
 		args := c.Args
 		c.Args = func(c *cobra.Command, given []string) error {
 			if err := args(c, given); err != nil {
--- a/internal/emulator/requests.go
+++ b/internal/emulator/requests.go
@@ -127,7 +127,8 @@
 		d.deadline = s.now + int64(c.Deadline)
 	}
 	d.worth = c.Worth
-	d.counted = s.now >= int64(sc.WarmUp)
+	// An application stops and starts with its proxy: what it would have sent meanwhile is not asked for.
+	d.counted = s.now >= int64(sc.WarmUp) && s.arrived > sc.WarmN && s.proxies[who].alive
 	i := s.takeDemand(d)
 	if d.counted {
 		s.tally.asked(s, i)
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -59,7 +59,7 @@
 	buckets                                         []float64 // of tenants' quotas
 	bucketsAt                                       int64
 	heldArea                                        float64
-	heldAt                                          int64
+	from, heldAt                                    int64
 	heldN                                           int
 	sentAll                                         int
 }
@@ -76,7 +76,6 @@
 	for _, x := range s.sc.Tenants {
 		t.buckets = append(t.buckets, x.Quota)
 	}
-	t.heldAt = int64(s.sc.WarmUp)
 }
 
 // level follows how many counted requests are in the system, over time.
@@ -104,6 +103,9 @@
 		}
 		t.tenantAsked[d.tenant] += d.worth
 	}
+	if t.n == 0 {
+		t.from, t.heldAt = s.now, s.now
+	}
 	t.n++
 	t.work += d.work
 	t.level(s, 1)
@@ -201,10 +203,10 @@
 		p.Choke*float64(choked)/float64(len(s.servers))
 	r.Service = 0.35*r.Whole + 0.35*r.Worst + 0.2*r.Class + 0.1*r.Tenant - r.Price
 	r.Conns = float64(conns) / float64(len(s.servers))
-	counted := float64(s.last-int64(sc.WarmUp)) / 1e9
+	counted := float64(s.last-t.from) / 1e9
 	if counted > 0 {
 		r.Utilisation = t.work / 1e9 / (s.capacity() * counted)
-		span := float64(s.now-int64(sc.WarmUp)) / 1e9
+		span := float64(t.heldAt-t.from) / 1e9
 		r.Held, r.Rate = t.heldArea/1e9/span, float64(t.n)/span
 	}
 	for i := range t.second[:min(len(t.second), int(s.last/1e9)+1, 3600)] {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -14,6 +14,8 @@
 	Duration time.Duration `key:"duration" default:"60s" min:"1ms" max:"10000h"`
 	_        about         `doc:"what arrives before this is not counted"`
 	WarmUp   time.Duration `key:"warm_up" default:"1s" min:"0s" max:"10000h"`
+	_        about         `doc:"the first so many are not counted either"`
+	WarmN    int           `key:"warm_up_requests" default:"0" min:"0" max:"1000000000"`
 	_        about         `doc:"arrivals end after so many; 0 is no such end"`
 	Requests int           `key:"requests" default:"0" min:"0" max:"1000000000"`
 	_        about         `doc:"most requests held at once; beyond it the day ends and says so"`
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,112 @@
+package lab
+
+import (
+	"fmt"
+	"html/template"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+)
+
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<html lang="en"><meta charset="utf-8"><title>{{.Title}}</title>
+<style>
+body { font: 15px/1.5 system-ui, sans-serif; max-width: 60em; margin: 2em auto; padding: 0 1em; color: #222 }
+table { border-collapse: collapse; margin: 1em 0 } td, th { padding: .2em .8em; text-align: right }
+th { border-bottom: 1px solid #888 } td:first-child, th:first-child { text-align: left }
+.broken { color: #b00 } svg { max-width: 100%; height: auto } pre { background: #f4f4f4; padding: .6em }
+</style>
+<h1>{{.Title}}</h1>
+<p>{{.What}}</p>
+<table><tr>{{range .Head}}<th>{{.}}</th>{{end}}</tr>
+{{range .Rows}}<tr>{{range .}}<td>{{.}}</td>{{end}}</tr>
+{{end}}</table>
+{{range .Plots}}<h2>{{.Name}}</h2>{{.SVG}}
+{{end}}
+<h2>Rules</h2>
+{{if .Breaks}}{{range .Breaks}}<p class="broken">{{.Who}}</p><pre>{{.Text}}</pre>{{end}}
+{{else}}<p>None was broken.</p>{{end}}
+</html>
+`))
+
+type drawn struct {
+	Name string
+	SVG  template.HTML
+}
+
+type broken struct{ Who, Text string }
+
+// columns of the table of a report.
+var columns = []string{"service", "service_worst_10s", "mean_ms", "p99_ms", "refused", "failed", "probes"}
+
+// Table is the estimates of all cells: a head and a row each, as text.
+func (s *Store) Table(metrics []string) (head []string, rows [][]string) {
+	for _, a := range s.Header.Over {
+		head = append(head, a.Key)
+	}
+	head = append(append(head, "policy", "days"), metrics...)
+	for _, c := range s.Cells() {
+		var row []string
+		for _, a := range s.Header.Over {
+			row = append(row, c.Set[a.Key])
+		}
+		row = append(row, c.Policy, fmt.Sprint(len(c.Days)))
+		for _, m := range metrics {
+			row = append(row, Over(c.Figures(m)).String())
+		}
+		rows = append(rows, row)
+	}
+	return head, rows
+}
+
+// String writes an estimate with as many digits as its interval lets one trust.
+func (e Estimate) String() string {
+	if math.IsNaN(e.Half) {
+		return fmt.Sprintf("%.4g", e.Mean)
+	}
+	digits := 4
+	if e.Half > 0 {
+		digits = min(max(int(2-math.Floor(math.Log10(e.Half))-1), 0), 6)
+	}
+	return fmt.Sprintf("%.*f ±%.*f", digits, e.Mean, digits, e.Half)
+}
+
+// Report writes one page that needs nothing beside it: settings, tables, plots, and what was broken.
+func (s *Store) Report(w io.Writer) error {
+	h := &s.Header
+	data := struct {
+		Title, What string
+		Head        []string
+		Rows        [][]string
+		Plots       []drawn
+		Breaks      []broken
+	}{Title: "Laboratory: " + h.Scenario}
+	var set []string
+	for _, k := range slices.Sorted(maps.Keys(h.Set)) {
+		set = append(set, k+" = "+h.Set[k])
+	}
+	data.What = fmt.Sprintf("Seeds %d to %d, the same days for every policy. Intervals are 95%%. %s", h.Seed,
+		h.Seed+uint64(h.Repeat)-1, strings.Join(set, ", "))
+	data.Head, data.Rows = s.Table(columns)
+	plots := []string{"service", "p99_ms", "mean_ms", "refused"}
+	if len(h.Over) == 0 {
+		plots = plots[:1]
+	}
+	for _, m := range plots {
+		svg, err := s.Plot(m, false, false)
+		if err != nil {
+			return err
+		}
+		_, inner, _ := strings.Cut(string(svg), "<svg")
+		data.Plots = append(data.Plots, drawn{m, template.HTML("<svg" + inner)})
+	}
+	for _, d := range s.Days {
+		for _, text := range d.Result.Breaks {
+			data.Breaks = append(data.Breaks, broken{d.id(), text})
+		}
+	}
+	data.Breaks = data.Breaks[:min(len(data.Breaks), 20)]
+	return page.Execute(w, data)
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"cresshub/internal/emulator"
+)
+
+// Job is one day to be played: a scenario with keys set over it, a policy and a seed.
+type Job struct {
+	Set    map[string]string `json:"set,omitempty"` // of the swept keys
+	Policy string            `json:"policy"`
+	Seed   uint64            `json:"seed"`
+	K      int               `json:"k,omitempty"`
+	Lambda float64           `json:"lambda,omitempty"`
+}
+
+// Done is a day played.
+type Done struct {
+	Job
+	Result *emulator.Result `json:"result"`
+	Wall   float64          `json:"wall_s"`
+}
+
+// Play plays one day.
+func Play(scenario string, base map[string]string, j Job, o emulator.Options) (*Done, error) {
+	set := map[string]string{}
+	for k, v := range base {
+		set[k] = v
+	}
+	for k, v := range j.Set {
+		set[k] = v
+	}
+	sc, err := Load(scenario, set)
+	if err != nil {
+		return nil, err
+	}
+	o.Policy, o.Seed, o.K, o.Lambda = j.Policy, j.Seed, j.K, j.Lambda
+	began := time.Now()
+	sim, err := emulator.New(sc, o)
+	if err != nil {
+		return nil, err
+	}
+	r := sim.Run(o)
+	r.Seed = j.Seed
+	return &Done{j, r, time.Since(began).Seconds()}, nil
+}
+
+// All plays days in parallel, as many at a time as there are processors or jobs says, and hands each to
+// take as it ends, one at a time. It stops at the first error or when ctx ends; days under way then end.
+func All(ctx context.Context, scenario string, base map[string]string, all []Job, jobs int, strict bool,
+	take func(*Done) error) error {
+	if jobs <= 0 {
+		jobs = runtime.GOMAXPROCS(0)
+	}
+	g, going := errgroup.WithContext(ctx)
+	g.SetLimit(jobs)
+	turn := make(chan struct{}, 1)
+	for _, j := range all {
+		if going.Err() != nil {
+			break
+		}
+		g.Go(func() error {
+			if going.Err() != nil {
+				return going.Err()
+			}
+			d, err := Play(scenario, base, j, emulator.Options{Strict: strict})
+			if err != nil {
+				return err
+			}
+			turn <- struct{}{}
+			defer func() { <-turn }()
+			return take(d)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+// Metrics are the figures of a day that statistics are made of, by name.
+var Metrics = map[string]func(*emulator.Result) float64{
+	"mean_ms":              func(r *emulator.Result) float64 { return r.MeanMS },
+	"mean_service_times":   func(r *emulator.Result) float64 { return r.Mean },
+	"p50_ms":               func(r *emulator.Result) float64 { return r.P50 },
+	"p99_ms":               func(r *emulator.Result) float64 { return r.P99 },
+	"service":              func(r *emulator.Result) float64 { return r.Service },
+	"service_whole":        func(r *emulator.Result) float64 { return r.Whole },
+	"service_worst_10s":    func(r *emulator.Result) float64 { return r.Worst },
+	"service_worst_class":  func(r *emulator.Result) float64 { return r.Class },
+	"service_worst_tenant": func(r *emulator.Result) float64 { return r.Tenant },
+	"prices":               func(r *emulator.Result) float64 { return r.Price },
+	"refused": func(r *emulator.Result) float64 {
+		return float64(r.Refused) / float64(max(r.Requests, 1))
+	},
+	"failed": func(r *emulator.Result) float64 { return float64(r.Failed) / float64(max(r.Requests, 1)) },
+	"probes": func(r *emulator.Result) float64 { return float64(r.Probes) / float64(max(r.Requests, 1)) },
+	"handshakes": func(r *emulator.Result) float64 {
+		return float64(r.Handshakes) / float64(max(r.Requests, 1))
+	},
+	"attempts":             func(r *emulator.Result) float64 { return float64(r.Attempts) / float64(max(r.Requests, 1)) },
+	"list_calls":           func(r *emulator.Result) float64 { return float64(r.ListCalls) },
+	"connections_a_server": func(r *emulator.Result) float64 { return r.Conns },
+	"work_wasted":          func(r *emulator.Result) float64 { return r.Wasted },
+}
+
+// MetricNames are the names, sorted.
+func MetricNames() (names []string) {
+	for n := range Metrics {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Estimate is a mean over days with the half width of its 95% interval; that is NaN for a single day.
+type Estimate struct {
+	Mean, Half float64
+	N          int
+}
+
+// Over estimates from the figures of days.
+func Over(x []float64) Estimate {
+	mean, sd := stat.MeanStdDev(x, nil)
+	if len(x) < 2 {
+		return Estimate{mean, math.NaN(), len(x)}
+	}
+	return Estimate{mean, student(len(x)) * sd / math.Sqrt(float64(len(x))), len(x)}
+}
+
+// student is the factor of a 95% interval from n figures.
+func student(n int) float64 {
+	return distuv.StudentsT{Mu: 0, Sigma: 1, Nu: float64(n - 1)}.Quantile(0.975)
+}
+
+// Difference is what comparing two policies on the same days came to.
+type Difference struct {
+	Estimate
+	Noise   bool // the interval holds 0
+	Repeats int  // days that would settle a difference as large as this one; 0 where it is settled
+}
+
+// Paired compares figures of the same days, b less a.
+func Paired(a, b []float64) Difference {
+	d := make([]float64, min(len(a), len(b)))
+	for i := range d {
+		d[i] = b[i] - a[i]
+	}
+	e := Over(d)
+	out := Difference{Estimate: e, Noise: !(math.Abs(e.Mean) > e.Half)}
+	if out.Noise && e.N > 1 && e.Mean != 0 {
+		sd := e.Half / student(e.N) * math.Sqrt(float64(e.N))
+		need := math.Ceil(math.Pow(1.96*sd/e.Mean, 2)) + 2
+		out.Repeats = int(min(need, 1e9))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,164 @@
+// Package lab plays scenarios on the emulator: one or many, with several policies and seeds side by side,
+// and says how sure the figures are. Results are files that plots and reports are made from.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+
+	"cresshub/internal/emulator"
+	"cresshub/internal/keyed"
+	scenarios "cresshub/lab"
+)
+
+var schema = sync.OnceValue(func() *keyed.Schema {
+	return keyed.NewSchema[emulator.Scenario]("", "`cresshub lab docs` lists all keys")
+})
+
+// Load reads a scenario by the path of its file or by the name of a shipped one, with keys set over it, and
+// checks it as strictly as the program's own configuration. The error is keyed.Problems, all of them.
+func Load(name string, set map[string]string) (*emulator.Scenario, error) {
+	raw, err := os.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		if shipped, serr := scenarios.Files.ReadFile(strings.TrimSuffix(name, ".toml") + ".toml"); serr == nil {
+			raw, err = shipped, nil
+		}
+	}
+	b := schema().NewBuilder()
+	if err != nil {
+		b.Problems.Add(keyed.At("file", name), "", "cannot be read, and no shipped scenario has that name: %v", err)
+		return nil, b.Problems.Err()
+	}
+	l, problems := schema().ReadTOML(name, raw)
+	b.Problems = problems
+	b.Add(l)
+	over := keyed.NewLayer()
+	for key, value := range set {
+		o := keyed.At("flag", "--set "+key)
+		if _, _, _, ok := schema().Generic(key); !ok {
+			b.Problems.Add(o, key, "is no key%s", schema().Meant(key))
+			continue
+		}
+		over.Set(key, keyed.Words(value), o)
+	}
+	b.Add(over)
+	sc := &emulator.Scenario{}
+	b.Into(sc)
+	if len(b.Problems) == 0 {
+		check(sc, b)
+	}
+	return sc, b.Problems.Err()
+}
+
+// check finds what is wrong between keys.
+func check(sc *emulator.Scenario, b *keyed.Builder) {
+	tell := func(path, format string, args ...any) {
+		o, ok := b.Origins[path]
+		if !ok || o.Source == "default" {
+			o = keyed.Origin{Source: "file", Name: sc.Name, Line: 1}
+			for _, other := range b.Origins {
+				if other.Source == "file" {
+					o.Name = other.Name
+				}
+			}
+		}
+		b.Problems.Add(o, schema().Shown(path), format, args...)
+	}
+	if len(sc.Classes) == 0 {
+		tell("class", "is missing; at least one [[class]] with name and work is wanted")
+	}
+	shares := func(list string, n int, share func(int) float64) {
+		total := 0.0
+		for i := range n {
+			total += share(i)
+		}
+		if n > 0 && math.Abs(total-1) > 0.001 {
+			tell(fmt.Sprintf("%s.%d.share", list, n-1), "all shares add up to %.4g, 1 is wanted", total)
+		}
+	}
+	shares("class", len(sc.Classes), func(i int) float64 { return sc.Classes[i].Share })
+	shares("kind", len(sc.Kinds), func(i int) float64 { return sc.Kinds[i].Share })
+	shares("tenant", len(sc.Tenants), func(i int) float64 { return sc.Tenants[i].Share })
+	for i, c := range sc.Classes {
+		if c.Deadline > 0 && c.Aim > c.Deadline {
+			tell(fmt.Sprintf("class.%d.aim", i), "%v is beyond the deadline %v", c.Aim, c.Deadline)
+		}
+	}
+	for i, k := range sc.Kinds {
+		if k.Slow > k.Fast {
+			tell(fmt.Sprintf("kind.%d.slowest", i), "%g is above fastest %g", k.Slow, k.Fast)
+		}
+	}
+	for i, t := range sc.Troubles {
+		if t.What == "hall_loss" && !slices.Contains(sc.Halls, t.Hall) {
+			hint := ""
+			if w := keyed.Likely(t.Hall, sc.Halls); w != "" {
+				hint = "; did you mean " + w + "?"
+			}
+			tell(fmt.Sprintf("trouble.%d.hall", i), "%q is none of halls%s", t.Hall, hint)
+		}
+	}
+	if sc.WarmUp >= sc.Duration {
+		tell("warm_up", "%v is not before the end at %v", sc.WarmUp, sc.Duration)
+	}
+	if sc.Requests > 0 && sc.WarmN >= sc.Requests {
+		tell("warm_up_requests", "%d leaves none of %d requests to count", sc.WarmN, sc.Requests)
+	}
+	if sc.Load.Utilisation == 0 && sc.Load.Rate == 0 {
+		tell("load.utilisation", "is 0 and so is load.rate: nothing arrives")
+	}
+}
+
+// Shipped names the scenarios that come with the program.
+func Shipped() (names []string) {
+	entries, err := fs.Glob(scenarios.Files, "*.toml")
+	if err != nil {
+		return nil // the pattern is constant
+	}
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e, ".toml"))
+	}
+	return names
+}
+
+// Reference is the page of all keys of a scenario, in Markdown.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Keys of a scenario\n\nWritten by \"cresshub lab docs\"; a test fails where it is stale.\n")
+	section := "-"
+	for _, f := range schema().Fields {
+		name, _, nested := strings.Cut(f.Path, ".")
+		if !nested {
+			name = "At the top"
+		}
+		if name != section {
+			section = name
+			fmt.Fprintf(&b, "\n## %s\n\n", name)
+		}
+		def := "default `" + f.Default + "`"
+		if f.Must {
+			def = "must be set"
+		}
+		allowed := f.Allowed()
+		if allowed != "" {
+			allowed = ", " + allowed
+		}
+		fmt.Fprintf(&b, "- `%s`: %s.\n  %s%s; %s.\n", f.Path, f.Doc, f.Kind(), allowed, def)
+	}
+	return b.String()
+}
+
+// Text is a shipped scenario as it stands in its file.
+func Text(name string) ([]byte, error) {
+	text, err := scenarios.Files.ReadFile(strings.TrimSuffix(name, ".toml") + ".toml")
+	if err != nil {
+		return nil, fmt.Errorf("no shipped scenario is called %q; there are %s", name, strings.Join(Shipped(), ", "))
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/lab/validate.go
@@ -0,0 +1,175 @@
+package lab
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"golang.org/x/sync/errgroup"
+
+	"cresshub/internal/emulator"
+)
+
+// Check is one result that nobody here made, and what the emulator finds.
+type Check struct {
+	Name     string  `json:"name"`
+	Source   string  `json:"source"`
+	Expected float64 `json:"expected"`
+	Found    float64 `json:"found"`
+	Half     float64 `json:"ci95"`
+	Within   float64 `json:"within"` // relative bound held to
+	Holds    bool    `json:"holds"`
+	what     func([]map[string]Estimate) Estimate
+	plays    []play
+}
+
+// play is one scenario with one policy that a check needs.
+type play struct {
+	policy string
+	k      int
+	lambda float64
+	set    map[string]string
+}
+
+func q(policy string, kv ...string) play {
+	p := play{policy: policy, set: map[string]string{}}
+	for i := 0; i+1 < len(kv); i += 2 {
+		p.set[kv[i]] = kv[i+1]
+	}
+	return p
+}
+
+func (p play) with(k int) play { p.k = k; return p }
+
+// Erlang is the mean response time of M/M/c over its service time.
+func Erlang(c int, load float64) float64 {
+	term, sum := 1.0, 0.0
+	for k := range c {
+		sum += term
+		term *= load * float64(c) / float64(k+1)
+	}
+	wait := term / (1 - load)
+	return 1 + wait/(sum+wait)/(float64(c)*(1-load))
+}
+
+// TwoChoices is the mean response time over the service time when each of infinitely many queues is chosen
+// as the shorter of two: the sum of load^(2^i-2) over i from 1.
+func TwoChoices(load float64) (t float64) {
+	for i := 1; i < 40; i++ {
+		t += math.Pow(load, math.Pow(2, float64(i))-2)
+	}
+	return t
+}
+
+const mean = "mean_service_times"
+
+// checks are all of them. Bounds are what the number of requests leaves to chance and, where the text gives
+// a rounded figure, its rounding.
+func checks() []*Check {
+	first := func(e []map[string]Estimate) Estimate { return e[0][mean] }
+	faster := func(e []map[string]Estimate) Estimate { // how much slower the second is
+		return Estimate{Mean: e[1][mean].Mean / e[0][mean].Mean, Half: e[0][mean].Half/e[0][mean].Mean +
+			e[1][mean].Half/e[1][mean].Mean}
+	}
+	best := func(e []map[string]Estimate) Estimate { // the best of the others over the first
+		out := Estimate{Mean: math.Inf(1)}
+		for i := range e[1:] {
+			if x := faster([]map[string]Estimate{e[0], e[i+1]}); x.Mean < out.Mean {
+				out = x
+			}
+		}
+		return out
+	}
+	n, load, model, delay := "servers.count", "load.utilisation", "reports.model", "reports.delay"
+	var all []*Check
+	add := func(name, source string, want, within float64, what func([]map[string]Estimate) Estimate, plays ...play) {
+		all = append(all, &Check{Name: name, Source: source, Expected: want, Within: within, what: what, plays: plays})
+	}
+	for _, l := range []float64{0.5, 0.8, 0.9} {
+		add(fmt.Sprintf("M/M/1 at %.1f", l), "queueing theory", 1/(1-l), 0.05, first,
+			q("random", n, "1", load, fmt.Sprint(l)))
+	}
+	for _, c := range []int{2, 4, 16} {
+		add(fmt.Sprintf("M/M/%d at 0.9", c), "Erlang C", Erlang(c, 0.9), 0.05, first,
+			q("random", n, "1", "servers.cores", fmt.Sprint(c), load, "0.9"))
+	}
+	for _, l := range []float64{0.5, 0.9} {
+		add(fmt.Sprintf("random, n = 100 at %.1f", l), "M/M/1", 1/(1-l), 0.03, first,
+			q("random", load, fmt.Sprint(l)))
+		add(fmt.Sprintf("two choices, n = 100 at %.1f", l), "mean field, n without bound", TwoChoices(l), 0.04, first,
+			q("two-choices", load, fmt.Sprint(l)))
+	}
+	periodic := func(p string, t string) play { return q(p, model, "periodic", delay, t) }
+	add("Basic LI against the best k at T = 40", "paper, 5.1: 41% faster", 1.41, 0.06, best, periodic("basic-li", "40"),
+		periodic("random", "40"), periodic("two-choices", "40"), periodic("k-choices", "40").with(3))
+	add("Basic LI against random at T = 200", "paper, 5.1: 9%", 1.09, 0.04, best, periodic("basic-li", "200"),
+		periodic("random", "200"))
+	add("Basic LI never behind k at T = 1", "paper, 5.1: at least as good", 1, 0.35, best, periodic("basic-li", "1"),
+		periodic("random", "1"), periodic("two-choices", "1"))
+	add("two choices over random at T = 100", "paper, 2: random is twice as good", 2, 0.25, func(e []map[string]Estimate) Estimate {
+		x := faster(e)
+		x.Mean = 1 / x.Mean
+		return x
+	}, periodic("two-choices", "100"), periodic("random", "100"))
+	add("fresh, lighter load: shortest over random", "paper, 5.1, Figure 3: nearly a factor of two", 2, 0.1, faster,
+		q("stale-shortest", load, "0.5"), q("random", load, "0.5"))
+	add("n = 8, T = 10: Basic LI not behind two choices", "paper, Figure 4: as for n = 100", 1, 0.35, faster,
+		q("basic-li", n, "8", model, "periodic", delay, "10"), q("two-choices", n, "8", model, "periodic", delay, "10"))
+	return all
+}
+
+// Validate plays all checks; quick with a fifth of the requests and bounds twice as wide.
+func Validate(quick bool) ([]*Check, error) {
+	all := checks()
+	requests, days := 1000000, 4
+	if quick {
+		requests = 200000
+	}
+	var g errgroup.Group
+	g.SetLimit(4)
+	for _, c := range all {
+		if quick {
+			c.Within *= 2
+		}
+		g.Go(func() error {
+			var found []map[string]Estimate
+			for _, p := range c.plays {
+				p.set["requests"], p.set["warm_up_requests"] = fmt.Sprint(requests), fmt.Sprint(requests/4)
+				figures := map[string][]float64{}
+				for seed := range uint64(days) {
+					d, err := Play("queues", p.set, Job{Policy: p.policy, Seed: seed + 1, K: p.k, Lambda: p.lambda},
+						emulator.Options{})
+					if err != nil {
+						return err
+					}
+					if little := d.Result.Rate * d.Result.MeanMS / 1000; math.Abs(d.Result.Held/little-1) > 0.01 {
+						return fmt.Errorf("%s, %s: %.4g held where Little's law wants %.4g", c.Name, p.policy,
+							d.Result.Held, little)
+					}
+					figures[mean] = append(figures[mean], Metrics[mean](d.Result))
+				}
+				found = append(found, map[string]Estimate{mean: Over(figures[mean])})
+			}
+			e := c.what(found)
+			c.Found, c.Half = e.Mean, e.Half
+			c.Holds = math.Abs(c.Found/c.Expected-1) <= c.Within
+			return nil
+		})
+	}
+	return all, g.Wait()
+}
+
+// ValidationTable is the checks as a table in Markdown.
+func ValidationTable(all []*Check) string {
+	var b strings.Builder
+	b.WriteString("| result | source | expected | found | 95% | held to | |\n| --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, c := range all {
+		holds := "holds"
+		if !c.Holds {
+			holds = "**differs**"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %.3f | %.3f | ±%.3f | %.0f%% | %s |\n", c.Name, c.Source, c.Expected, c.Found,
+			c.Half, c.Within*100, holds)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/labcli/labcli.go
@@ -0,0 +1,390 @@
+// Package labcli is the command line of the laboratory.
+package labcli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cresshub/internal/cli"
+	"cresshub/internal/emulator"
+	"cresshub/internal/lab"
+)
+
+// Main runs one call and returns its exit status: 0 done, 1 failed, 2 wrong use.
+func Main(args []string, stdout, stderr io.Writer) int {
+	root := &cobra.Command{
+		Use:   "cresshub-lab",
+		Short: "Try designs on an emulated fleet, at sizes that sockets don't reach",
+		Long: "Plays scenarios in virtual time with the real decisions (policy module) and with rivals, says how\n" +
+			"sure the figures are, and draws them. FILE is a scenario, or one of these that come with it:\n  " +
+			strings.Join(lab.Shipped(), ", "),
+		Example: "  cresshub-lab run snowy-evening --policy module,two-choices --repeat 8",
+	}
+	root.AddCommand(newRun(), newSweep(), newCompare(), newPlot(), newReport(), newTrace(), newValidate(),
+		newLoad(), newShow(), newDocs())
+	return cli.Execute(root, args, stdout, stderr)
+}
+
+// choice is what the commands that play days have in common.
+type choice struct {
+	policies []string
+	set      []string
+	seed     uint64
+	repeat   int
+	k        int
+	lambda   float64
+	jobs     int
+	out      string
+	json     bool
+	strict   bool
+}
+
+func (o *choice) add(c *cobra.Command) {
+	f := c.Flags()
+	f.StringSliceVar(&o.policies, "policy", []string{"module"},
+		"one or more of "+strings.Join(emulator.Policies, ", ")+", or all")
+	f.StringArrayVar(&o.set, "set", nil, "KEY=VALUE of the scenario; may be repeated")
+	f.Uint64Var(&o.seed, "seed", 1, "of the first day; repeats count up from it")
+	f.IntVar(&o.repeat, "repeat", 4, "days for each policy, of different seeds")
+	f.IntVar(&o.k, "k", 2, "servers looked at by k-choices and li-k")
+	f.Float64Var(&o.lambda, "lambda", 0, "arrival rate that basic-li and li-k take a server to have; 0 is the true")
+	f.IntVar(&o.jobs, "jobs", 0, "days played at a time; 0 is one a processor")
+	f.StringVarP(&o.out, "out", "o", "", "result file, for plot and report")
+	f.BoolVar(&o.json, "json", false, "print one JSON object")
+	f.BoolVar(&o.strict, "strict", false, "the first break of a rule ends a day, and the command with 1")
+}
+
+// header checks the flags and says what experiment they name.
+func (o *choice) header(scenario string) (lab.Header, error) {
+	h := lab.Header{Scenario: scenario, Set: map[string]string{}, Seed: o.seed, Repeat: o.repeat, K: o.k,
+		Lambda: o.lambda, Policies: o.policies}
+	if len(o.policies) == 1 && o.policies[0] == "all" {
+		h.Policies = emulator.Policies
+	}
+	for _, p := range h.Policies {
+		if !slices.Contains(emulator.Policies, p) {
+			return h, cli.Wrong("--policy %q is none of %s", p, strings.Join(emulator.Policies, ", "))
+		}
+	}
+	if o.repeat < 1 || o.repeat > 10000 {
+		return h, cli.Wrong("--repeat %d is out of range, 1 to 10000 is allowed", o.repeat)
+	}
+	for _, pair := range o.set {
+		key, value, ok := strings.Cut(pair, "=")
+		if !ok {
+			return h, cli.Wrong("--set %q is no KEY=VALUE", pair)
+		}
+		h.Set[key] = value
+	}
+	// Whatever is wrong with the scenario is told before anything is played.
+	_, err := lab.Load(scenario, h.Set)
+	return h, err
+}
+
+// play plays what is missing of an experiment. Interrupted, it keeps what was finished.
+func (o *choice) play(c *cobra.Command, h lab.Header) (*lab.Store, error) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	s := &lab.Store{Header: h}
+	if o.out != "" {
+		var err error
+		if s, err = lab.Open(o.out, h); err != nil {
+			return nil, err
+		}
+		defer s.Close()
+	}
+	missing := s.Missing()
+	show, end := progress(c.ErrOrStderr(), len(missing))
+	defer end()
+	err := lab.All(ctx, h.Scenario, h.Set, missing, o.jobs, o.strict, func(d *lab.Done) error {
+		show()
+		return s.Add(d)
+	})
+	if ctx.Err() != nil {
+		where := "; with --out they would have been kept"
+		if o.out != "" {
+			where = "; the same call goes on from there"
+		}
+		return s, fmt.Errorf("interrupted with %d of %d days played%s", len(s.Days), len(h.Jobs()), where)
+	}
+	return s, err
+}
+
+func newRun() *cobra.Command {
+	var o choice
+	c := &cobra.Command{
+		Use: "run FILE", Short: "Play a scenario with one or more policies",
+		Example: "  cresshub-lab run queues --policy random,two-choices,basic-li --set load.utilisation=0.9 --json\n" +
+			"  cresshub-lab run hall-loss --policy module --repeat 8 -o hall.jsonl",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			h, err := o.header(args[0])
+			if err != nil {
+				return err
+			}
+			began := time.Now()
+			s, err := o.play(c, h)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				err = printRun(c.OutOrStdout(), s, time.Since(began))
+			} else {
+				err = printTable(c.OutOrStdout(), s)
+			}
+			if err == nil && o.strict && len(broken(s)) > 0 {
+				return fmt.Errorf("rules were broken:\n%s", strings.Join(broken(s), "\n"))
+			}
+			return err
+		},
+	}
+	o.add(c)
+	return c
+}
+
+func broken(s *lab.Store) (texts []string) {
+	for _, d := range s.Days {
+		texts = append(texts, d.Result.Breaks...)
+	}
+	return texts
+}
+
+var columns = []string{"service", "service_worst_10s", "mean_service_times", "p50_ms", "p99_ms", "refused", "failed"}
+
+func printTable(w io.Writer, s *lab.Store) error {
+	head, rows := s.Table(columns)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, row := range append([][]string{head}, rows...) {
+		fmt.Fprintln(t, strings.Join(row, "\t")+"\t")
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	notes := map[string]bool{}
+	for _, d := range s.Days {
+		for rule, n := range d.Result.Rules {
+			if n > 0 {
+				notes[fmt.Sprintf("%s: %s broken %d times with seed %d", d.Policy, rule, n, d.Seed)] = true
+			}
+		}
+		if d.Result.Note != "" {
+			notes[d.Policy+": "+d.Result.Note] = true
+		}
+	}
+	var sorted []string
+	for n := range notes {
+		sorted = append(sorted, n)
+	}
+	slices.Sort(sorted)
+	for _, n := range sorted[:min(len(sorted), 20)] {
+		fmt.Fprintln(w, n)
+	}
+	return nil
+}
+
+// printRun writes means over the days with their intervals.
+func printRun(w io.Writer, s *lab.Store, wall time.Duration) error {
+	type policy struct {
+		Name     string             `json:"name"`
+		Days     int                `json:"days"`
+		Requests int                `json:"requests"`
+		Served   int                `json:"served"`
+		Refused  int                `json:"refused"`
+		Failed   int                `json:"failed"`
+		Mean     float64            `json:"mean_ms"`
+		Times    float64            `json:"mean_service_times"`
+		P50      float64            `json:"p50_ms"`
+		P99      float64            `json:"p99_ms"`
+		Service  float64            `json:"service"`
+		Rules    map[string]int     `json:"rules"`
+		CI       map[string]float64 `json:"ci95"`
+		Metrics  map[string]float64 `json:"metrics"`
+		Notes    []string           `json:"notes,omitempty"`
+	}
+	out := struct {
+		Scenario string   `json:"scenario"`
+		Seed     uint64   `json:"seed"`
+		Events   uint64   `json:"events"`
+		Wall     float64  `json:"wall_s"`
+		Policies []policy `json:"policies"`
+	}{Scenario: s.Header.Scenario, Seed: s.Header.Seed, Wall: wall.Seconds()}
+	for _, cell := range s.Cells() {
+		p := policy{Name: cell.Policy, Days: len(cell.Days), Rules: map[string]int{}, CI: map[string]float64{},
+			Metrics: map[string]float64{}}
+		for _, d := range cell.Days {
+			r := d.Result
+			out.Events += r.Events
+			p.Requests, p.Served = p.Requests+r.Requests, p.Served+r.Served
+			p.Refused, p.Failed = p.Refused+r.Refused, p.Failed+r.Failed
+			for rule, n := range r.Rules {
+				p.Rules[rule] += n
+			}
+			if r.Note != "" && !slices.Contains(p.Notes, r.Note) {
+				p.Notes = append(p.Notes, r.Note)
+			}
+		}
+		for _, m := range lab.MetricNames() {
+			e := lab.Over(cell.Figures(m))
+			p.Metrics[m] = e.Mean
+			if !math.IsNaN(e.Half) {
+				p.CI[m] = e.Half
+			}
+		}
+		p.Mean, p.Times, p.P50 = p.Metrics["mean_ms"], p.Metrics["mean_service_times"], p.Metrics["p50_ms"]
+		p.P99, p.Service = p.Metrics["p99_ms"], p.Metrics["service"]
+		out.Policies = append(out.Policies, p)
+	}
+	return json.NewEncoder(w).Encode(out)
+}
+
+func newSweep() *cobra.Command {
+	var o choice
+	var over []string
+	c := &cobra.Command{
+		Use: "sweep FILE", Short: "Play a scenario over one or two keys",
+		Long: "Plays every policy at every value, or pair of values. With --out, each day is written as it ends,\n" +
+			"and the same call after an interrupt goes on with those that are missing.",
+		Example: "  cresshub-lab sweep queues --over reports.delay=0.1,1,10,40 --set reports.model=periodic \\\n" +
+			"    --policy random,two-choices,basic-li -o age.jsonl",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			h, err := o.header(args[0])
+			if err != nil {
+				return err
+			}
+			if len(over) < 1 || len(over) > 2 {
+				return cli.Wrong("--over is wanted once or twice")
+			}
+			for _, a := range over {
+				key, values, ok := strings.Cut(a, "=")
+				if !ok || values == "" {
+					return cli.Wrong("--over %q is no KEY=VALUE,VALUE", a)
+				}
+				h.Over = append(h.Over, lab.Axis{Key: key, Values: strings.Split(values, ",")})
+			}
+			for _, j := range h.Jobs() { // a wrong value is told before hours are spent on the others
+				set := map[string]string{}
+				for k, v := range h.Set {
+					set[k] = v
+				}
+				for k, v := range j.Set {
+					set[k] = v
+				}
+				if _, err := lab.Load(args[0], set); err != nil {
+					return err
+				}
+			}
+			s, err := o.play(c, h)
+			if err != nil {
+				return err
+			}
+			if o.json {
+				head, rows := s.Table(lab.MetricNames())
+				return json.NewEncoder(c.OutOrStdout()).Encode(map[string]any{"header": s.Header, "head": head,
+					"rows": rows})
+			}
+			return printTable(c.OutOrStdout(), s)
+		},
+	}
+	o.add(c)
+	c.Flags().StringArrayVar(&over, "over", nil, "KEY=VALUE,VALUE,...; may be given twice")
+	return c
+}
+
+func newCompare() *cobra.Command {
+	var o choice
+	var metrics []string
+	c := &cobra.Command{
+		Use: "compare FILE", Short: "Tell whether two policies differ on the same days",
+		Example: "  cresshub-lab compare snowy-evening --policy module,two-choices --repeat 12",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			h, err := o.header(args[0])
+			if err != nil {
+				return err
+			}
+			if len(h.Policies) < 2 {
+				return cli.Wrong("--policy names %d, two or more are wanted", len(h.Policies))
+			}
+			for _, m := range metrics {
+				if lab.Metrics[m] == nil {
+					return cli.Wrong("--metric %q is none of %s", m, strings.Join(lab.MetricNames(), ", "))
+				}
+			}
+			s, err := o.play(c, h)
+			if err != nil {
+				return err
+			}
+			return printCompare(c.OutOrStdout(), s, metrics, o.json)
+		},
+	}
+	o.add(c)
+	c.Flags().StringSliceVar(&metrics, "metric", []string{"service", "mean_ms", "p99_ms", "refused"}, "what is compared")
+	return c
+}
+
+func printCompare(w io.Writer, s *lab.Store, metrics []string, asJSON bool) error {
+	type row struct {
+		A       string   `json:"a"`
+		B       string   `json:"b"`
+		Metric  string   `json:"metric"`
+		Diff    float64  `json:"b_less_a"`
+		Half    *float64 `json:"ci95"` // null for a single day
+		Noise   bool     `json:"noise"`
+		Repeats int      `json:"repeats_to_settle"`
+	}
+	rows := []row{}
+	cells := s.Cells()
+	for _, b := range cells[1:] {
+		for _, m := range metrics {
+			d := lab.Paired(cells[0].Figures(m), b.Figures(m))
+			r := row{cells[0].Policy, b.Policy, m, d.Mean, nil, d.Noise, d.Repeats}
+			if !math.IsNaN(d.Half) {
+				r.Half = &d.Half
+			}
+			rows = append(rows, r)
+		}
+	}
+	if asJSON {
+		return json.NewEncoder(w).Encode(rows)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		verdict := "a difference"
+		switch {
+		case r.Half == nil:
+			verdict = "one day tells nothing; repeat"
+		case r.Noise && r.Repeats > 0:
+			verdict = fmt.Sprintf("noise; about %d days would settle a difference of this size", r.Repeats)
+		case r.Noise:
+			verdict = "no difference"
+		}
+		half := math.NaN()
+		if r.Half != nil {
+			half = *r.Half
+		}
+		fmt.Fprintf(t, "%s less %s\t%s\t%.4g\t±%.2g\t%s\n", r.B, r.A, r.Metric, r.Diff, half, verdict)
+	}
+	return t.Flush()
+}
+
+// write puts bytes into a file, or on w where the path is "-".
+func write(w io.Writer, path string, b []byte) error {
+	if path == "-" {
+		_, err := w.Write(b)
+		return err
+	}
+	return os.WriteFile(path, b, 0o644)
+}
--- /dev/null
+++ b/lab/lab.go
@@ -0,0 +1,9 @@
+// Package lab holds the scenarios that come with the laboratory.
+package lab
+
+import "embed"
+
+// Files are the scenarios, by NAME.toml.
+//
+//go:embed *.toml
+var Files embed.FS
