Three questions to the laboratory; a load report counts as new for 80 ms

Cause: the module asked a server for its load again 40 ms after the last answer, though servers make their figures anew every 54 to 200 ms and what was sent since is known here.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -21,7 +21,7 @@
 	retryShare, retryBurst = 0.2, 10.0
 	// reportLife is how long a report tells as much as a new one would: servers refresh theirs more
 	// seldom, and what was sent since is known.
-	reportLife = 40 * time.Millisecond
+	reportLife = 80 * time.Millisecond
 	// refusePart of an aim spent waiting is where a request of usual worth is refused for certain.
 	refusePart = 0.3
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -203,3 +203,18 @@
 	}
 	return x
 }
+
+// Across pairs the days of two results that have the same keys, policy and seed: b less a.
+func Across(a, b *Store, metric string) Difference {
+	at := map[string]float64{}
+	for _, d := range a.Days {
+		at[d.id()] = Metrics[metric](d.Result)
+	}
+	var x, y []float64
+	for _, d := range b.Days {
+		if was, ok := at[d.id()]; ok {
+			x, y = append(x, was), append(y, Metrics[metric](d.Result))
+		}
+	}
+	return Paired(x, y)
+}
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -9,6 +9,7 @@
 	"math"
 	"os"
 	"os/signal"
+	"runtime/pprof"
 	"slices"
 	"strings"
 	"syscall"
@@ -33,7 +34,7 @@
 		Example: "  cresshub-lab run snowy-evening --policy module,two-choices --repeat 8",
 	}
 	root.AddCommand(newRun(), newSweep(), newCompare(), newPlot(), newReport(), newTrace(), newValidate(),
-		newLoad(), newShow(), newDocs())
+		newLoad(), newShow(), newDocs(), newDifference())
 	return cli.Execute(root, args, stdout, stderr)
 }
 
@@ -125,6 +126,7 @@
 
 func newRun() *cobra.Command {
 	var o choice
+	var profile string
 	c := &cobra.Command{
 		Use: "run FILE", Short: "Play a scenario with one or more policies",
 		Example: "  cresshub-lab run queues --policy random,basic-li --set load.utilisation=0.9 --json\n" +
@@ -135,6 +137,17 @@
 			if err != nil {
 				return err
 			}
+			if profile != "" {
+				f, err := os.Create(profile)
+				if err != nil {
+					return err
+				}
+				defer f.Close()
+				if err := pprof.StartCPUProfile(f); err != nil {
+					return err
+				}
+				defer pprof.StopCPUProfile()
+			}
 			began := time.Now()
 			s, err := o.play(c, h)
 			if err != nil {
@@ -152,6 +165,7 @@
 		},
 	}
 	o.add(c)
+	c.Flags().StringVar(&profile, "profile", "", "file for a profile of the processor's time")
 	return c
 }
 
@@ -338,6 +352,38 @@
 	return c
 }
 
+func newDifference() *cobra.Command {
+	var metric string
+	c := &cobra.Command{
+		Use: "difference A B", Short: "Tell how the same days differ between two result files, B less A",
+		Long:    "For two builds of the program: the days are paired by their keys, policy and seed.",
+		Example: "  cresshub-lab difference before.jsonl after.jsonl --metric service",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			if lab.Metrics[metric] == nil {
+				return cli.Wrong("--metric %q is none of %s", metric, strings.Join(lab.MetricNames(), ", "))
+			}
+			a, err := lab.Read(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := lab.Read(args[1])
+			if err != nil {
+				return err
+			}
+			d := lab.Across(a, b, metric)
+			verdict := "a difference"
+			if d.Noise {
+				verdict = "noise"
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "%+.4f ±%.4f over %d days: %s\n", d.Mean, d.Half, d.N, verdict)
+			return err
+		},
+	}
+	c.Flags().StringVar(&metric, "metric", "service", "what is compared")
+	return c
+}
+
 func printCompare(w io.Writer, s *lab.Store, metrics []string, asJSON bool) error {
 	type row struct {
 		A       string   `json:"a"`
