--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -125,9 +125,15 @@
 	if err := os.WriteFile(file, []byte(configuration(fleet.Discovery.Address(), o, cold)), 0o600); err != nil {
 		return nil, err
 	}
+	nothing := func(err error) (*Report, error) { // interrupted before anything was sent
+		if ctx.Err() == nil {
+			return nil, err
+		}
+		return report(fleet, standin.NewTally().Totals(), o, 0), ctx.Err()
+	}
 	proxy, err := StartProxy(ctx, o.Program, file, o.Set, o.Log)
 	if err != nil {
-		return nil, err
+		return nothing(err)
 	}
 	stopped := false
 	defer func() {
@@ -138,7 +144,7 @@
 	starting, cancel := context.WithTimeout(ctx, 10*time.Second)
 	defer cancel()
 	if err := standin.AwaitReady(starting, proxy.Address); err != nil {
-		return nil, fmt.Errorf("%w\n%s", err, proxy.Tail())
+		return nothing(fmt.Errorf("%w\n%s", err, proxy.Tail()))
 	}
 	load := standin.NewLoad(standin.LoadOptions{
 		Address: proxy.Address, Rate: o.Rate, Classes: classes, Tenants: tenants, Keys: 300, Seed: o.Seed,
