--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -360,6 +360,11 @@
 	return s.result()
 }
 
+// Places is how many places its tables have taken: what was held at once at most, events among it.
+func (s *Sim) Places() int {
+	return len(s.reqs) + len(s.demands) + len(s.jobs) + len(s.answers) + cap(s.heap)
+}
+
 func (s *Sim) ended() bool { return s.arrived < 0 && s.held == 0 }
 
 // do carries out what an agent says.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -227,3 +227,59 @@
 		t.Errorf("%+v, %v", d, err)
 	}
 }
+
+// after is the mean service of the seconds from one to another, over the days of a policy.
+func after(t *testing.T, scenario, policy string, from, to int) (mean float64, breaks []string) {
+	t.Helper()
+	n := 0.0
+	for seed := range uint64(4) {
+		d, err := Play(scenario, nil, Job{Policy: policy, Seed: seed + 1}, emulator.Options{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range d.Result.Seconds[from:to] {
+			mean, n = mean+x, n+1
+		}
+		breaks = append(breaks, d.Result.Breaks...)
+	}
+	return mean / n, breaks
+}
+
+// Traffic doubles from second 20 to 28. Under random choice the clients' own retries and choked servers keep
+// the jam going long after the load is back to normal; the module is back in full service.
+func TestJamThatStays(t *testing.T) {
+	before, _ := after(t, "burst", "random", 5, 18)
+	stuck, _ := after(t, "burst", "random", 45, 58)
+	left, breaks := after(t, "burst", "module", 45, 58)
+	if before < 0.5 || stuck > 0.3 || left < 0.97 || len(breaks) > 0 {
+		t.Errorf("random %.2f before and %.2f after, the module %.2f after; %v", before, stuck, left, breaks)
+	}
+}
+
+// A hall that comes back cold into a surge is not pushed over by the module.
+func TestColdHallIntoSurge(t *testing.T) {
+	service, breaks := after(t, "cold-surge", "module", 45, 58)
+	if service < 0.9 || len(breaks) > 0 {
+		t.Errorf("service %.2f; %v", service, breaks)
+	}
+}
+
+// The tables of the model grow with what is held at once, not with what was ever asked.
+func TestMemoryDoesNotGrowWithTime(t *testing.T) {
+	held := func(requests string) int {
+		sc, err := Load("queues", map[string]string{"requests": requests, "warm_up_requests": "0",
+			"servers.count": "10"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sim, err := emulator.New(sc, emulator.Options{Policy: "random", Seed: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sim.Run(emulator.Options{Policy: "random"})
+		return sim.Places()
+	}
+	if short, long := held("20000"), held("400000"); long > 4*short {
+		t.Errorf("%d places for 20,000 requests and %d for 400,000", short, long)
+	}
+}
