Plot what a decision costs; no panic on a logarithmic scale

Drawing it met a panic in the plot library: an error bar that reaches below 0 on a logarithmic scale.

Tests of lab, labcli and architecture pass.

--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -176,6 +176,14 @@
 	if err != nil || !bytes.Contains(svg, []byte("</svg>")) || !bytes.Contains(svg, []byte("two-choices")) {
 		t.Errorf("%v, %.200s", err, svg)
 	}
+	// Neither words, nor zeros, nor an interval that reaches below 0 may end in a panic.
+	if _, err := s.Plot("refused", true, true); err == nil || !strings.Contains(err.Error(), "above 0") {
+		t.Error(err)
+	}
+	s.Days[0].Result.MeanMS *= 50
+	if _, err := s.Plot("mean_ms", true, true); err != nil {
+		t.Error(err)
+	}
 	if _, err := s.Plot("nonsense", false, false); err == nil {
 		t.Error("a metric that is none is drawn")
 	}
--- a/internal/lab/plot.go
+++ b/internal/lab/plot.go
@@ -37,7 +37,7 @@
 	if len(s.Header.Over) == 0 {
 		err = s.overTime(p)
 	} else {
-		err = s.overKey(p, metric)
+		err = s.overKey(p, metric, logX, logY)
 		if logX {
 			p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
 		}
@@ -85,8 +85,8 @@
 	plotter.YErrors
 }
 
-func (s *Store) overKey(p *plot.Plot, metric string) error {
-	if Metrics[metric] == nil {
+func (s *Store) overKey(p *plot.Plot, metric string, logX, logY bool) error {
+	if !Known(metric) {
 		return fmt.Errorf("%q is none of %s", metric, strings.Join(MetricNames(), ", "))
 	}
 	axis := s.Header.Over[0]
@@ -128,8 +128,16 @@
 		if math.IsNaN(half) {
 			half = 0
 		}
+		if logX && x <= 0 || logY && e.Mean <= 0 {
+			return fmt.Errorf("%s = %s, %s = %.4g: a logarithmic scale takes only what is above 0", axis.Key,
+				c.Set[axis.Key], metric, e.Mean)
+		}
+		low := half
+		if logY { // an interval that reaches 0 would have no end there
+			low = min(low, 0.9*e.Mean)
+		}
 		l.XYs = append(l.XYs, plotter.XY{X: x, Y: e.Mean})
-		l.YErrors = append(l.YErrors, struct{ Low, High float64 }{half, half})
+		l.YErrors = append(l.YErrors, struct{ Low, High float64 }{low, half})
 	}
 	for i, name := range names {
 		if err := addLine(p, i, name, lines[name].XYs, lines[name]); err != nil {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -112,6 +112,21 @@
 	"work_wasted":          func(r *emulator.Result) float64 { return r.Wasted },
 }
 
+// WallMetric is what a request with all its events cost this machine, in microseconds. Unlike the others it
+// differs from run to run; play with one job at a time to read it.
+const WallMetric = "wall_us_a_request"
+
+// figure is a metric of a day.
+func (d *Done) figure(metric string) float64 {
+	if metric == WallMetric {
+		return d.Wall * 1e6 / float64(max(d.Result.Requests, 1))
+	}
+	return Metrics[metric](d.Result)
+}
+
+// Known tells whether there is a metric of that name.
+func Known(metric string) bool { return metric == WallMetric || Metrics[metric] != nil }
+
 // MetricNames are the names, sorted.
 func MetricNames() (names []string) {
 	for n := range Metrics {
--- a/internal/lab/store.go
+++ b/internal/lab/store.go
@@ -199,7 +199,7 @@
 // Figures are a metric's values over the days of a cell.
 func (c *Cell) Figures(metric string) (x []float64) {
 	for _, d := range c.Days {
-		x = append(x, Metrics[metric](d.Result))
+		x = append(x, d.figure(metric))
 	}
 	return x
 }
@@ -208,12 +208,12 @@
 func Across(a, b *Store, metric string) Difference {
 	at := map[string]float64{}
 	for _, d := range a.Days {
-		at[d.id()] = Metrics[metric](d.Result)
+		at[d.id()] = d.figure(metric)
 	}
 	var x, y []float64
 	for _, d := range b.Days {
 		if was, ok := at[d.id()]; ok {
-			x, y = append(x, was), append(y, Metrics[metric](d.Result))
+			x, y = append(x, was), append(y, d.figure(metric))
 		}
 	}
 	return Paired(x, y)
--- a/internal/labcli/labcli.go
+++ b/internal/labcli/labcli.go
@@ -335,7 +335,7 @@
 				return cli.Wrong("--policy names %d, two or more are wanted", len(h.Policies))
 			}
 			for _, m := range metrics {
-				if lab.Metrics[m] == nil {
+				if !lab.Known(m) {
 					return cli.Wrong("--metric %q is none of %s", m, strings.Join(lab.MetricNames(), ", "))
 				}
 			}
@@ -360,7 +360,7 @@
 		Example: "  cresshub-lab difference before.jsonl after.jsonl --metric service",
 		Args:    cobra.ExactArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
-			if lab.Metrics[metric] == nil {
+			if !lab.Known(metric) {
 				return cli.Wrong("--metric %q is none of %s", metric, strings.Join(lab.MetricNames(), ", "))
 			}
 			a, err := lab.Read(args[0])
