Write times with their unit in the JSON log, and drop what nothing uses

Cause: read as a new user, the JSON log's took was a bare number of nanoseconds.

Change: times carry their unit in both forms; the rest is removed or has its own field.

--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -23,9 +23,6 @@
 // Wrong is the error of a call that cannot be understood.
 func Wrong(format string, args ...any) error { return wrong(format, args...) }
 
-// Reported is the error of a failure that the command has told in its own way.
-var Reported = errTold
-
 // errTold is a failure that the command has told in its own way.
 var errTold = errors.New("told already")
 
--- a/internal/emulator/agents.go
+++ b/internal/emulator/agents.go
@@ -247,7 +247,7 @@
 // basicLI is Basic LI of the paper, equations 3 and 4. The shares hold as long as the board does.
 func (v *rival) basicLI() int32 {
 	age := v.s.board.age(v.s, v.me)
-	if version := v.s.board.version(v.s); version == 0 || version != v.cumAt || len(v.cum) != len(v.up) {
+	if version := v.s.board.version(); version == 0 || version != v.cumAt || len(v.cum) != len(v.up) {
 		v.scratch = v.scratch[:0]
 		for _, i := range v.up {
 			v.scratch = append(v.scratch, scored{i, v.board(i)})
--- a/internal/emulator/board.go
+++ b/internal/emulator/board.go
@@ -13,6 +13,7 @@
 	loads   []float64
 	written uint64  // times it was
 	at      int64   // the last time
+	drawn   float64 // for continuous: the delay of this moment's decision, ns
 	history []trail // by server, for continuous
 	rng     *rand.Rand
 	reach   int64 // how far back the history must go
@@ -128,10 +129,10 @@
 		case "exponential":
 			d *= b.rng.ExpFloat64()
 		}
-		b.loads[0] = d // keeps the draw; loads are not used otherwise here
+		b.drawn = d
 	}
 	t := &b.history[j]
-	then := s.now - int64(b.loads[0])
+	then := s.now - int64(b.drawn)
 	n := sort.Search(len(t.at), func(k int) bool { return t.at[k] > then })
 	if n == 0 {
 		return 0
@@ -151,7 +152,7 @@
 }
 
 // version rises with each new board; 0 where every decision sees another.
-func (b *board) version(*Sim) uint64 {
+func (b *board) version() uint64 {
 	if b.model == "periodic" || b.model == "probe" {
 		return b.written
 	}
--- a/internal/emulator/registry.go
+++ b/internal/emulator/registry.go
@@ -221,7 +221,7 @@
 	}
 	for i := range s.proxies {
 		if p := &s.proxies[i]; t.What == "hall_loss" && t.Proxies && p.hall == hall {
-			if p.alive = false; begins {
+			if begins {
 				s.kill(int32(i))
 			} else if err := s.startProxy(int32(i), o); err != nil {
 				s.monitor.stop = true // the same settings were taken before
@@ -260,7 +260,7 @@
 func (s *Sim) kill(i int32) {
 	p := &s.proxies[i]
 	p.life++
-	p.watching = false
+	p.alive, p.watching = false, false
 	for r := range s.reqs {
 		if q := &s.reqs[r]; q.used && !q.over && q.proxy == i {
 			q.over = true
--- a/internal/emulator/requests.go
+++ b/internal/emulator/requests.go
@@ -201,7 +201,6 @@
 		ID: s.name(r), Class: int(d.class), Tenant: int(d.tenant), Key: d.key, HasKey: d.key != 0,
 		Deadline: time.Duration(q.deadline),
 	}, s.acts[:0]))
-	p.lastSeen = s.now
 }
 
 // tryEnd comes when a try should long have been answered.
--- a/internal/emulator/sim.go
+++ b/internal/emulator/sim.go
@@ -91,8 +91,7 @@
 	watching bool
 	version  uint64          // of the list, as last told
 	told     map[int32]int64 // when a server's drain or end was told
-	lastSeen int64           // its last snapshot of the loads, for on-access
-	loads    []float64       // likewise
+	loads    []float64       // as last seen, for on-access
 	gap      float64         // mean time between its requests, ns
 }
 
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -50,6 +50,7 @@
 	options := &slog.HandlerOptions{Level: &l.level}
 	var h slog.Handler = slog.NewTextHandler(l.out, options)
 	if o.Format == "json" {
+		options.ReplaceAttr = withUnit
 		h = slog.NewJSONHandler(l.out, options)
 	}
 	l.Logger = slog.New(&limited{h, l.repeat})
@@ -57,6 +58,15 @@
 	return l
 }
 
+// withUnit has a time written in JSON as in text, with its unit: a bare number of nanoseconds says nothing of
+// what it counts.
+func withUnit(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		a.Value = slog.StringValue(a.Value.Duration().String())
+	}
+	return a
+}
+
 // Set changes the level and the bound on lines that repeat.
 func (l *Logger) Set(level slog.Level, repeat float64) {
 	l.level.Set(level)
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// A time carries its unit in both forms.
+func TestTimesCarryUnits(t *testing.T) {
+	for _, format := range []string{"text", "json"} {
+		var out page
+		l := New(&out, Options{Format: format, Backlog: 1 << 20})
+		NewRequests(l.Logger, 1, 0).Write(Final{Took: 1500 * time.Microsecond})
+		l.Close(time.Minute)
+		if got := out.lines()[0]; !strings.Contains(got, "1.5ms") {
+			t.Errorf("%s: %s", format, got)
+		}
+	}
+}
+
 func TestRequestLog(t *testing.T) {
 	if (*Requests)(nil).Wants() {
 		t.Error("one that is off wants a line")
--- a/internal/standin/listener.go
+++ b/internal/standin/listener.go
@@ -38,13 +38,6 @@
 // Address is where it listens.
 func (l *Listener) Address() string { return l.l.Addr().String() }
 
-// Open is how many connections stand.
-func (l *Listener) Open() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)
-}
-
 func (l *Listener) accept() {
 	defer l.all.Done()
 	for {
--- a/internal/trial/proxy.go
+++ b/internal/trial/proxy.go
@@ -97,9 +97,6 @@
 	return strings.Join(p.tail, "\n")
 }
 
-// ID is its process id.
-func (p *Proxy) ID() int { return p.cmd.Process.Pid }
-
 // Signal sends it a signal.
 func (p *Proxy) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
 
