Ask one server at a time where probes are dear, prefer a cell by key, refuse later

The settings price a probe at 0.08 there, 0.01 on the small site; the sample in place() had a floor of two probes whatever the price, and repeats after a refusal probed again.

Tests: probes a request, and how much of a key goes to a cell.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,30 +22,20 @@
 	// reportLife is how long a report tells as much as a new one would: servers refresh theirs more
 	// seldom, and what was sent since is known.
 	reportLife = 80 * time.Millisecond
-	// refusePart of an aim spent waiting is where a request of usual worth is refused for certain.
-	refusePart = 0.3
+	// refusePart of an aim spent waiting is where a request of usual worth is refused for certain. Where a
+	// balancer hears of few servers, what it met tells less of the crowd, and it waits refuseAfter services.
+	refusePart, refuseAfter = 0.3, 2.5
+	// probeWorth is what the probes of one request may cost together, as a part of its worth.
+	probeWorth = 0.012
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
+	// mostAsked servers are asked for one request, one after the other, where probes are dear.
+	mostAsked = 2
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
 )
 
-// add takes a latency in. One from a server known to be calm counts as it is; of others the low ones
-// count most, for queueing only ever adds, and an estimate that grew with it would make reports look
-// younger just when they age.
-func (e *estimate) add(x float64, calm bool) {
-	if e.mean == 0 {
-		e.mean = x
-	}
-	e.n = min(e.n+1, 20)
-	gain := max(1/(e.n+1), 0.05)
-	if !calm && x > e.mean {
-		gain /= 5
-	}
-	e.mean += gain * (x - e.mean)
-}
-
 // New returns a Balancer that knows no server yet.
 func New(set Settings, now time.Duration) (*Balancer, error) {
 	if err := check(&set); err != nil {
@@ -118,13 +108,6 @@
 	return acts
 }
 
-func (b *Balancer) drop(id ServerID) {
-	if s := b.byID[id]; s != nil {
-		delete(b.byID, id)
-		b.servers = slices.DeleteFunc(b.servers, func(o *server) bool { return o == s })
-	}
-}
-
 // ---- estimates
 
 // report takes a load report in.
@@ -447,30 +430,49 @@
 
 // pick takes up to k of the rows at random, by weight, so that cold ones come up less.
 func (b *Balancer) pick(now time.Duration, r *request, rows []*server, k int, into []*server) []*server {
-	b.shares = b.shares[:0]
-	left := 0.0
-	for _, s := range rows {
-		if slices.Contains(into, s) {
-			continue
+	for ; k > 0; k-- {
+		b.shares = b.shares[:0]
+		left := 0.0
+		for _, s := range rows {
+			if slices.Contains(into, s) {
+				continue
+			}
+			w := b.capacity(r.Class, s) * b.warmth(now, s) * s.trust()
+			if r.boost > 0 && s.Cell == r.cell && b.warmth(now, s) == 1 {
+				w *= r.boost
+			}
+			b.shares = append(b.shares, share{s: s, p: w})
+			left += w
 		}
-		w := b.capacity(r.Class, s) * b.warmth(now, s) * s.trust()
-		b.shares = append(b.shares, share{s: s, weight: w})
-		left += w
-	}
-	for ; k > 0 && len(b.shares) > 0; k-- {
-		at := b.rng.Float64() * left
-		i := 0
-		for i < len(b.shares)-1 && at >= b.shares[i].weight {
-			at -= b.shares[i].weight
-			i++
+		if x := b.drawOf(left); x != nil {
+			into = append(into, x.s)
 		}
-		into = append(into, b.shares[i].s)
-		left -= b.shares[i].weight
-		b.shares = slices.Delete(b.shares, i, i+1)
 	}
 	return into
 }
 
+// favour finds the cell whose servers likeliest met the key of r, the same for all balancers, and by how
+// much to prefer it: most of a usual key's requests go there, of a hot one's as many as it can carry.
+func (b *Balancer) favour(now time.Duration, r *request, rows []*server) {
+	if r.boost = 0; !b.set.WarmKeys || !r.HasKey {
+		return
+	}
+	high, all, near := uint64(0), 0.0, 0.0
+	for _, s := range rows {
+		c := b.capacity(r.Class, s)
+		if x := mix(r.Key ^ uint64(s.Cell+1)*0x9e3779b97f4a7c15); x > high {
+			high, r.cell, near = x, s.Cell, 0
+		}
+		if all += c; s.Cell == r.cell {
+			near += c
+		}
+	}
+	if part := near / all; part < 1 {
+		want := min(0.7, 0.5*part/max(r.heat, 1e-9))
+		r.boost = max(1, want*(1-part)/(part*(1-want)))
+	}
+}
+
 // homes are the servers where the key of r is likely warm: the same two for all balancers that see the
 // same list, the first of them first. They are the k of LI-k where warm keys save work.
 func (b *Balancer) homes(now time.Duration, r *request, rows []*server, into []*server) []*server {
@@ -510,6 +512,9 @@
 	}
 	b.seq++
 	r := &request{Request: q, seq: b.seq, came: now}
+	if q.HasKey {
+		r.heat = b.keys.meet(now, q.Key)
+	}
 	b.requests[q.ID], b.bySeq[r.seq] = r, r
 	b.budget = min(b.budget+retryShare, retryBurst)
 	if q.Work > 0 {
@@ -532,10 +537,21 @@
 		r.holds++ // a list may still come
 		return append(acts, b.timer(min(left-b.set.Tick, b.jitter(100*time.Millisecond)), timerHold, r.seq))
 	}
+	if b.set.MayProbe && !r.probed && b.dear() {
+		// Dear probes are sent one by one, and none where the request is given up all the same.
+		if r.probed = true; len(r.attempts) == 0 && r.unlucky(b.rng, b.crowd(now, r)) {
+			return b.end(now, r, acts)
+		}
+		b.favour(now, r, rows)
+		r.sample = r.sample[:0]
+		if ask, ok := b.askMore(now, r, rows, acts); ok {
+			return ask
+		}
+	}
 	if b.set.MayProbe && !r.probed {
 		r.probed = true
 		// The first of the k choices gain most, so the price sets how many probes are worth it.
-		k := int(min(4, max(2, 0.012/max(b.set.Prices.Probe, 1e-9))))
+		k := int(min(4, max(2, probeWorth/max(b.set.Prices.Probe, 1e-9))))
 		r.sample = b.homes(now, r, rows, r.sample[:0])
 		if len(r.sample) > 0 {
 			k = 1 // and one other, for when the key is hot
@@ -544,7 +560,7 @@
 			}
 		}
 		r.sample = b.pick(now, r, rows, k, r.sample)
-		acts = b.probeSample(now, r, acts)
+		acts = b.probeSample(now, r, r.sample, acts)
 		if b.queued() {
 			r.pending = 0 // the probes are for the requests that follow
 		}
@@ -561,9 +577,35 @@
 // queued tells whether probes wait in the servers' queues as requests do, and take as long.
 func (b *Balancer) queued() bool { return b.asking > b.meanService()/4 }
 
+// askMore adds one server to the sample of r, up to mostAsked, and probes it. It tells whether the
+// probe is to be waited for.
+func (b *Balancer) askMore(now time.Duration, r *request, rows []*server, acts []Action) ([]Action, bool) {
+	n := len(r.sample)
+	if n >= mostAsked || r.Deadline-now <= b.set.Tick {
+		return acts, false
+	}
+	r.sample = b.pick(now, r, rows, 1, r.sample)
+	acts = b.probeSample(now, r, r.sample[n:], acts)
+	if b.queued() {
+		r.pending = 0
+	}
+	if r.pending == 0 {
+		return acts, false
+	}
+	return append(acts, b.timer(min(r.Deadline-now-b.set.Tick, b.probeWait()), timerHold, r.seq)), true
+}
+
+// dear tells whether a request is not worth one probe.
+func (b *Balancer) dear() bool { return b.set.Prices.Probe > probeWorth }
+
+// idle tells whether a fresh report shows that s would begin at once.
+func (b *Balancer) idle(now time.Duration, s *server) bool {
+	return b.fresh(now, s) && s.held+float64(s.since)+1 <= 1.3*b.parallel
+}
+
 // probeSample asks those of r's sample that have no fresh report.
-func (b *Balancer) probeSample(now time.Duration, r *request, acts []Action) []Action {
-	for _, s := range r.sample {
+func (b *Balancer) probeSample(now time.Duration, r *request, sample []*server, acts []Action) []Action {
+	for _, s := range sample {
 		if b.fresh(now, s) {
 			continue
 		}
@@ -580,6 +622,11 @@
 // send draws a server by the shares and starts an attempt there.
 func (b *Balancer) send(now time.Duration, r *request, acts []Action) []Action {
 	rows := b.eligible(now, r)
+	if n := len(r.sample); n > 0 && b.dear() && !b.idle(now, r.sample[n-1]) {
+		if ask, ok := b.askMore(now, r, rows, acts); ok {
+			return ask
+		}
+	}
 	whole, sure := 0.0, 0.0
 	for _, s := range rows {
 		c := b.capacity(r.Class, s)
@@ -673,10 +720,22 @@
 		wait = max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
 		wait = min(wait, 2*lately)
 	}
+	return r.unlucky(b.rng, b.overdue(r, wait))
+}
+
+// overdue is the part of requests like r to refuse where they wait so long, in seconds.
+func (b *Balancer) overdue(r *request, wait float64) float64 {
 	spare := (min(b.aim(r), r.Deadline-r.came) - b.expected(r)).Seconds()
-	full := wait / max(spare, 0.001)
-	most := max(b.worth(r.Class)/b.meanWorth(), 0.5)
-	return b.rng.Float64() < full/refusePart/most
+	line := refusePart * spare
+	if b.dear() {
+		line = max(line, min(refuseAfter*b.meanService(), 0.7*spare))
+	}
+	return wait / max(line, 1e-4) / max(b.worth(r.Class)/b.meanWorth(), 0.5)
+}
+
+// crowd is the same before any server was asked: by what was met lately alone, and less of it.
+func (b *Balancer) crowd(now time.Duration, r *request) float64 {
+	return 2*b.overdue(r, b.crowded(now)) - 1
 }
 
 // worth is what a class earns for a second of work.
@@ -718,14 +777,6 @@
 	return append(acts, a)
 }
 
-func (b *Balancer) forget(r *request) {
-	r.over = true
-	delete(b.bySeq, r.seq)
-	if r.out == 0 {
-		delete(b.requests, r.ID)
-	}
-}
-
 // Outcome takes in how an attempt ended.
 func (b *Balancer) Outcome(now time.Duration, o Outcome, acts []Action) []Action {
 	r := b.requests[o.ID]
@@ -864,21 +915,6 @@
 	return acts
 }
 
-const (
-	timerHold = iota
-	timerFollow
-	timerCopy
-)
-
-func (b *Balancer) timer(wait time.Duration, kind int, seq uint64) Action {
-	return Action{Kind: SetTimer, Wait: max(wait, b.set.Tick), Token: seq<<2 | uint64(kind)}
-}
-
-// jitter spreads a wait over half to one and a half of it.
-func (b *Balancer) jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + b.rng.Float64()) * float64(d))
-}
-
 // Timer says that a wait asked for is over.
 func (b *Balancer) Timer(now time.Duration, token uint64, acts []Action) []Action {
 	switch token & 3 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -483,3 +483,88 @@
 		t.Errorf("%d of 100 requests to a server that turned one away", again)
 	}
 }
+
+// dearSettings price a probe as a large fleet does; servers share what they know of keys by cells.
+func dearSettings() Settings {
+	set := ruleSettings()
+	set.MustFollow, set.WarmKeys, set.Peers, set.Prices.Probe = false, true, 80, 0.08
+	return set
+}
+
+// answerProbes answers every probe among the actions, with what held tells, and returns where the request
+// was sent and how many were asked.
+func answerProbes(b *Balancer, now time.Duration, acts []Action, held func(ServerID) float64) (ServerID, int) {
+	for asked := 0; ; {
+		var more []Action
+		for _, a := range acts {
+			switch a.Kind {
+			case Send:
+				return a.Server, asked
+			case Probe:
+				asked++
+				h := held(a.Server)
+				more = b.Probed(now, ProbeResult{Server: a.Server, Latency: time.Millisecond,
+					Report: []float64{h, max(h-2, 0)}}, more)
+			}
+		}
+		if len(more) == 0 {
+			return 0, asked
+		}
+		acts = more
+	}
+}
+
+func TestDearProbesGoOneByOne(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		held        float64
+		asked, most float64 // probes a request
+	}{{"all idle", 0, 1, 1}, {"all busy", 4, 1.5, 2}} {
+		set := dearSettings()
+		set.Report = []Field{FieldHeld, FieldWaiting}
+		b := started(t, set, 0, fleet(60, nil))
+		probes, n := 0, 200
+		for i := range n {
+			now := time.Duration(i+1) * time.Second // each finds no fresh report
+			id := fmt.Sprint("r", i)
+			_, asked := answerProbes(b, now, b.Request(now, Request{ID: id, Deadline: now + time.Second}, nil),
+				func(ServerID) float64 { return c.held })
+			b.ClientGone(now, id, nil)
+			probes += asked
+		}
+		if got := float64(probes) / float64(n); got < c.asked || got > c.most {
+			t.Errorf("%s: %v probes a request, want %v to %v", c.name, got, c.asked, c.most)
+		}
+	}
+}
+
+func TestKeysPreferOneCellUnlessHot(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		keys     int
+		min, max float64 // part of the requests for key 0 that its commonest cell gets
+	}{{"one of many", 100, 0.55, 0.85}, {"all requests", 1, 0.1, 0.3}} {
+		set := dearSettings()
+		set.Report = []Field{FieldHeld, FieldWaiting}
+		b := started(t, set, 0, fleet(60, func(i int, s *Server) { s.Cell = i / 6 }))
+		byCell, all := map[ServerID]float64{}, 0.0
+		for i := range 20000 {
+			now := time.Duration(i+1) * 100 * time.Millisecond
+			id := fmt.Sprint("r", i)
+			to, _ := answerProbes(b, now, b.Request(now, Request{ID: id, Deadline: now + time.Second,
+				Key: uint64(i % c.keys), HasKey: true}, nil), func(ServerID) float64 { return 0 })
+			b.ClientGone(now, id, nil)
+			if i%c.keys == 0 && i > 1000 {
+				byCell[(to-1)/6]++
+				all++
+			}
+		}
+		most := 0.0
+		for _, n := range byCell {
+			most = max(most, n/all)
+		}
+		if most < c.min || most > c.max {
+			t.Errorf("%s: %.2f of a key's requests at one cell, want %v to %v", c.name, most, c.min, c.max)
+		}
+	}
+}
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -51,6 +51,11 @@
 	if sum < 1-1e-6 {
 		sum = 1 // all caps together leave a part that no server may take
 	}
+	return b.drawOf(sum)
+}
+
+// drawOf draws from shares of which some may be missing from the sum.
+func (b *Balancer) drawOf(sum float64) *share {
 	at := b.rng.Float64() * sum
 	for i := range b.shares {
 		if at -= b.shares[i].p; at < 0 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,8 @@
 	doubt    float64 // part of late outcomes that fresh reports did not foretell
 	failed   int     // calls to the registry failed in a row
 
+	keys heat
+
 	rows   []*server // scratch
 	shares []share   // scratch
 }
@@ -88,7 +91,11 @@
 	home     *server // where its key is likeliest warm
 	pending  int     // probes it waits for
 	probed   bool
-	holds    int // times it was held for lack of servers
+	holds    int     // times it was held for lack of servers
+	luck     float64 // from 0 to 1; the less, the sooner it is refused
+	heat     float64 // part of all requests that its key has
+	cell     int     // where its key is likeliest warm
+	boost    float64 // how much that cell is preferred, 0 where it is not
 	over     bool
 }
 
@@ -152,3 +159,56 @@
 	}
 	return false
 }
+
+func (b *Balancer) drop(id ServerID) {
+	if s := b.byID[id]; s != nil {
+		delete(b.byID, id)
+		b.servers = slices.DeleteFunc(b.servers, func(o *server) bool { return o == s })
+	}
+}
+
+func (b *Balancer) forget(r *request) {
+	r.over = true
+	delete(b.bySeq, r.seq)
+	if r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+const (
+	timerHold = iota
+	timerFollow
+	timerCopy
+)
+
+func (b *Balancer) timer(wait time.Duration, kind int, seq uint64) Action {
+	return Action{Kind: SetTimer, Wait: max(wait, b.set.Tick), Token: seq<<2 | uint64(kind)}
+}
+
+// jitter spreads a wait over half to one and a half of it.
+func (b *Balancer) jitter(d time.Duration) time.Duration {
+	return time.Duration((0.5 + b.rng.Float64()) * float64(d))
+}
+
+// add takes a latency in. One from a server known to be calm counts as it is; of others the low ones
+// count most, for queueing only ever adds, and an estimate that grew with it would make reports look
+// younger just when they age.
+func (e *estimate) add(x float64, calm bool) {
+	if e.mean == 0 {
+		e.mean = x
+	}
+	e.n = min(e.n+1, 20)
+	gain := max(1/(e.n+1), 0.05)
+	if !calm && x > e.mean {
+		gain /= 5
+	}
+	e.mean += gain * (x - e.mean)
+}
+
+// unlucky draws once for a request and tells, each time it is asked, whether it is among such a part.
+func (r *request) unlucky(rng *rand.Rand, part float64) bool {
+	if r.luck == 0 {
+		r.luck = 1 - rng.Float64()
+	}
+	return r.luck < part
+}
