Keep the probe when probes are slow; a failed probe does not count as slow

Ruled out: turned away probes (they would show in asking). Both callers now keep the actions; Probed() learns the time of answered probes alone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -544,8 +544,9 @@
 		}
 		b.favour(now, r, rows)
 		r.sample = r.sample[:0]
-		if ask, ok := b.askMore(now, r, rows, acts); ok {
-			return ask
+		var wait bool
+		if acts, wait = b.askMore(now, r, rows, acts); wait {
+			return acts
 		}
 	}
 	if b.set.MayProbe && !r.probed {
@@ -623,8 +624,9 @@
 func (b *Balancer) send(now time.Duration, r *request, acts []Action) []Action {
 	rows := b.eligible(now, r)
 	if n := len(r.sample); n > 0 && b.dear() && !b.idle(now, r.sample[n-1]) {
-		if ask, ok := b.askMore(now, r, rows, acts); ok {
-			return ask
+		var wait bool
+		if acts, wait = b.askMore(now, r, rows, acts); wait {
+			return acts
 		}
 	}
 	whole, sure := 0.0, 0.0
@@ -891,8 +893,9 @@
 		return acts
 	}
 	s.probing = false
-	b.asking += 0.1 * (p.Latency.Seconds() - b.asking)
 	if p.Result == Done {
+		// One that fails tells nothing of a queue: a hall that is lost in silence is no reason to go blind.
+		b.asking += 0.1 * (p.Latency.Seconds() - b.asking)
 		s.suspect, s.cut = false, false
 		b.report(now, s, p.Report)
 	} else {
