Refuse by what asking finds, use cold servers sooner, learn a server's width without bias

Changed: learn() averages the part of its level a request waits for; hopeless() feeds met() with the wait at the chosen server where probes are dear, and Outcome() and report() no longer do; pick() caps cold servers at a quarter of the multiple instead of weigh() at an eighth; up to three asked.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,8 +29,11 @@
 	probeWorth = 0.012
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
+	// coldParts: one in so many of the multiple at which a cold server falls over, with arrivals at what the
+	// warm fleet can do, where it is asked first: who finds it busy goes elsewhere.
+	coldParts = 4
 	// mostAsked servers are asked for one request, one after the other, where probes are dear.
-	mostAsked = 2
+	mostAsked = 3
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
@@ -118,7 +121,7 @@
 	}
 	s.held, s.waiting, s.reported, s.hasReport = held, waiting, now, true
 	s.epoch, s.since = s.epoch+1, 0
-	if b.lag() == 0 {
+	if b.lag() == 0 && !b.dear() {
 		b.met(now, b.waitBehind(held), 0.1)
 	}
 }
@@ -167,17 +170,13 @@
 	// A server that holds more than it works on at once answers its whole level in level/parallel
 	// service times; below that the latency says nothing of how many it works on.
 	if a.level+1 > b.parallel {
-		b.parallel = max(b.parallel+0.05*(min((a.level+1)*k.mean/x, a.level+1)-b.parallel), 1)
+		// The part of its level that a request waits for is averaged, not its inverse: a few very short
+		// answers would make servers look wider than they are, and the wider the more they are crowded.
+		part := min(max(x/k.mean/(a.level+1), 1/(a.level+1)), 1)
+		b.parallel = 1 / (1/b.parallel + 0.05*(part-1/b.parallel))
 	}
 }
 
-func (b *Balancer) kind(class, kind int) *estimate {
-	for len(b.byKind[class]) <= kind {
-		b.byKind[class] = append(b.byKind[class], estimate{mean: b.service[class].mean})
-	}
-	return &b.byKind[class][kind]
-}
-
 // capacity is what a warm server can do for a class, relative to the others: the rating until its
 // kind's latencies are known.
 func (b *Balancer) capacity(class int, s *server) float64 {
@@ -223,25 +222,6 @@
 	return min(b.waiting(now), 3*sum/n)
 }
 
-// expected is the service time of one request: its class's, in proportion to its hint if it has one.
-func (b *Balancer) expected(r *request) time.Duration {
-	mean := b.service[r.Class].mean
-	if h := &b.hinted[r.Class]; r.Work > 0 && h.mean > 0 {
-		mean *= r.Work.Seconds() / h.mean
-	}
-	return time.Duration(mean * 1e9)
-}
-
-// meanService is the service time of a request here, over the classes, in seconds.
-func (b *Balancer) meanService() float64 {
-	sum, n := 0.0, 0.0
-	for i := range b.service {
-		w := b.service[i].n + 0.1
-		sum, n = sum+w*b.service[i].mean, n+w
-	}
-	return sum / n
-}
-
 // ---- eligibility
 
 // eligible lists the servers that may take a next attempt of r.
@@ -394,7 +374,9 @@
 			// it falls over; the rest is left to bursts, overload, retries and chance. A sampled server is
 			// among the candidates only now and then, by its weight.
 			x.cap = b.set.FallMultiple / 8 * x.weight / whole
-			if sampled {
+			if sampled && b.dear() {
+				x.cap = 1 // kept when it was picked
+			} else if sampled {
 				x.cap /= min(1, float64(len(rows))*x.weight/sure)
 			}
 		}
@@ -432,19 +414,28 @@
 func (b *Balancer) pick(now time.Duration, r *request, rows []*server, k int, into []*server) []*server {
 	for ; k > 0; k-- {
 		b.shares = b.shares[:0]
-		left := 0.0
+		left, cold, whole := 0.0, 0.0, 0.0
 		for _, s := range rows {
 			if slices.Contains(into, s) {
 				continue
 			}
-			w := b.capacity(r.Class, s) * b.warmth(now, s) * s.trust()
-			if r.boost > 0 && s.Cell == r.cell && b.warmth(now, s) == 1 {
-				w *= r.boost
+			able, warm := b.capacity(r.Class, s), b.warmth(now, s)
+			whole += able
+			x := share{s: s, p: able * warm * s.trust(), cap: 1}
+			if x.weight = x.p; r.boost > 0 && s.Cell == r.cell {
+				x.p *= r.boost
+			}
+			left += x.p
+			b.shares = append(b.shares, x)
+		}
+		for i := range b.shares { // what cold ones may not take goes to the others
+			if x := &b.shares[i]; b.dear() && b.warmth(now, x.s) < 1 {
+				capped := min(x.p, left*b.set.FallMultiple/coldParts*x.weight/whole)
+				cold += x.p - capped
+				x.p = capped
 			}
-			b.shares = append(b.shares, share{s: s, p: w})
-			left += w
 		}
-		if x := b.drawOf(left); x != nil {
+		if x := b.drawOf(left - cold); x != nil {
 			into = append(into, x.s)
 		}
 	}
@@ -601,7 +592,7 @@
 
 // idle tells whether a fresh report shows that s would begin at once.
 func (b *Balancer) idle(now time.Duration, s *server) bool {
-	return b.fresh(now, s) && s.held+float64(s.since)+1 <= 1.3*b.parallel
+	return b.fresh(now, s) && s.held+float64(s.since)+1 <= max(1.3*b.parallel*b.warmth(now, s), 1)
 }
 
 // probeSample asks those of r's sample that have no fresh report.
@@ -718,9 +709,13 @@
 	lately := b.crowded(now)
 	wait := lately
 	if b.fresh(now, s) && b.lag() == 0 {
-		able := b.capacity(r.Class, s) * b.warmth(now, s)
+		able := b.capacity(r.Class, s) * max(b.warmth(now, s), 1/b.parallel)
 		wait = max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
-		wait = min(wait, 2*lately)
+		if b.dear() {
+			b.met(now, wait, 0.1) // what was found by asking tells more than what one server in trouble kept
+		} else {
+			wait = min(wait, 2*lately)
+		}
 	}
 	return r.unlucky(b.rng, b.overdue(r, wait))
 }
@@ -808,7 +803,9 @@
 	}
 	b.judge(now, a.to, o.Result)
 	if o.Result == Done || o.Result == TimedOut {
-		b.met(now, (o.Latency - b.expected(r)).Seconds(), 0.2)
+		if !a.fresh || !b.dear() {
+			b.met(now, (o.Latency - b.expected(r)).Seconds(), 0.2)
+		}
 		if a.fresh {
 			b.compare(r, a, o.Latency, o.Result)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -99,12 +99,6 @@
 	over     bool
 }
 
-// estimate follows an uncontended latency.
-type estimate struct {
-	mean float64 // seconds
-	n    float64 // samples, up to a limit
-}
-
 type share struct {
 	s      *server
 	weight float64 // capacity now, relative
@@ -190,21 +184,6 @@
 	return time.Duration((0.5 + b.rng.Float64()) * float64(d))
 }
 
-// add takes a latency in. One from a server known to be calm counts as it is; of others the low ones
-// count most, for queueing only ever adds, and an estimate that grew with it would make reports look
-// younger just when they age.
-func (e *estimate) add(x float64, calm bool) {
-	if e.mean == 0 {
-		e.mean = x
-	}
-	e.n = min(e.n+1, 20)
-	gain := max(1/(e.n+1), 0.05)
-	if !calm && x > e.mean {
-		gain /= 5
-	}
-	e.mean += gain * (x - e.mean)
-}
-
 // unlucky draws once for a request and tells, each time it is asked, whether it is among such a part.
 func (r *request) unlucky(rng *rand.Rand, part float64) bool {
 	if r.luck == 0 {
