Ask as often as busy servers are found, and refuse only from half the line on

Changed: askMore() lets a part of requests go without, by the part of servers found busy; idle() goes to twice the width; pick() takes one that was busy within the last second a quarter as often; hopeless() begins at half the line where servers are asked; a blind send does not move the delay that refusals go by.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,18 +22,18 @@
 	// reportLife is how long a report tells as much as a new one would: servers refresh theirs more
 	// seldom, and what was sent since is known.
 	reportLife = 80 * time.Millisecond
-	// refusePart of an aim spent waiting is where a request of usual worth is refused for certain. Where a
-	// balancer hears of few servers, what it met tells less of the crowd, and it waits refuseAfter services.
+	// refusePart of an aim spent waiting is where a usual request is refused; refuseAfter services if asked.
 	refusePart, refuseAfter = 0.3, 2.5
 	// probeWorth is what the probes of one request may cost together, as a part of its worth.
 	probeWorth = 0.012
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
-	// coldParts: one in so many of the multiple at which a cold server falls over, with arrivals at what the
-	// warm fleet can do, where it is asked first: who finds it busy goes elsewhere.
+	// coldParts is like the 8 in weigh, where a server is asked first: who finds it busy goes elsewhere.
 	coldParts = 4
 	// mostAsked servers are asked for one request, one after the other, where probes are dear.
-	mostAsked = 3
+	mostAsked = 2
+	// All ask while busyAsked of those asked are busy, fewer before that, down to leastAsked.
+	leastAsked, busyAsked = 0.25, 0.2
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
 	// cause is rarely the servers, and the rest could not carry the load.
 	floorPart = 0.5
@@ -48,7 +48,7 @@
 		set: set, rng: rand.New(rand.NewPCG(set.Seed, 0x9e3779b97f4a7c15)),
 		byID: map[ServerID]*server{}, requests: map[string]*request{}, bySeq: map[uint64]*request{},
 		service: make([]estimate, len(set.Classes)), byKind: make([][]estimate, len(set.Classes)),
-		hinted: make([]estimate, len(set.Classes)), parallel: 2, budget: retryBurst,
+		hinted: make([]estimate, len(set.Classes)), parallel: 2, budget: retryBurst, busy: busyAsked,
 	}
 	for i, c := range set.Classes {
 		b.service[i].mean = c.Aim.Seconds() / 5 // an aim leaves room for some queueing; two samples replace it
@@ -419,9 +419,12 @@
 			if slices.Contains(into, s) {
 				continue
 			}
-			able, warm := b.capacity(r.Class, s), b.warmth(now, s)
+			able := b.capacity(r.Class, s)
 			whole += able
-			x := share{s: s, p: able * warm * s.trust(), cap: 1}
+			x := share{s: s, p: able * b.warmth(now, s) * s.trust()}
+			if b.dear() && s.hasReport && now-s.reported < time.Second && !b.idle(now, s) {
+				x.p /= 4 // it was busy a moment ago, and what is turned slow stays so for seconds
+			}
 			if x.weight = x.p; r.boost > 0 && s.Cell == r.cell {
 				x.p *= r.boost
 			}
@@ -442,8 +445,8 @@
 	return into
 }
 
-// favour finds the cell whose servers likeliest met the key of r, the same for all balancers, and by how
-// much to prefer it: most of a usual key's requests go there, of a hot one's as many as it can carry.
+// favour finds the cell that likeliest met the key of r, the same for all balancers, and by how much to
+// prefer it: most of a usual key's requests go there, of a hot one's as many as it can carry.
 func (b *Balancer) favour(now time.Duration, r *request, rows []*server) {
 	if r.boost = 0; !b.set.WarmKeys || !r.HasKey {
 		return
@@ -530,13 +533,12 @@
 	}
 	if b.set.MayProbe && !r.probed && b.dear() {
 		// Dear probes are sent one by one, and none where the request is given up all the same.
-		if r.probed = true; len(r.attempts) == 0 && r.unlucky(b.rng, b.crowd(now, r)) {
+		if r.probed = true; len(r.attempts) == 0 && r.unlucky(b.rng, 2*b.overdue(r, b.crowded(now))-1) {
 			return b.end(now, r, acts)
 		}
 		b.favour(now, r, rows)
 		r.sample = r.sample[:0]
-		var wait bool
-		if acts, wait = b.askMore(now, r, rows, acts); wait {
+		if acts = b.askMore(now, r, rows, acts); r.pending > 0 {
 			return acts
 		}
 	}
@@ -569,30 +571,30 @@
 // queued tells whether probes wait in the servers' queues as requests do, and take as long.
 func (b *Balancer) queued() bool { return b.asking > b.meanService()/4 }
 
-// askMore adds one server to the sample of r, up to mostAsked, and probes it. It tells whether the
-// probe is to be waited for.
-func (b *Balancer) askMore(now time.Duration, r *request, rows []*server, acts []Action) ([]Action, bool) {
+// askMore adds one server to the sample of r, up to mostAsked, and probes it; r is pending where that is to
+// be waited for. While few servers asked are busy, asking gains little, and a part of requests does without.
+func (b *Balancer) askMore(now time.Duration, r *request, rows []*server, acts []Action) []Action {
 	n := len(r.sample)
-	if n >= mostAsked || r.Deadline-now <= b.set.Tick {
-		return acts, false
+	if n >= mostAsked || n > 0 && r.blind || r.Deadline-now <= b.set.Tick {
+		return acts
 	}
 	r.sample = b.pick(now, r, rows, 1, r.sample)
-	acts = b.probeSample(now, r, r.sample[n:], acts)
-	if b.queued() {
-		r.pending = 0
+	if r.blind = n == 0 && b.rng.Float64() > leastAsked+(1-leastAsked)*b.busy/busyAsked; r.blind {
+		return acts
 	}
-	if r.pending == 0 {
-		return acts, false
+	if acts = b.probeSample(now, r, r.sample[n:], acts); b.queued() || r.pending == 0 {
+		r.pending = 0
+		return acts
 	}
-	return append(acts, b.timer(min(r.Deadline-now-b.set.Tick, b.probeWait()), timerHold, r.seq)), true
+	return append(acts, b.timer(min(r.Deadline-now-b.set.Tick, b.probeWait()), timerHold, r.seq))
 }
 
 // dear tells whether a request is not worth one probe.
 func (b *Balancer) dear() bool { return b.set.Prices.Probe > probeWorth }
 
-// idle tells whether a fresh report shows that s would begin at once.
+// idle tells whether s, by its last report, would begin at once or soon.
 func (b *Balancer) idle(now time.Duration, s *server) bool {
-	return b.fresh(now, s) && s.held+float64(s.since)+1 <= max(1.3*b.parallel*b.warmth(now, s), 1)
+	return s.held+float64(s.since)+1 <= max(2*b.parallel*b.warmth(now, s), 1)
 }
 
 // probeSample asks those of r's sample that have no fresh report.
@@ -614,9 +616,8 @@
 // send draws a server by the shares and starts an attempt there.
 func (b *Balancer) send(now time.Duration, r *request, acts []Action) []Action {
 	rows := b.eligible(now, r)
-	if n := len(r.sample); n > 0 && b.dear() && !b.idle(now, r.sample[n-1]) {
-		var wait bool
-		if acts, wait = b.askMore(now, r, rows, acts); wait {
+	if n := len(r.sample); n > 0 && b.dear() && !(b.fresh(now, r.sample[n-1]) && b.idle(now, r.sample[n-1])) {
+		if acts = b.askMore(now, r, rows, acts); r.pending > 0 {
 			return acts
 		}
 	}
@@ -713,9 +714,9 @@
 		wait = max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
 		if b.dear() {
 			b.met(now, wait, 0.1) // what was found by asking tells more than what one server in trouble kept
-		} else {
-			wait = min(wait, 2*lately)
+			return r.unlucky(b.rng, 2*b.overdue(r, wait)-1)
 		}
+		wait = min(wait, 2*lately)
 	}
 	return r.unlucky(b.rng, b.overdue(r, wait))
 }
@@ -730,11 +731,6 @@
 	return wait / max(line, 1e-4) / max(b.worth(r.Class)/b.meanWorth(), 0.5)
 }
 
-// crowd is the same before any server was asked: by what was met lately alone, and less of it.
-func (b *Balancer) crowd(now time.Duration, r *request) float64 {
-	return 2*b.overdue(r, b.crowded(now)) - 1
-}
-
 // worth is what a class earns for a second of work.
 func (b *Balancer) worth(class int) float64 {
 	if b.set.WorthByWork {
@@ -803,7 +799,7 @@
 	}
 	b.judge(now, a.to, o.Result)
 	if o.Result == Done || o.Result == TimedOut {
-		if !a.fresh || !b.dear() {
+		if !b.dear() || b.queued() {
 			b.met(now, (o.Latency - b.expected(r)).Seconds(), 0.2)
 		}
 		if a.fresh {
@@ -895,6 +891,9 @@
 		b.asking += 0.1 * (p.Latency.Seconds() - b.asking)
 		s.suspect, s.cut = false, false
 		b.report(now, s, p.Report)
+		if b.busy *= 0.95; !b.idle(now, s) {
+			b.busy += 0.05
+		}
 	} else {
 		if p.Result == TimedOut {
 			p.Result = Refused // a probe is answered beside the queue: silence means out of reach
--- a/balance/state.go
+++ b/balance/state.go
@@ -34,6 +34,7 @@
 	failed   int     // calls to the registry failed in a row
 
 	keys heat
+	busy float64 // part of the servers asked lately that were not idle
 
 	rows   []*server // scratch
 	shares []share   // scratch
@@ -91,6 +92,7 @@
 	home     *server // where its key is likeliest warm
 	pending  int     // probes it waits for
 	probed   bool
+	blind    bool    // sent without asking
 	holds    int     // times it was held for lack of servers
 	luck     float64 // from 0 to 1; the less, the sooner it is refused
 	heat     float64 // part of all requests that its key has
