--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,10 +28,9 @@
 	probeWorth = 0.012
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
-	// coldParts is like the 8 in weigh, where a server is asked first: who finds it busy goes elsewhere.
-	coldParts = 4
-	// mostAsked servers are asked for one request, one after the other, where probes are dear.
-	mostAsked = 2
+	coldParts  = 4                // like the 8 in weigh, where a server is asked first: who finds it busy goes elsewhere
+	errorRest  = 10 * time.Second // the first rest after an error where servers are asked one by one
+	mostAsked  = 2                // servers asked for one request, one after the other, where probes are dear
 	// All ask while busyAsked of those asked are busy, fewer before that, down to leastAsked.
 	leastAsked, busyAsked = 0.25, 0.2
 	// floorPart of the listed servers stay eligible whatever their health: when more look ill the
@@ -368,15 +367,13 @@
 			x.level -= b.parallel
 			x.weight *= 2
 		}
-		if warm < 1 {
+		if warm < 1 && !(sampled && b.dear()) { // that was capped when it was picked
 			// All balancers do the same, so what each gives a cold server adds up to this part of all
 			// arrivals. With arrivals at what the warm fleet can do, it meets 1/8 of the multiple at which
 			// it falls over; the rest is left to bursts, overload, retries and chance. A sampled server is
 			// among the candidates only now and then, by its weight.
 			x.cap = b.set.FallMultiple / 8 * x.weight / whole
-			if sampled && b.dear() {
-				x.cap = 1 // kept when it was picked
-			} else if sampled {
+			if sampled {
 				x.cap /= min(1, float64(len(rows))*x.weight/sure)
 			}
 		}
@@ -707,16 +704,15 @@
 // clients ask again at once, and a server held beyond what it can do turns slower for long. One long
 // queue alone is no jam, so it counts only as far as such delays were met lately.
 func (b *Balancer) hopeless(now time.Duration, r *request, s *server) bool {
-	lately := b.crowded(now)
-	wait := lately
+	wait := b.crowded(now)
 	if b.fresh(now, s) && b.lag() == 0 {
 		able := b.capacity(r.Class, s) * max(b.warmth(now, s), 1/b.parallel)
-		wait = max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
+		told := max((s.held+float64(s.since)+1)/b.parallel/able-1, 0) * b.meanService()
 		if b.dear() {
-			b.met(now, wait, 0.1) // what was found by asking tells more than what one server in trouble kept
-			return r.unlucky(b.rng, 2*b.overdue(r, wait)-1)
+			b.met(now, told, 0.1) // what was found by asking tells more than what one server in trouble kept
+			return r.unlucky(b.rng, 2*b.overdue(r, told)-1)
 		}
-		wait = min(wait, 2*lately)
+		wait = min(told, 2*wait)
 	}
 	return r.unlucky(b.rng, b.overdue(r, wait))
 }
@@ -861,13 +857,17 @@
 
 // judge follows a server's health.
 func (b *Balancer) judge(now time.Duration, s *server, res Result) {
-	need := 3 // an error or a time-out alone happens to well servers too
+	need, rest := 3, time.Second // an error or a time-out alone happens to well servers too
 	switch res {
 	case Done:
 		s.failures, s.ejections, s.suspect, s.cut = 0, 0, false, false
 		return
 	case Cancelled, Skipped, Rejected:
 		return // who turns some away takes others, and to leave it alone crowds the rest
+	case Error: // who sees few requests hears of three in a row too late, and comes by seldom
+		if b.dear() {
+			need, rest = 1, errorRest
+		}
 	case Refused, Reset:
 		need = 1
 		s.cut = res == Refused
@@ -875,7 +875,7 @@
 	if s.failures++; s.failures >= need && now >= s.ejected {
 		s.ejections++
 		s.suspect = true
-		s.ejected = now + b.jitter(time.Second<<min(s.ejections-1, 4))
+		s.ejected = now + b.jitter(rest<<min(s.ejections-1, 4))
 	}
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -641,3 +641,22 @@
 		t.Errorf("cold servers got %.3f of all requests, want at most %.3f and a part of it", part, most)
 	}
 }
+
+// Eighty proxies that each meet a bad server now and then must not each need three errors in a row.
+func TestOneErrorIsEnoughForWhoSeesFewRequests(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		set  Settings
+		out  bool
+	}{{"dear probes", dearSettings(), true}, {"cheap probes", plainSettings(), false}} {
+		b := started(t, c.set, 0, fleet(10, nil))
+		b.judge(0, b.servers[0], Error)
+		if out := b.servers[0].ejected > 4*time.Second; out != c.out {
+			t.Errorf("%s: left alone for seconds: %v, want %v", c.name, out, c.out)
+		}
+		b.judge(20*time.Second, b.servers[0], Done)
+		if b.servers[0].ejected > 20*time.Second || b.servers[0].suspect {
+			t.Errorf("%s: not taken back once well", c.name)
+		}
+	}
+}
