--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,7 @@
 	probeWorth = 0.012
 	// stuckAfter service times, in a queue, without an answer a server counts as silent.
 	stuckAfter = 4
-	coldParts  = 4                // like the 8 in weigh, where a server is asked first: who finds it busy goes elsewhere
+	coldParts  = 4                // like the 8 in weigh, where servers are asked and busy ones passed over
 	errorRest  = 10 * time.Second // the first rest after an error where servers are asked one by one
 	mostAsked  = 2                // servers asked for one request, one after the other, where probes are dear
 	// All ask while busyAsked of those asked are busy, fewer before that, down to leastAsked.
@@ -368,10 +368,9 @@
 			x.weight *= 2
 		}
 		if warm < 1 && !(sampled && b.dear()) { // that was capped when it was picked
-			// All balancers do the same, so what each gives a cold server adds up to this part of all
-			// arrivals. With arrivals at what the warm fleet can do, it meets 1/8 of the multiple at which
-			// it falls over; the rest is left to bursts, overload, retries and chance. A sampled server is
-			// among the candidates only now and then, by its weight.
+			// All balancers do the same, so what each gives a cold server adds up to this part of all arrivals.
+			// With arrivals at what the warm fleet can do, it meets 1/8 of the multiple at which it falls over;
+			// the rest is for bursts, overload, retries and chance. A sampled one comes up by its weight.
 			x.cap = b.set.FallMultiple / 8 * x.weight / whole
 			if sampled {
 				x.cap /= min(1, float64(len(rows))*x.weight/sure)
@@ -407,41 +406,6 @@
 
 // ---- draw
 
-// pick takes up to k of the rows at random, by weight, so that cold ones come up less.
-func (b *Balancer) pick(now time.Duration, r *request, rows []*server, k int, into []*server) []*server {
-	for ; k > 0; k-- {
-		b.shares = b.shares[:0]
-		left, cold, whole := 0.0, 0.0, 0.0
-		for _, s := range rows {
-			if slices.Contains(into, s) {
-				continue
-			}
-			able := b.capacity(r.Class, s)
-			whole += able
-			x := share{s: s, p: able * b.warmth(now, s) * s.trust()}
-			if b.dear() && s.hasReport && now-s.reported < time.Second && !b.idle(now, s) {
-				x.p /= 4 // it was busy a moment ago, and what is turned slow stays so for seconds
-			}
-			if x.weight = x.p; r.boost > 0 && s.Cell == r.cell {
-				x.p *= r.boost
-			}
-			left += x.p
-			b.shares = append(b.shares, x)
-		}
-		for i := range b.shares { // what cold ones may not take goes to the others
-			if x := &b.shares[i]; b.dear() && b.warmth(now, x.s) < 1 {
-				capped := min(x.p, left*b.set.FallMultiple/coldParts*x.weight/whole)
-				cold += x.p - capped
-				x.p = capped
-			}
-		}
-		if x := b.drawOf(left - cold); x != nil {
-			into = append(into, x.s)
-		}
-	}
-	return into
-}
-
 // favour finds the cell that likeliest met the key of r, the same for all balancers, and by how much to
 // prefer it: most of a usual key's requests go there, of a hot one's as many as it can carry.
 func (b *Balancer) favour(now time.Duration, r *request, rows []*server) {
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // fill gives each row its part of the arrivals: they rise like water from the lowest levels on, and
@@ -64,3 +65,38 @@
 	}
 	return nil
 }
+
+// pick takes up to k of the rows at random, by weight, so that cold ones come up less.
+func (b *Balancer) pick(now time.Duration, r *request, rows []*server, k int, into []*server) []*server {
+	for ; k > 0; k-- {
+		b.shares = b.shares[:0]
+		left, cold, whole := 0.0, 0.0, 0.0
+		for _, s := range rows {
+			if slices.Contains(into, s) {
+				continue
+			}
+			able := b.capacity(r.Class, s)
+			whole += able
+			x := share{s: s, p: able * b.warmth(now, s) * s.trust()}
+			if b.dear() && s.hasReport && now-s.reported < time.Second && !b.idle(now, s) {
+				x.p /= 4 // it was busy a moment ago, and what is turned slow stays so for seconds
+			}
+			if x.weight = x.p; r.boost > 0 && s.Cell == r.cell {
+				x.p *= r.boost
+			}
+			left += x.p
+			b.shares = append(b.shares, x)
+		}
+		for i := range b.shares { // what cold ones may not take goes to the others
+			if x := &b.shares[i]; b.dear() && b.warmth(now, x.s) < 1 {
+				capped := min(x.p, left*b.set.FallMultiple/coldParts*x.weight/whole)
+				cold += x.p - capped
+				x.p = capped
+			}
+		}
+		if x := b.drawOf(left - cold); x != nil {
+			into = append(into, x.s)
+		}
+	}
+	return into
+}
