Operators' door, true figures and a drain by one state machine shared with SIGTERM

Ruled out: slow answers or wrong figures; there was no listener at the operators' address at all.

Change: internal/operator (door with its own descriptors), counts by class and by final answer written, internal/drain (pure, one machine for lame duck and SIGTERM), balance/avoided.go reads which servers the choice itself leaves out; for that eligible's two conditions became functions of their own. What rests is closed only when nothing waits to be read (Still), which does not touch the reader's buffer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -222,11 +222,11 @@
 
 // ---- eligibility
 
-// eligible lists the servers that may take a next attempt of r.
-func (b *Balancer) eligible(now time.Duration, r *request) []*server {
-	// What cannot be reached is no part of the floor: a balancer in a zone that is cut off has most of
-	// the list out of reach, and what is near must do.
-	healthy, near := 0, 0
+// panicking tells whether so few servers are healthy that ejected ones are used. What cannot be reached is no
+// part of the floor: a balancer in a zone that is cut off has most of the list out of reach, and what is
+// near must do.
+func (b *Balancer) panicking(now time.Duration) (panicking bool, near int) {
+	healthy := 0
 	for _, s := range b.servers {
 		if now >= s.ejected {
 			healthy++
@@ -235,7 +235,17 @@
 			near++
 		}
 	}
-	panicking := float64(healthy) < floorPart*float64(near)
+	return float64(healthy) < floorPart*float64(near), near
+}
+
+// avoided tells whether s gets no traffic at all.
+func (s *server) avoided(now time.Duration, panicking bool, near int) bool {
+	return now < s.ejected && (!panicking || s.cut && near > 0)
+}
+
+// eligible lists the servers that may take a next attempt of r.
+func (b *Balancer) eligible(now time.Duration, r *request) []*server {
+	panicking, near := b.panicking(now)
 	bound := b.bound(r)
 	rows := b.rows[:0]
 	// The strict pass leaves out what was tried and, for what must not be repeated, servers that have
@@ -245,7 +255,7 @@
 			if bound != nil && !b.together(r, bound, s) {
 				continue
 			}
-			if now < s.ejected && (!panicking || s.cut && near > 0) && (bound == nil || pass == 0) {
+			if s.avoided(now, panicking, near) && (bound == nil || pass == 0) {
 				continue
 			}
 			if pass == 0 && (b.stuck(now, r, s) || r.tried(s) ||
@@ -690,24 +700,6 @@
 	return wait / max(line, 1e-4) / max(b.worth(r.Class)/b.meanWorth(), 0.5)
 }
 
-// worth is what a class earns for a second of work.
-func (b *Balancer) worth(class int) float64 {
-	if b.set.WorthByWork {
-		return b.set.Classes[class].Worth
-	}
-	return b.set.Classes[class].Worth / b.service[class].mean
-}
-
-// meanWorth is the same over the mix of classes seen.
-func (b *Balancer) meanWorth() float64 {
-	sum, n := 0.0, 1e-9
-	for i, s := range b.service {
-		w := (s.n + 0.1) * s.mean
-		sum, n = sum+w*b.worth(i), n+w
-	}
-	return max(sum/n, 1e-9)
-}
-
 // end gives r its final answer, unless an attempt is still out that may bring one. A refusal tells the
 // client when to come back: a jam dissolves over several times the delay that is met in it.
 func (b *Balancer) end(now time.Duration, r *request, acts []Action) []Action {
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -50,3 +50,21 @@
 	}
 	return sum / n
 }
+
+// worth is what a class earns for a second of work.
+func (b *Balancer) worth(class int) float64 {
+	if b.set.WorthByWork {
+		return b.set.Classes[class].Worth
+	}
+	return b.set.Classes[class].Worth / b.service[class].mean
+}
+
+// meanWorth is the same over the mix of classes seen.
+func (b *Balancer) meanWorth() float64 {
+	sum, n := 0.0, 1e-9
+	for i, s := range b.service {
+		w := (s.n + 0.1) * s.mean
+		sum, n = sum+w*b.worth(i), n+w
+	}
+	return max(sum/n, 1e-9)
+}
--- /dev/null
+++ b/cmd/cresshub/operations_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+)
+
+const ready = "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// withDoor starts the program with an operators' door and returns its address.
+func withDoor(t *testing.T, discovery, known string) (*process, string) {
+	t.Helper()
+	config := strings.Replace(configuration(discovery, known, 200), `"listen"`,
+		`"operator":"127.0.0.1:0","listen"`, 1)
+	p := launch(t, config)
+	line := p.expect(t, "msg=ready")
+	_, line, _ = strings.Cut(line, "listen=")
+	p.address, line, _ = strings.Cut(line, " operator=")
+	return p, line
+}
+
+func operate(t *testing.T, door, call string) *http1.Response {
+	t.Helper()
+	return nettest.Ask(t, nettest.Dial(t, door), call+" HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func read(t *testing.T, r *bufio.Reader) *http1.Response {
+	t.Helper()
+	a, err := http1.ReadResponse(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// What the figures say is what the two sides saw: served, refused, failed, repeated, abandoned.
+func TestFiguresAreTrue(t *testing.T) {
+	answers := make(chan *http1.Response, 16)
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return <-answers }))
+	p, door := withDoor(t, nettest.NewDiscovery(t).Address, known("in_service", x))
+	vars := func() string { return string(operate(t, door, "GET /_vars").Body) }
+	for _, line := range []string{"proxy.handled.lookup.passed:0|c", "proxy.handled.assign.bad_gateway:0|c",
+		"proxy.upstream_tries:0|c", "proxy.in_progress:0|g", "proxy.known_zone_servers:1|g",
+		"proxy.skipped_zone_servers:0|g"} {
+		if !strings.Contains(vars(), line+"\n") {
+			t.Errorf("at first no %s in\n%s", line, vars())
+		}
+	}
+	c := nettest.Dial(t, p.address)
+	ask := func(method, class, id string, status int, answer ...*http1.Response) {
+		t.Helper()
+		for _, a := range answer {
+			answers <- a
+		}
+		if a := nettest.Ask(t, c, nettest.Request(method, class, id, 15*time.Second)); a.Status != status {
+			t.Errorf("%s: status %d", id, a.Status)
+		}
+	}
+	notRun := &http1.Response{Status: 503, Header: http1.Header{{Name: "X-Not-Processed", Value: "1"}}}
+	ask("GET", "lookup", "1", 200, nettest.OK("a"))
+	ask("POST", "assign", "2", 200, nettest.OK("b"))
+	ask("POST", "assign", "3", 502, &http1.Response{Status: 500})
+	ask("PUT", "assign", "4", 405)
+	ask("POST", "assign", "5", 200, notRun, nettest.OK("c"))
+	gone := nettest.Dial(t, p.address)
+	io.WriteString(gone, nettest.Request("GET", "lookup", "6", 15*time.Second))
+	nettest.Until(t, "one is in progress", func() bool { return strings.Contains(vars(), "in_progress:1|g") })
+	gone.Close()
+	nettest.Until(t, "none is in progress", func() bool { return strings.Contains(vars(), "in_progress:0|g") })
+	for _, line := range []string{"proxy.handled.lookup.passed:1|c", "proxy.handled.lookup.bad_gateway:0|c",
+		"proxy.handled.assign.passed:2|c", "proxy.handled.assign.bad_gateway:2|c",
+		"proxy.handled.assign.dropped:0|c", "proxy.upstream_tries:6|c"} {
+		if !strings.Contains(vars(), line+"\n") {
+			t.Errorf("no %s in\n%s", line, vars())
+		}
+	}
+}
+
+// A drain sends clients away without losing what is owed, ends, and does not end the process.
+func TestLameDuck(t *testing.T) {
+	answers := make(chan *http1.Response)
+	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return <-answers }))
+	p, door := withDoor(t, nettest.NewDiscovery(t).Address, known("in_service", x))
+	rests, busy := nettest.Dial(t, p.address), nettest.Dial(t, p.address)
+	nettest.Ask(t, rests, ready)
+	io.WriteString(busy, nettest.Request("POST", "assign", "1", 15*time.Second))
+	nettest.Until(t, "the attempt arrives", func() bool { return len(x.Got("/api")) == 1 })
+	if a := operate(t, door, "POST /_lameduck/on"); a.Status != 200 {
+		t.Fatalf("status %d", a.Status)
+	}
+	if a := nettest.Ask(t, nettest.Dial(t, p.address), ready); a.Status != 503 {
+		t.Errorf("ready says %d", a.Status)
+	}
+	late := nettest.Dial(t, p.address)
+	io.WriteString(late, nettest.Request("POST", "assign", "2", 15*time.Second))
+	nettest.Until(t, "a late one is served", func() bool { return len(x.Got("/api")) == 2 })
+	if _, err := rests.In.Peek(1); err != io.EOF {
+		t.Errorf("what rests ends with %v", err)
+	}
+	answers <- nettest.OK("")
+	answers <- nettest.OK("")
+	for _, c := range []*http1.Response{read(t, busy.In), read(t, late.In)} {
+		if c.Status != 200 || !c.Close {
+			t.Errorf("status %d, closes %v", c.Status, c.Close)
+		}
+	}
+	fresh := nettest.Dial(t, p.address)
+	if _, err := fresh.In.Peek(1); err != io.EOF {
+		t.Errorf("one that came since and rests ends with %v", err)
+	}
+	operate(t, door, "POST /_lameduck/off")
+	c := nettest.Dial(t, p.address)
+	if a := nettest.Ask(t, c, ready); a.Status != 200 || a.Close {
+		t.Errorf("after the drain ready says %d, closes %v", a.Status, a.Close)
+	}
+	operate(t, door, "POST /_lameduck/on")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.expect(t, "msg=ending")
+	operate(t, door, "POST /_lameduck/off") // does not undo the end
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -32,6 +32,11 @@
 		k.hallNamed()
 	}
 	k.serversKnown()
+	if c.Operator != "" && c.Operator == c.Listen.Address && !strings.HasSuffix(c.Operator, ":0") &&
+		k.good("operator", "listen.address") {
+		ps.Add(c.where("operator"), "operator",
+			"%q is where clients connect; operators need an address of their own", c.Operator)
+	}
 	if s := &c.Shutdown; s.CloseAll < s.Accept && k.good("shutdown.close_all_after", "shutdown.accept_for") {
 		ps.Add(c.where("shutdown.close_all_after", "shutdown.accept_for"), "shutdown.close_all_after",
 			"%s is before accept_for %s, so that connections taken last would be cut", keyed.Short(s.CloseAll),
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,8 @@
 	Halls     []string  `key:"halls" default:""`
 	_         about     `doc:"kinds of server, in the order that numbers them"`
 	Kinds     []string  `key:"kinds" default:""`
+	_         about     `doc:"host and port for operators' calls alone; empty for no such door"`
+	Operator  string    `key:"operator" default:"" form:"listen?"`
 	Listen    Listen    `key:"listen"`
 	Discovery Discovery `key:"discovery"`
 	Limits    Limits    `key:"limits"`
@@ -120,7 +122,7 @@
 	Rested    time.Duration `key:"rested_for" default:"20ms" min:"0s" max:"10m" reload:"live"`
 }
 
-// Shutdown times the end after SIGTERM, each from the signal on.
+// Shutdown times how clients are sent away, each from SIGTERM or an operator's lame duck on.
 type Shutdown struct {
 	_         about         `doc:"connections that rest close"`
 	CloseIdle time.Duration `key:"close_idle_after" default:"500ms" min:"0s" max:"10m" reload:"live"`
@@ -128,6 +130,8 @@
 	Accept    time.Duration `key:"accept_for" default:"800ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those that came since close"`
 	CloseAll  time.Duration `key:"close_all_after" default:"1200ms" min:"0s" max:"10m" reload:"live"`
+	_         about         `doc:"also those whose request has begun and is not whole"`
+	CloseHalf time.Duration `key:"close_half_after" default:"3s" min:"0s" max:"10m" reload:"live"`
 }
 
 // Upstream is the connections to servers.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -25,6 +25,7 @@
 // The variables that set keys under names of their own.
 var edgeVariables = map[string]string{
 	"EDGE_NAME": "name", "EDGE_LISTEN": "listen.address", "EDGE_DISCOVERY": "discovery.address",
+	"EDGE_OPERATOR": "operator",
 }
 
 const (
--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -25,6 +25,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Operator  string `json:"operator"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -60,6 +61,7 @@
 	put := func(key string, v any) { l.Set(key, v, keyed.At("platform", path)) }
 	for key, text := range map[string]string{
 		"name": file.Name, "listen.address": file.Listen, "discovery.address": file.Discovery,
+		"operator": file.Operator,
 	} {
 		if text != "" {
 			put(key, text)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -227,6 +227,13 @@
 	d.carryOut(now, d.b.List(now, kind, list, d.acts[:0]))
 }
 
+// Avoided is how many of the listed servers in service get no traffic now.
+func (d *Decider) Avoided() int {
+	now := d.enter()
+	defer d.leave()
+	return d.b.Avoided(now)
+}
+
 // Tick fires the timers that are due and returns the time until the next, an hour at most.
 func (d *Decider) Tick() time.Duration {
 	now := d.enter()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -166,6 +166,20 @@
 	c.fixed <- raw
 }
 
+// Held is how many servers the list holds, those that drain included.
+func (c *Client) Held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byName)
+}
+
+// InService is how many of them are in service.
+func (c *Client) InService() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inService)
+}
+
 // Name returns what a server is called, or "" where no list holds it.
 func (c *Client) Name(s decide.ServerID) string {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,71 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	times = Times{CloseIdle: 500 * time.Millisecond, Accept: 800 * time.Millisecond,
+		CloseAll: 1200 * time.Millisecond, CloseHalf: 3 * time.Second}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestPlanByAge(t *testing.T) {
+	lame, end := State{}.Lame(true, at(0)), State{}.End(at(0))
+	for _, c := range []struct {
+		name  string
+		state State
+		ms    int
+		want  Plan
+	}{
+		{"serving", State{}, 5000, Plan{}},
+		{"lame, at once", lame, 0, Plan{}},
+		{"lame, what rested", lame, 500, Plan{Rested: at(0)}},
+		{"lame, all that rest", lame, 1300, Plan{Rested: at(1300)}},
+		{"lame, heads too", lame, 3000, Plan{Rested: at(3000), Half: at(3000)}},
+		{"ending, what rested", end, 600, Plan{Rested: at(0)}},
+		{"ending, no more", end, 900, Plan{Rested: at(0), Refuse: true}},
+		{"ending, over", end, 1200, Plan{Rested: at(1200), Refuse: true, Over: true}},
+		{"both, the later began", lame.End(at(300)), 900, Plan{Rested: at(300)}},
+		{"both, the further counts", lame.End(at(1000)), 1300, Plan{Rested: at(1300)}},
+	} {
+		if diff := cmp.Diff(c.want, c.state.Plan(at(c.ms), times)); diff != "" {
+			t.Errorf("%s: %s", c.name, diff)
+		}
+	}
+}
+
+// Over every order of four calls, the state is what the last on or off says, unless the end was told.
+func TestAllOrders(t *testing.T) {
+	type call struct{ on, off, end bool }
+	calls := []call{{on: true}, {off: true}, {end: true}, {}} // the last one is SIGHUP, which means nothing here
+	for n := range 256 {
+		s, lame, ended := State{}, false, false
+		for i, left := 0, n; i < 4; i, left = i+1, left/4 {
+			c := calls[left%4]
+			if c.on || c.off {
+				s, lame = s.Lame(c.on, at(i)), c.on
+			}
+			if c.end {
+				s, ended = s.End(at(i)), true
+			}
+		}
+		if s.Serving() != (!lame && !ended) || s.Ending() != ended {
+			t.Errorf("order %d: serving %v, ending %v", n, s.Serving(), s.Ending())
+		}
+		if p := s.Plan(at(10000), times); p.Over != ended || p.Rested.IsZero() != s.Serving() {
+			t.Errorf("order %d: %+v", n, p)
+		}
+	}
+	// A repeated call does not begin the drain anew.
+	again := State{}.Lame(true, at(0)).Lame(true, at(900)).End(at(1000)).End(at(2000))
+	if diff := cmp.Diff(State{}.Lame(true, at(0)).End(at(1000)).Plan(at(2200), times),
+		again.Plan(at(2200), times)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -283,32 +283,44 @@
 
 // ReadRequest reads one request. io.EOF means that the connection ended before its first byte.
 func ReadRequest(r *bufio.Reader) (*Request, error) {
+	q, h, err := requestHead(r)
+	if err == nil {
+		q.Body, err = h.body(r)
+	}
+	return q, err
+}
+
+// ReadRequestHead reads one request as far as its body, which is left unread.
+func ReadRequestHead(r *bufio.Reader) (*Request, error) {
+	q, _, err := requestHead(r)
+	return q, err
+}
+
+func requestHead(r *bufio.Reader) (*Request, head, error) {
 	room := maxHead
 	l, err := line(r, &room)
 	if err != nil {
-		return nil, err
+		return nil, head{}, err
 	}
 	method, rest, _ := strings.Cut(l, " ")
 	target, version, ok := strings.Cut(rest, " ")
 	if !ok || !isToken(method) || strings.Contains(version, " ") {
-		return nil, malformed("not a request line: %.40q", l)
+		return nil, head{}, malformed("not a request line: %.40q", l)
 	}
 	if target == "" || target[0] != '/' || strings.Trim(target, printable) != "" {
-		return nil, malformed("target %.40q", target)
+		return nil, head{}, malformed("target %.40q", target)
 	}
 	if version != "HTTP/1.1" {
-		return nil, &Malformed{Status: 505, Reason: fmt.Sprintf("version %.20q", version)}
+		return nil, head{}, &Malformed{Status: 505, Reason: fmt.Sprintf("version %.20q", version)}
 	}
 	h, err := fields(r, &room)
 	if err != nil {
-		return nil, err
+		return nil, h, err
 	}
 	if h.header.Get("Host") == "" {
-		return nil, malformed("no Host")
+		return nil, head{}, malformed("no Host")
 	}
-	q := &Request{Method: method, Target: target, Header: h.header, Close: h.close}
-	q.Body, err = h.body(r)
-	return q, err
+	return &Request{Method: method, Target: target, Header: h.header, Close: h.close}, h, nil
 }
 
 var printable = func() string {
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -5,32 +5,37 @@
 	"strconv"
 	"time"
 
+	"cresshub/internal/counters"
 	"cresshub/internal/decide"
 	"cresshub/internal/http1"
 	"cresshub/internal/logging"
 	"cresshub/internal/upstream"
 )
 
-// answer finds a request's final answer; nil where its client is gone.
-func (s *Server) answer(c *client, q *http1.Request, arrived time.Time) *http1.Response {
+// answer finds a request's final answer; nil where its client is gone. wrote is where it counts once it is
+// written; nil where it is no request of a class.
+func (s *Server) answer(c *client, q *http1.Request, arrived time.Time) (a *http1.Response,
+	wrote *counters.Counter) {
 	if path, _, _ := bytes.Cut([]byte(q.Target), []byte("?")); string(path) == readyPath {
-		if s.draining.Load() {
-			return plain(503, "ending", true)
+		if !s.Serving() {
+			return plain(503, "sending clients away", true), nil
 		}
-		return plain(200, "ready", false)
+		return plain(200, "ready", false), nil
 	}
 	r, status, reason := s.parse(q, arrived)
 	if status != 0 {
 		s.rejected(status, reason)
-		return plain(status, reason, false)
+		return plain(status, reason, false), &s.Count.Class(r.Class).Failed
 	}
 	id := q.Header.Get(idField)
 	if !s.hold(id, true) {
 		s.rejected(409, "id in use")
-		return plain(409, "a request with this id is open", false)
+		return plain(409, "a request with this id is open", false), &s.Count.Class(r.Class).Failed
 	}
 	defer s.release(id)
 	s.Count.Taken.Add()
+	s.Count.InProgress.Add(1)
+	c.taken = true
 	if log := s.requests.Load(); log.Wants() {
 		c.final = &logging.Final{Request: id, Class: s.Classes[r.Class]}
 		if len(s.Tenants) > 0 {
@@ -68,7 +73,9 @@
 }
 
 // run does what the decisions say until they end the request.
-func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request) *http1.Response {
+func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request) (*http1.Response,
+	*counters.Counter) {
+	handled := s.Count.Class(r.Class)
 	select {
 	case <-c.woken: // left over from the request before
 	default:
@@ -93,7 +100,8 @@
 			s.Count.Served.Add()
 			s.ended(c, "served", 200, tries, step.Attempt)
 			a := tries[step.Attempt].out.Answer
-			return &http1.Response{Status: 200, Body: a.Body, Header: a.Header.EndToEnd("X-Server-Load")}
+			h := a.Header.EndToEnd("X-Server-Load")
+			return &http1.Response{Status: 200, Body: a.Body, Header: h}, &handled.Passed
 		case decide.Refuse:
 			s.Count.Refused.Add()
 			s.ended(c, "refused", 503, tries, len(tries)-1)
@@ -102,7 +110,7 @@
 				wait := strconv.FormatFloat(step.Wait.Seconds(), 'f', 3, 64)
 				a.Header = append(a.Header, http1.Field{Name: "Retry-After", Value: wait})
 			}
-			return a
+			return a, &handled.Dropped
 		case decide.Fail:
 			s.Count.Failed.Add()
 			status, reason := 502, "failed"
@@ -110,11 +118,11 @@
 				status, reason = 504, "no answer in time"
 			}
 			s.ended(c, "failed", status, tries, len(tries)-1)
-			return plain(status, reason, false)
+			return plain(status, reason, false), &handled.Failed
 		case decide.Gone:
 			s.Count.Gone.Add()
 			s.ended(c, "gone", 0, tries, len(tries)-1)
-			return nil
+			return nil, nil
 		}
 	}
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -18,6 +18,7 @@
 	idle  bool      // no request is whole; whoever unsets it owns the connection
 	half  bool      // but one has begun
 	fresh bool      // none ever was
+	taken bool      // a request that counts as in progress; only its goroutine uses this
 
 	final *logging.Final // of the request being served, where it is to be logged
 }
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -63,10 +63,18 @@
 		s.reject(c, &http1.Malformed{Status: 400, Reason: "more than one request"})
 		return false
 	}
-	answer := s.answer(c, q, arrived)
+	answer, wrote := s.answer(c, q, arrived)
 	if answer != nil {
-		answer.Close = q.Close || s.draining.Load()
-		again = s.write(c, answer) == nil && !answer.Close
+		answer.Close = q.Close || !s.Serving()
+		err = s.write(c, answer)
+		if err == nil && wrote != nil {
+			wrote.Add()
+		}
+		again = err == nil && !answer.Close
+	}
+	if c.taken {
+		c.taken = false
+		s.Count.InProgress.Add(-1)
 	}
 	s.logged(c, arrived)
 	return again
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -14,6 +14,7 @@
 	"cresshub/internal/config"
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
+	"cresshub/internal/drain"
 	"cresshub/internal/http1"
 	"cresshub/internal/logging"
 	"cresshub/internal/ring"
@@ -30,12 +31,13 @@
 	tenants  map[string]int
 	limits   atomic.Pointer[config.Clients]
 	requests atomic.Pointer[logging.Requests]
-	draining atomic.Bool
-	away     chan struct{} // a token for each client being turned away
+	drain    atomic.Pointer[drain.State] // written under mu
+	away     chan struct{}               // a token for each client being turned away
 
-	mu      sync.Mutex
-	clients map[*client]struct{}
-	open    map[string]int // by id, how many still need it: its request and the attempts that are out
+	mu       sync.Mutex
+	sweeping bool // a goroutine closes what a lame duck has come to close
+	clients  map[*client]struct{}
+	open     map[string]int // by id, how many still need it: its request and the attempts that are out
 }
 
 // Options are what a Server works with.
@@ -46,6 +48,7 @@
 	Classes []string                     // names in the order of the settings
 	Tenants []string
 	Limits  config.Clients
+	Drain   func() drain.Times // as they are now
 	Budget  *sockets.Budget
 	Count   *counters.Set
 	Log     *slog.Logger
@@ -58,6 +61,7 @@
 		away: make(chan struct{}, o.Limits.AwayAtOne), clients: map[*client]struct{}{}, open: map[string]int{},
 	}
 	s.SetLimits(o.Limits)
+	s.drain.Store(&drain.State{})
 	o.Budget.OnShort(sockets.Clients, s.closeOne)
 	return s
 }
@@ -118,55 +122,14 @@
 	defer nc.Close()
 	c := ring.NewConn(nc)
 	c.SetDeadline(time.Now().Add(s.limits.Load().Away))
-	if _, err := http1.ReadRequest(c.In); err != nil {
+	q, err := http1.ReadRequest(c.In)
+	if err != nil {
 		return
 	}
 	(&http1.Response{Status: 503, Close: true}).Write(c.Out)
-	c.Flush()
-}
-
-// Shutdown answers all that was taken and returns when nothing is owed. After the signal to end, clients
-// still open connections for a while, and use those they have as long as these stay open. Idle ones are
-// closed while a request that crosses with that can still come again, and the rest some time after the
-// last could have been opened.
-func (s *Server) Shutdown(l net.Listener, o config.Shutdown) {
-	s.draining.Store(true)
-	began := time.Now()
-	for pause := o.CloseIdle; ; pause = 10 * time.Millisecond {
-		time.Sleep(pause)
-		age, young := time.Since(began), began
-		if age >= o.Accept {
-			// Until this moment every connection is accepted: one left waiting in the system's queue could
-			// hold a request that is ours to answer.
-			l.Close()
-		}
-		if age >= o.CloseAll {
-			young = time.Now()
-		}
-		s.mu.Lock()
-		for c := range s.clients {
-			if c.since.Before(young) && !c.half {
-				s.closeIdle(c)
-			}
-		}
-		left := len(s.clients)
-		s.mu.Unlock()
-		if left == 0 && age >= o.CloseAll {
-			return
-		}
-	}
-}
-
-// closeIdle closes a client's connection on which no request is whole.
-func (s *Server) closeIdle(c *client) bool {
-	if !c.idle {
-		return false
+	if class, ok := s.classes[q.Header.Get("X-Priority-Class")]; c.Flush() == nil && ok {
+		s.Count.Class(class).Dropped.Add()
 	}
-	c.idle = false
-	delete(s.clients, c)
-	c.Close()
-	s.Budget.Give(sockets.Clients)
-	return true
 }
 
 // closeOne closes the connection that can best be done without and gives its place back: one that
@@ -186,7 +149,7 @@
 		if worst == nil {
 			return false
 		}
-		if worst.half || worst.Quiet() {
+		if worst.half || worst.Still() {
 			return s.closeIdle(worst)
 		}
 		worst.since = now // its request waits in the system and is only not read yet
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -21,8 +21,13 @@
 // longest bounds a request's time: whoever waits longer than this has no deadline at all.
 const longest = time.Hour
 
-// parse reads what the decisions need to know of a request. A status other than 0 says what is wrong.
+// parse reads what the decisions need to know of a request. A status other than 0 says what is wrong; the
+// class is set all the same, to -1 where none is named.
 func (s *Server) parse(q *http1.Request, arrived time.Time) (r decide.Request, status int, reason string) {
+	var known bool
+	if r.Class, known = s.classes[q.Header.Get("X-Priority-Class")]; !known {
+		r.Class = -1
+	}
 	if q.Method != "GET" && q.Method != "POST" {
 		return r, 405, "method is neither GET nor POST"
 	}
@@ -35,10 +40,10 @@
 	if q.Method == "GET" && len(q.Body) > 0 {
 		return r, 400, "GET with a body"
 	}
-	var ok bool
-	if r.Class, ok = s.classes[q.Header.Get("X-Priority-Class")]; !ok {
+	if !known {
 		return r, 400, "X-Priority-Class names no class"
 	}
+	var ok bool
 	if r.Tenant, ok = s.tenants[q.Header.Get("X-Tenant-Id")]; !ok && len(s.tenants) > 0 {
 		return r, 400, "X-Tenant-Id names no tenant"
 	}
--- a/internal/keyed/schema.go
+++ b/internal/keyed/schema.go
@@ -30,7 +30,7 @@
 	Min     string
 	Max     string
 	Enum    []string
-	Form    string // "address", "address?", "hex", "name", "hall" or ""
+	Form    string // "address", "listen", either with "?", "hex", "name", "hall" or ""
 	Reload  string
 	Doc     string
 	Index   []int // where it stands in its struct
@@ -104,7 +104,7 @@
 		return "time with a unit"
 	case f.Type == sizeType:
 		return "size with a unit"
-	case f.Form == "address" || f.Form == "address?" || f.Form == "listen":
+	case strings.HasPrefix(f.Form, "address") || strings.HasPrefix(f.Form, "listen"):
 		return "host:port"
 	case f.Form == "hex":
 		return "hex digits"
--- a/internal/keyed/value.go
+++ b/internal/keyed/value.go
@@ -166,14 +166,14 @@
 		if _, err := strconv.ParseUint(s, 16, 64); err != nil {
 			return fmt.Errorf("%q is not up to 16 hex digits", s)
 		}
-	case f.Form == "address" || f.Form == "listen" || f.Form == "address?" && s != "":
+	case f.Form == "address" || f.Form == "listen" || (f.Form == "address?" || f.Form == "listen?") && s != "":
 		_, port, err := net.SplitHostPort(s)
 		if err != nil {
 			return fmt.Errorf("%q is no address; one is written 127.0.0.1:8080", s)
 		}
 		if n, err := strconv.ParseUint(port, 10, 16); err != nil {
 			return fmt.Errorf("%q has port %q, 0 to 65535 is allowed", s, port)
-		} else if n == 0 && f.Form != "listen" {
+		} else if n == 0 && !strings.HasPrefix(f.Form, "listen") {
 			return fmt.Errorf("%q has port 0, which only an address to listen at may have", s)
 		}
 	}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,129 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/counters"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+)
+
+type proxy struct {
+	lame  atomic.Bool
+	calls atomic.Int64
+}
+
+func (p *proxy) Ready() (bool, string)  { return !p.lame.Load(), "lame" }
+func (p *proxy) LameDuck(on bool)       { p.lame.Store(on); p.calls.Add(1) }
+func (p *proxy) Gauges() map[string]int { return map[string]int{"known_zone_servers": 3} }
+
+func door(t *testing.T) (*proxy, *counters.Set, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, count := &proxy{}, counters.New([]string{"lookup"})
+	d := New(l, p, count, slog.New(slog.DiscardHandler))
+	go d.Serve()
+	t.Cleanup(d.Close)
+	return p, count, l.Addr().String()
+}
+
+func call(t *testing.T, address, line string) *http1.Response {
+	t.Helper()
+	return nettest.Ask(t, nettest.Dial(t, address), line+" HTTP/1.1\r\nHost: h\r\n\r\n")
+}
+
+func TestCalls(t *testing.T) {
+	p, _, at := door(t)
+	for _, c := range []struct {
+		text, want string
+		lame       bool
+	}{
+		{"GET /_ready", "200 ready\n", false},
+		{"POST /_lameduck/on", "200 done\n", true},
+		{"POST /_lameduck/on", "200 done\n", true},
+		{"GET /_ready?x=y", "503 lame\n", true},
+		{"GET /_lameduck/off", "405 the method is POST\n", true},
+		{"POST /_lameduck/off", "200 done\n", false},
+		{"POST /_lameduck/off", "200 done\n", false},
+		{"POST /_vars", "405 the method is GET\n", false},
+		{"GET /health/ready", "404 ", false},
+		{"GET /_lameduck", "404 ", false},
+		{"nonsense", "400 ", false},
+	} {
+		a := call(t, at, c.text)
+		if got := fmt.Sprint(a.Status, " ", string(a.Body)); !strings.HasPrefix(got, c.want) || !a.Close {
+			t.Errorf("%s: %q, closes %v", c.text, got, a.Close)
+		}
+		if a.Status == 405 && a.Header.Get("Allow") == "" {
+			t.Errorf("%s: no Allow", c.text)
+		}
+		if p.lame.Load() != c.lame {
+			t.Errorf("%s: lame %v", c.text, p.lame.Load())
+		}
+	}
+	if p.calls.Load() != 4 {
+		t.Errorf("%d calls of lame duck came through", p.calls.Load())
+	}
+}
+
+// A body is not read and does not turn the answer into a reset.
+func TestBodyIsNotRead(t *testing.T) {
+	_, _, at := door(t)
+	c := nettest.Dial(t, at)
+	a := nettest.Ask(t, c, "POST /_lameduck/on HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\nmuch")
+	if a.Status != 200 {
+		t.Errorf("status %d", a.Status)
+	}
+}
+
+func TestEndlessHead(t *testing.T) {
+	_, _, at := door(t)
+	a := nettest.Ask(t, nettest.Dial(t, at), "GET /_vars HTTP/1.1\r\n"+strings.Repeat("A: b\r\n", 9000))
+	if a.Status != 431 {
+		t.Errorf("status %d", a.Status)
+	}
+}
+
+func TestVars(t *testing.T) {
+	_, count, at := door(t)
+	count.Class(0).Passed.Add()
+	count.Class(0).Dropped.Add()
+	count.Class(7).Failed.Add() // no such class: in no figure
+	count.Tries.Add()
+	count.InProgress.Add(2)
+	want := "proxy.handled.lookup.passed:1|c\nproxy.handled.lookup.dropped:1|c\n" +
+		"proxy.handled.lookup.bad_gateway:0|c\nproxy.upstream_tries:1|c\nproxy.in_progress:2|g\n" +
+		"proxy.known_zone_servers:3|g\n"
+	if diff := cmp.Diff(want, string(call(t, at, "GET /_vars").Body)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Callers that connect and say nothing keep nobody out, and only as many as fit are held.
+func TestSilentCallersKeepNobodyOut(t *testing.T) {
+	_, _, at := door(t)
+	for range 5 * Callers {
+		nettest.Dial(t, at)
+		if a := call(t, at, "GET /_ready"); a.Status != 200 {
+			t.Fatalf("status %d", a.Status)
+		}
+	}
+	// The first ones were closed for those that came later.
+	first := nettest.Dial(t, at)
+	for range Callers {
+		nettest.Dial(t, at)
+	}
+	if _, err := io.ReadAll(first); err != nil && !strings.Contains(err.Error(), "reset") {
+		t.Errorf("the oldest silent caller was kept: %v", err)
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -137,12 +137,12 @@
 	}
 }
 
-// Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end. It
-// does not touch the connection, so another goroutine may sit in Read.
-func (c *Conn) Quiet() bool {
-	if c.In.Buffered() > 0 {
-		return false
-	}
+// Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
+func (c *Conn) Quiet() bool { return c.In.Buffered() == 0 && c.Still() }
+
+// Still tells whether nothing waits in the system. It does not touch what was read, so another goroutine may
+// sit in Read.
+func (c *Conn) Still() bool {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/internal/serve/reload.go
+++ b/internal/serve/reload.go
@@ -62,6 +62,10 @@
 	if changed("clients.") {
 		p.server.SetLimits(p.cfg.Clients)
 	}
+	if changed("shutdown.") {
+		times := p.cfg.Shutdown
+		p.times.Store(&times)
+	}
 	if changed("log.") {
 		p.log.Set(logging.ParseLevel(p.cfg.Log.Level), p.cfg.Log.Repeat)
 		p.server.LogRequests(p.requestLog())
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -15,8 +16,10 @@
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
 	"cresshub/internal/discovery"
+	"cresshub/internal/drain"
 	"cresshub/internal/ingress"
 	"cresshub/internal/logging"
+	"cresshub/internal/operator"
 	"cresshub/internal/sockets"
 	"cresshub/internal/upstream"
 )
@@ -34,6 +37,8 @@
 	list     *discovery.Client
 	server   *ingress.Server
 	listener net.Listener
+	door     *operator.Door // nil where there is none
+	times    atomic.Pointer[config.Shutdown]
 	since    map[string]time.Time // when servers of the file were first named, by name and address
 }
 
@@ -50,7 +55,8 @@
 // New wires a proxy and listens; it serves once Run is called. The log goes to w.
 func New(cfg *config.Config, w io.Writer) (*Proxy, error) {
 	set := cfg.Settings()
-	p := &Proxy{cfg: cfg, count: &counters.Set{}, since: map[string]time.Time{}}
+	p := &Proxy{cfg: cfg, count: counters.New(set.ClassNames), since: map[string]time.Time{}}
+	p.times.Store(&cfg.Shutdown)
 	p.log = logging.New(w, logging.Options{
 		Format: cfg.Log.Format, Level: logging.ParseLevel(cfg.Log.Level), Repeat: cfg.Log.Repeat,
 		Backlog: int(cfg.Log.Backlog),
@@ -61,13 +67,17 @@
 	if p.decider, err = decide.New(set.Settings, cfg.Policy.Travel, p); err != nil {
 		return nil, err
 	}
-	budget := sockets.NewBudget(descriptors(cfg.Limits.Sockets), cfg.Limits.Clients, cfg.Limits.Crowded)
+	may := descriptors(cfg.Limits.Sockets)
+	if cfg.Operator != "" {
+		may -= operator.Callers + 1 // and its listener
+	}
+	budget := sockets.NewBudget(may, cfg.Limits.Clients, cfg.Limits.Crowded)
 	p.list = discovery.New(cfg.Discovery.Address, cfg.Upstream.DialLimit(), listLimits(cfg),
 		discovery.Names{Zones: set.ZoneNames, Kinds: set.KindNames}, budget, p.count, log)
 	p.pool = upstream.New(p.list, poolLimits(cfg), set.ReportNames, budget, p.count)
 	p.server = ingress.New(ingress.Options{
 		Decider: p.decider, Pool: p.pool, Name: p.list.Name, Classes: set.ClassNames, Tenants: set.TenantNames,
-		Limits: cfg.Clients, Budget: budget, Count: p.count, Log: log,
+		Limits: cfg.Clients, Drain: p.drainTimes, Budget: budget, Count: p.count, Log: log,
 	})
 	p.server.LogRequests(p.requestLog())
 	known := cfg.Known
@@ -80,14 +90,53 @@
 			return nil, fmt.Errorf("the list of known servers: %w", err)
 		}
 	}
-	p.listener, err = (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", cfg.Listen.Address)
+	p.listener, err = listen(cfg.Listen.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen.address: %w", err)
 	}
 	p.decider.Cached(servers)
+	if cfg.Operator != "" {
+		door, err := listen(cfg.Operator)
+		if err != nil {
+			p.listener.Close()
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+		p.door = operator.New(door, p, p.count, log)
+	}
 	return p, nil
 }
 
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{KeepAlive: -1}).Listen(context.Background(), "tcp", address)
+}
+
+// Ready tells whether the process is ready to serve, and why not.
+func (p *Proxy) Ready() (bool, string) {
+	switch {
+	case !p.server.Serving():
+		return false, "sending clients away"
+	case p.list.Held() == 0:
+		return false, "no list of servers yet"
+	}
+	return true, ""
+}
+
+// LameDuck sends clients away for a while, or takes them again.
+func (p *Proxy) LameDuck(on bool) { p.server.LameDuck(on) }
+
+// Gauges are figures that are true now. What drains is listed and gets nothing, so it counts as skipped.
+func (p *Proxy) Gauges() map[string]int {
+	held := p.list.Held()
+	return map[string]int{
+		"known_zone_servers": held, "skipped_zone_servers": held - p.list.InService() + p.decider.Avoided(),
+	}
+}
+
+func (p *Proxy) drainTimes() drain.Times {
+	t := p.times.Load()
+	return drain.Times{CloseIdle: t.CloseIdle, Accept: t.Accept, CloseAll: t.CloseAll, CloseHalf: t.CloseHalf}
+}
+
 // Address is where clients connect.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
@@ -99,7 +148,15 @@
 	go p.decider.Run(ctx.Done())
 	go p.list.Run(ctx, p.decider, p.pool.Sweep)
 	go p.server.Serve(p.listener)
-	p.log.Info("ready", "listen", p.Address())
+	if p.door != nil {
+		go p.door.Serve()
+		defer p.door.Close()
+	}
+	if p.door != nil {
+		p.log.Info("ready", "listen", p.Address(), "operator", p.door.Address())
+	} else {
+		p.log.Info("ready", "listen", p.Address())
+	}
 
 	var over chan struct{} // closes when nothing is owed any more
 	for ending := false; !ending; {
@@ -115,10 +172,10 @@
 			case over == nil:
 				p.log.Info("ending", "signal", sig.String())
 				over = make(chan struct{})
-				go func(times config.Shutdown) {
-					p.server.Shutdown(p.listener, times)
+				go func() {
+					p.server.Shutdown(p.listener)
 					close(over)
-				}(p.cfg.Shutdown)
+				}()
 			}
 		}
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -320,6 +320,9 @@
 		stop()
 		return Outcome{Result: a.ended(decide.NoConnection)}, false
 	}
+	if !a.probe {
+		c.pool.count.Tries.Add()
+	}
 	answer, err := http1.ReadResponse(c.nc.In)
 	whole := stop()
 	switch {
