--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -6,6 +6,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -177,6 +178,11 @@
 			d.carryOut(now, d.b.Outcome(now, balance.Outcome{
 				ID: c.id, Attempt: s.Attempt, Result: NotSent, Over: true,
 			}, d.acts[:0]))
+			// Of an attempt that was never handed out nobody may hear: to cancel it would name one that the
+			// front has not started.
+			c.steps = slices.DeleteFunc(c.steps, func(o Step) bool {
+				return o.Kind == Cancel && o.Attempt == s.Attempt
+			})
 		}
 	}
 	d.finish(c, Step{Kind: Gone})
