--- a/balance/balance.go
+++ b/balance/balance.go
@@ -313,7 +313,7 @@
 
 // mayRepeat tells whether the rules allow one more attempt now.
 func (b *Balancer) mayRepeat(now time.Duration, r *request) bool {
-	if len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.MayDuplicate {
+	if r.spent || len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.MayDuplicate {
 		return false
 	}
 	c := &b.set.Classes[r.Class]
@@ -738,7 +738,9 @@
 		b.report(now, a.to, o.Report)
 	}
 	h := &a.to.classes[r.Class]
-	h.out--
+	if !a.uploading {
+		h.out--
+	}
 	switch o.Result {
 	case Done:
 		h.since, h.failures, h.ejections = now, 0, 0
--- a/balance/state.go
+++ b/balance/state.go
@@ -80,6 +80,8 @@
 	calm   bool    // and that nothing waited
 	ended  bool
 	mayRun bool // it may have run, as far as is known
+
+	uploading bool // its request is not whole yet, and not counted in its class's health
 }
 
 type request struct {
@@ -99,6 +101,7 @@
 	cell     int     // where its key is likeliest warm
 	boost    float64 // how much that cell is preferred, 0 where it is not
 	over     bool
+	spent    bool // not held any more, so no other attempt can be made
 }
 
 type share struct {
--- /dev/null
+++ b/cmd/cresshub/bodies_test.go
@@ -0,0 +1,360 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// pattern is a body of any length, each of whose bytes tells its place.
+type pattern struct{ at, size int64 }
+
+func (p *pattern) Read(to []byte) (int, error) {
+	n := int(min(int64(len(to)), p.size-p.at))
+	if n == 0 {
+		return 0, io.EOF
+	}
+	for i := range to[:n] {
+		to[i] = byte((p.at + int64(i)) * 2654435761 >> 13)
+	}
+	p.at += int64(n)
+	return n, nil
+}
+
+func sum(r io.Reader) (uint32, int64, error) {
+	h := crc32.NewIEEE()
+	n, err := io.Copy(h, r)
+	return h.Sum32(), n, err
+}
+
+// largeZone is a zone server: it answers with a body as long as the query's size asks, chunked where it says
+// so, and tells in a header the sum of the body it got. Raw answers replace that by id.
+func largeZone(t *testing.T, raw func(q *http1.Request, body *http1.Body, c *ring.Conn) bool) string {
+	return nettest.Listen(t, func(c *ring.Conn) {
+		for {
+			q, body, err := http1.ReadRequestHead(c.In)
+			if err != nil {
+				return
+			}
+			if q.Target == "/stats" {
+				nettest.OK("inflight=0,queue=0,util=0.00").Write(c.Out)
+				c.Flush()
+				continue
+			}
+			if raw != nil && raw(q, body, c) {
+				return
+			}
+			got, n, err := sum(body)
+			if err != nil {
+				return
+			}
+			_, size, _ := strings.Cut(q.Target, "size=")
+			size, _, _ = strings.Cut(size, "&")
+			length, _ := strconv.ParseInt(size, 10, 64)
+			a := &http1.Response{Status: 200, Streams: true, Length: length, Bodiless: q.Method == "HEAD",
+				Header: http1.Header{{Name: "X-Got", Value: fmt.Sprint(n, " ", got)}}}
+			if strings.Contains(q.Target, "chunked") {
+				a.Length = -1
+			}
+			if w, err := a.Begin(c.Out, false); err != nil || w != nil && send(w, length) != nil || c.Flush() != nil {
+				return
+			}
+		}
+	})
+}
+
+func send(w *http1.BodyWriter, length int64) error {
+	if _, err := io.CopyBuffer(struct{ io.Writer }{w}, &pattern{size: length}, make([]byte, 8000)); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+func listOf(address string) string {
+	return nettest.List(true, "in_service", map[string]string{"s-0": address})
+}
+
+func large(method, class, id, query string, wait time.Duration) string {
+	return strings.Replace(nettest.Request(method, class, id, wait), "/api?", "/api?"+query+"&", 1)
+}
+
+// Many bodies of 32 MB at once go both ways unchanged, in far less memory than one of them, and small
+// requests beside them are answered.
+func TestLargeBodiesInBoundedMemory(t *testing.T) {
+	const size, transfers = 32 << 20, 12
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(largeZone(t, nil)), 300)
+	want, _, _ := sum(&pattern{size: size})
+	var all sync.WaitGroup
+	for i := range transfers {
+		all.Go(func() {
+			c := nettest.Dial(t, p.address)
+			c.SetDeadline(time.Now().Add(3 * nettest.Patience))
+			text := large("POST", "assign", fmt.Sprint("up-", i), "size=0", 15*time.Second)
+			q := "Transfer-Encoding: chunked"
+			length := int64(-1)
+			if i%2 == 0 {
+				length = size
+				q = fmt.Sprint("Content-Length: ", size)
+			}
+			io.WriteString(c.Out, strings.Replace(text, "\r\n\r\n", "\r\n"+q+"\r\n\r\n", 1))
+			if err := body(c.Out, length, size); err != nil || c.Flush() != nil {
+				t.Error(err)
+				return
+			}
+			a, err := http1.ReadResponse(c.In)
+			if err != nil || a.Status != 200 || a.Header.Get("X-Got") != fmt.Sprint(size, " ", want) {
+				t.Errorf("upload %d: %+v, %v", i, a, err)
+			}
+		})
+		all.Go(func() {
+			c := nettest.Dial(t, p.address)
+			c.SetDeadline(time.Now().Add(3 * nettest.Patience))
+			kind := "whole"
+			if i%2 == 0 {
+				kind = "chunked"
+			}
+			io.WriteString(c, large("GET", "lookup", fmt.Sprint("down-", i), kind+"&size="+fmt.Sprint(size),
+				15*time.Second))
+			a, b, err := http1.ReadResponseHead(c.In, "GET")
+			if err != nil || a.Status != 200 {
+				t.Errorf("download %d: %+v, %v", i, a, err)
+				return
+			}
+			if got, n, err := sum(b); err != nil || got != want || n != size {
+				t.Errorf("download %d: %d bytes, sum %d, %v", i, n, got, err)
+			}
+		})
+	}
+	small := nettest.Dial(t, p.address)
+	for i := range 50 {
+		a := nettest.Ask(t, small, large("GET", "lookup", fmt.Sprint("small-", i), "size=10", 15*time.Second))
+		if a.Status != 200 || len(a.Body) != 10 {
+			t.Errorf("small one: %d", a.Status)
+		}
+	}
+	all.Wait()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, peak, _ := strings.Cut(string(status), "VmHWM:")
+	kb, err := strconv.Atoi(strings.Fields(peak)[0])
+	t.Logf("peak of resident memory: %d kB for %d bodies of %d bytes", kb, 2*transfers, size)
+	if err != nil || kb > 64<<10 && !raced { // what the program is told it may have
+		t.Errorf("peak of resident memory: %d kB (%v)", kb, err)
+	}
+}
+
+func body(w *bufio.Writer, length, size int64) error {
+	if length >= 0 {
+		_, err := io.CopyBuffer(struct{ io.Writer }{w}, &pattern{size: size}, make([]byte, 8000))
+		return err
+	}
+	piece := make([]byte, 9999)
+	for from := (&pattern{size: size}); ; {
+		n, err := from.Read(piece)
+		if err == io.EOF {
+			_, err = io.WriteString(w, "0\r\nT: u\r\n\r\n")
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "%x;x=y\r\n%s\r\n", n, piece[:n]); err != nil {
+			return err
+		}
+	}
+}
+
+// A request's time runs from its last byte, however long its head and its body take.
+func TestSlowRequestHasAllItsTime(t *testing.T) {
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(largeZone(t, nil)), 200)
+	for _, size := range []int{100, 100_000} {
+		c := nettest.Dial(t, p.address)
+		text := strings.Replace(large("POST", "assign", fmt.Sprint(size), "size=0", time.Second), "\r\n\r\n",
+			fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", size), 1)
+		for _, part := range []string{text[:5], text[5:60], text[60:], strings.Repeat("x", size/2)} {
+			io.WriteString(c, part)
+			time.Sleep(400 * time.Millisecond)
+		}
+		io.WriteString(c, strings.Repeat("x", size-size/2))
+		if a, err := http1.ReadResponse(c.In); err != nil || a.Status != 200 ||
+			!strings.HasPrefix(a.Header.Get("X-Got"), fmt.Sprint(size, " ")) {
+			t.Errorf("%d bytes: %+v, %v", size, a, err)
+		}
+	}
+}
+
+// A large request that its server breaks off before the last byte never ran: it is refused, and not sent
+// again, for nobody has its beginning any more.
+func TestBrokenUpload(t *testing.T) {
+	attempts := make(chan bool, 9)
+	zone := largeZone(t, func(q *http1.Request, b *http1.Body, c *ring.Conn) bool {
+		attempts <- true
+		io.CopyN(io.Discard, b, 100_000)
+		return true
+	})
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(zone), 200)
+	c := nettest.Dial(t, p.address)
+	io.WriteString(c.Out, strings.Replace(large("POST", "assign", "1", "size=0", 15*time.Second), "\r\n\r\n",
+		"\r\nContent-Length: 30000000\r\n\r\n", 1))
+	go func() {
+		body(c.Out, 30000000, 30000000)
+		c.Flush()
+	}()
+	a, err := http1.ReadResponse(c.In)
+	if err != nil || a.Status != 503 || !a.Close || len(attempts) != 1 {
+		t.Errorf("%+v, %v after %d attempts", a, err, len(attempts))
+	}
+}
+
+// A client that stops in the midst of a large body costs its server nothing that could pass for a request.
+func TestBodyThatStops(t *testing.T) {
+	ended := make(chan error, 1)
+	zone := largeZone(t, func(q *http1.Request, b *http1.Body, c *ring.Conn) bool {
+		_, _, err := sum(b)
+		ended <- err
+		return true
+	})
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(zone), 200)
+	for _, framing := range []string{"Content-Length: 200000", "Transfer-Encoding: chunked"} {
+		c := nettest.Dial(t, p.address)
+		text := strings.Replace(large("POST", "assign", framing, "size=0", time.Minute), "\r\n\r\n",
+			"\r\n"+framing+"\r\n\r\n", 1)
+		if framing[0] == 'T' {
+			text += "186a0\r\n"
+		}
+		io.WriteString(c, text+strings.Repeat("x", 100_000))
+		if framing[0] == 'T' {
+			io.WriteString(c, "\r\nnonsense\r\n") // and here the answer says what is wrong
+			if a, err := http1.ReadResponse(c.In); err != nil || a.Status != 400 {
+				t.Errorf("%+v, %v", a, err)
+			}
+		}
+		c.Close()
+		select {
+		case err := <-ended:
+			if err == nil {
+				t.Errorf("%s: the server took it for whole", framing)
+			}
+		case <-time.After(nettest.Patience):
+			t.Errorf("%s: the attempt stayed", framing)
+		}
+	}
+}
+
+// An answer that breaks off after its head went out ends so that the client can tell, whatever its framing,
+// and counts as failed.
+func TestBrokenAnswer(t *testing.T) {
+	zone := largeZone(t, func(q *http1.Request, b *http1.Body, c *ring.Conn) bool {
+		framing, text := "Content-Length: 300000", strings.Repeat("x", 100_000)
+		if strings.Contains(q.Target, "chunked") {
+			framing, text = "Transfer-Encoding: chunked", "186a0\r\n"+text+"\r\n"
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n"+text)
+		return true
+	})
+	p, door := withDoor(t, nettest.NewDiscovery(t).Address, listOf(zone))
+	for _, query := range []string{"whole", "chunked", "chunked&old"} {
+		c := nettest.Dial(t, p.address)
+		text := large("POST", "assign", query, query, 15*time.Second)
+		if strings.Contains(query, "old") {
+			text = strings.Replace(text, "HTTP/1.1", "HTTP/1.0", 1)
+		}
+		io.WriteString(c, text)
+		a, b, err := http1.ReadResponseHead(c.In, "GET")
+		if err != nil || a.Status != 200 {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		if _, n, err := sum(b); err == nil {
+			t.Errorf("%s: %d bytes pass for all", query, n)
+		}
+	}
+	nettest.Until(t, "all count as failed", func() bool {
+		return strings.Contains(string(operate(t, door, "GET /_vars").Body), "assign.bad_gateway:3|c")
+	})
+}
+
+// What a server gives is passed on at once, also where its length is not known and it takes long over it.
+func TestAnswerIsNotHeldBack(t *testing.T) {
+	next := make(chan bool)
+	zone := largeZone(t, func(q *http1.Request, b *http1.Body, c *ring.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range 3 {
+			io.WriteString(c, "5\r\npiece\r\n")
+			<-next
+		}
+		io.WriteString(c, "0\r\n\r\n")
+		return true
+	})
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(zone), 200)
+	c := nettest.Dial(t, p.address)
+	io.WriteString(c, large("GET", "lookup", "1", "", 15*time.Second))
+	_, b, err := http1.ReadResponseHead(c.In, "GET")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, 5)
+	for range 3 {
+		if _, err := io.ReadFull(b, got); err != nil || string(got) != "piece" {
+			t.Fatalf("%q, %v", got, err)
+		}
+		next <- true // the server goes on only once its piece has arrived
+	}
+	if _, err := b.Read(got); err != io.EOF {
+		t.Error(err)
+	}
+}
+
+// The forms of HTTP/1.1 that clients use, one after the other on one connection where that goes on.
+func TestFormsOfHTTP(t *testing.T) {
+	p := start(t, nettest.NewDiscovery(t).Address, listOf(largeZone(t, nil)), 200)
+	get := func(id string) string { return large("GET", "lookup", id, "size=3", 15*time.Second) }
+	c := nettest.Dial(t, p.address)
+	check := func(what, method, want string) {
+		t.Helper()
+		a, b, err := http1.ReadResponseHead(c.In, method)
+		if err != nil || a.Status != 200 {
+			t.Fatalf("%s: %+v, %v", what, a, err)
+		}
+		text, err := io.ReadAll(b)
+		if err != nil || len(text) != 3 && method != "HEAD" || !strings.HasPrefix(a.Header.Get("X-Got"), want) {
+			t.Errorf("%s: %q, %v, the server got %s", what, text, err, a.Header.Get("X-Got"))
+		}
+	}
+	io.WriteString(c, get("p1")+"\r\n"+get("p2")+get("p3"))
+	for _, what := range []string{"pipelined", "after an empty line", "the last"} {
+		check(what, "GET", "0 ")
+	}
+	io.WriteString(c, strings.Replace(get("abs"), "GET /", "GET http://elsewhere/", 1))
+	check("absolute target", "GET", "0 ")
+	io.WriteString(c, strings.Replace(get("head"), "GET", "HEAD", 1))
+	check("HEAD", "HEAD", "0 ")
+	post := large("POST", "assign", "100", "size=3", 15*time.Second)
+	io.WriteString(c, strings.Replace(post, "\r\n\r\n",
+		"\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n", 1))
+	line := make([]byte, len("HTTP/1.1 100 Continue\r\n\r\n"))
+	if _, err := io.ReadFull(c.In, line); err != nil || !bytes.HasPrefix(line, []byte("HTTP/1.1 100 ")) {
+		t.Fatalf("%q, %v", line, err)
+	}
+	io.WriteString(c, "body")
+	check("100-continue", "POST", "4 ")
+	io.WriteString(c, strings.Replace(strings.Replace(post, ": 100\r", ": chunks\r", 1), "\r\n\r\n",
+		"\r\nTransfer-Encoding: Chunked\r\n\r\n2;a=\"b\"\r\nbo\r\n02\r\ndy\r\n0\r\nT: u\r\n\r\n", 1))
+	check("chunks", "POST", "4 ")
+	old := large("GET", "lookup", "old", "chunked&size=3", 15*time.Second)
+	io.WriteString(c, strings.Replace(old, "HTTP/1.1", "HTTP/1.0", 1))
+	check("HTTP/1.0", "GET", "0 ")
+	if _, err := c.In.Peek(1); err != io.EOF {
+		t.Errorf("HTTP/1.0 goes on: %v", err)
+	}
+}
--- /dev/null
+++ b/cmd/cresshub/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raced = false
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -101,6 +101,8 @@
 	Cores   float64 `key:"cores" default:"0" min:"0" max:"1024"`
 	_       about   `doc:"memory of the whole process; 0 is no bound"`
 	Memory  Size    `key:"memory" default:"0MiB" min:"0B" max:"1TiB"`
+	_       about   `doc:"part of the memory that bodies may take; of 64 MiB where that has no bound"`
+	Bodies  float64 `key:"bodies" default:"0.125" min:"0.01" max:"0.9"`
 	_       about   `doc:"file descriptors to hold; 0 is what the system allows"`
 	Sockets int     `key:"sockets" default:"0" min:"0" max:"10000000"`
 	_       about   `doc:"part of the sockets that clients may hold"`
@@ -111,10 +113,14 @@
 
 // Clients bounds what clients may keep the program waiting for.
 type Clients struct {
-	_         about         `doc:"from a connection's start to the last byte of its first request"`
-	First     time.Duration `key:"first_request" default:"2s" min:"10ms" max:"10m" reload:"live"`
-	_         about         `doc:"from a later request's first byte to its last"`
-	Request   time.Duration `key:"request" default:"2s" min:"10ms" max:"10m" reload:"live"`
+	_         about         `doc:"from a connection's start to the first byte of its first request"`
+	First     time.Duration `key:"first_request" default:"3s" min:"10ms" max:"10m" reload:"live"`
+	_         about         `doc:"from a request's first byte to the end of its head"`
+	Request   time.Duration `key:"request" default:"6s" min:"10ms" max:"10m" reload:"live"`
+	_         about         `doc:"a body that makes no progress for so long ends the request, either way"`
+	Stall     time.Duration `key:"stall" default:"8s" min:"10ms" max:"10m" reload:"live"`
+	_         about         `doc:"reading on after an answer that came before the end of a large body"`
+	Discard   time.Duration `key:"discard" default:"3s" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"rest between two requests"`
 	Idle      time.Duration `key:"idle" default:"3s" min:"10ms" max:"1h" reload:"live"`
 	_         about         `doc:"to take an answer"`
@@ -128,7 +134,7 @@
 	_         about         `doc:"age at which a connection without a byte may make room"`
 	Silent    time.Duration `key:"silent_for" default:"50ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"age at which a request that is not whole may make room"`
-	Half      time.Duration `key:"half_for" default:"500ms" min:"0s" max:"10m" reload:"live"`
+	Half      time.Duration `key:"half_for" default:"3s" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"rest after which a connection may make room"`
 	Rested    time.Duration `key:"rested_for" default:"20ms" min:"0s" max:"10m" reload:"live"`
 }
@@ -155,6 +161,10 @@
 	Reuse     float64       `key:"reuse" default:"0.75" min:"0" max:"0.95" reload:"live"`
 	_         about         `doc:"how long a probe may take beyond a dial"`
 	Probe     time.Duration `key:"probe" default:"50ms" min:"1ms" max:"1m" reload:"live"`
+	_         about         `doc:"an answer of unknown length that takes longer is passed on as it comes"`
+	Hold      time.Duration `key:"hold" default:"100ms" min:"0s" max:"10m" reload:"live"`
+	_         about         `doc:"a body that makes no progress for so long is given up"`
+	Stall     time.Duration `key:"stall" default:"30s" min:"10ms" max:"1h" reload:"live"`
 }
 
 // Policy is what the decisions are told of the deployment.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -16,8 +16,12 @@
 // Counter is one figure; it only rises.
 type Counter struct{ n atomic.Int64 }
 
-// Add counts one more.
-func (c *Counter) Add() { c.n.Add(1) }
+// Add counts one more; nil counts nothing.
+func (c *Counter) Add() {
+	if c != nil {
+		c.n.Add(1)
+	}
+}
 
 // Load returns the figure.
 func (c *Counter) Load() int64 { return c.n.Load() }
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -73,7 +73,7 @@
 	Answer                 // pass on what attempt Attempt was served
 	Refuse                 // say no; trying again is harmless, after Wait
 	Fail                   // say that it failed
-	Gone                   // the client is gone: nobody waits for an answer
+	Gone                   // the client is gone: nobody waits for an answer, not even that of attempt Attempt
 )
 
 // Step is what Pick returns.
@@ -91,7 +91,8 @@
 	waiter   Waiter
 	deadline time.Time
 	steps    []Step
-	sent     []time.Duration // by attempt
+	sent     []time.Duration // by attempt, when it was or, where its body streams, when that was whole
+	waits    []time.Duration // by attempt, how long it is waited for; 0 where only the deadline ends it
 	closed   bool            // nothing more may be decided for it: no steps, no wake
 }
 
@@ -168,12 +169,15 @@
 func (d *Decider) gone(c *Call) {
 	now := d.enter()
 	defer d.leave()
-	unsent := c.steps
+	unsent, answer := c.steps, -1
 	c.steps = nil
 	if !c.closed {
 		d.carryOut(now, d.b.ClientGone(now, c.id, d.acts[:0]))
 	}
 	for _, s := range unsent {
+		if s.Kind == Answer {
+			answer = s.Attempt
+		}
 		if s.Kind == Send { // the module counts it as out until it hears otherwise
 			d.carryOut(now, d.b.Outcome(now, balance.Outcome{
 				ID: c.id, Attempt: s.Attempt, Result: NotSent, Over: true,
@@ -185,15 +189,44 @@
 			})
 		}
 	}
-	d.finish(c, Step{Kind: Gone})
+	d.finish(c, Step{Kind: Gone, Attempt: answer})
 }
 
-// Report says how an attempt ended, with the load its server told, if it did. The first one that was
-// served becomes the answer.
-func (d *Decider) Report(c *Call, attempt int, res Result, load []float64) {
+// Spent says that a call's request is not held any more: the attempt that is out is the last one. Its time
+// does not run until Whole.
+func (d *Decider) Spent(c *Call) {
 	now := d.enter()
 	defer d.leave()
-	answers := res == Served && !c.closed
+	d.b.Spent(now, c.id)
+}
+
+// Whole says that the last byte of a request that is not held is sent, by the latest attempt. It returns
+// until when that attempt is waited for.
+func (d *Decider) Whole(c *Call, deadline time.Time) time.Time {
+	now := d.enter()
+	defer d.leave()
+	c.deadline = deadline
+	attempt := len(c.sent) - 1
+	c.sent[attempt] = now
+	d.b.Whole(now, c.id, d.at(deadline))
+	return d.until(c, now, c.waits[attempt])
+}
+
+// until is when an attempt that is sent now is given up.
+func (d *Decider) until(c *Call, now, wait time.Duration) time.Time {
+	until := c.deadline.Add(-d.travel)
+	if t := d.start.Add(now + wait - d.base); wait > 0 && t.Before(until) {
+		until = t
+	}
+	return until
+}
+
+// Report says how an attempt ended, or that its answer has begun, with the load its server told, if it did.
+// The first one that was served becomes the answer, which the result says.
+func (d *Decider) Report(c *Call, attempt int, res Result, load []float64) (answers bool) {
+	now := d.enter()
+	defer d.leave()
+	answers = res == Served && !c.closed
 	d.carryOut(now, d.b.Outcome(now, balance.Outcome{
 		ID: c.id, Attempt: attempt, Result: res, Over: c.closed || answers,
 		Latency: now - c.sent[attempt], Report: load,
@@ -201,6 +234,7 @@
 	if answers {
 		d.finish(c, Step{Kind: Answer, Attempt: attempt})
 	}
+	return answers
 }
 
 // Probed says how a probe ended and how long it took.
@@ -321,12 +355,8 @@
 		}
 		switch a.Kind {
 		case balance.Send:
-			until := c.deadline.Add(-d.travel)
-			if t := d.start.Add(now + a.Wait - d.base); a.Wait > 0 && t.Before(until) {
-				until = t
-			}
-			c.step(Step{Kind: Send, Server: a.Server, Attempt: len(c.sent), Until: until})
-			c.sent = append(c.sent, now)
+			c.step(Step{Kind: Send, Server: a.Server, Attempt: len(c.sent), Until: d.until(c, now, a.Wait)})
+			c.sent, c.waits = append(c.sent, now), append(c.waits, a.Wait)
 		case balance.Cancel:
 			c.step(Step{Kind: Cancel, Attempt: a.Attempt})
 		case balance.Refuse:
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -5,45 +5,52 @@
 	"strconv"
 	"time"
 
-	"cresshub/internal/counters"
 	"cresshub/internal/decide"
 	"cresshub/internal/http1"
 	"cresshub/internal/logging"
 	"cresshub/internal/upstream"
 )
 
-// answer finds a request's final answer; nil where its client is gone. wrote is where it counts once it is
-// written; nil where it is no request of a class.
-func (s *Server) answer(c *client, q *http1.Request, arrived time.Time) (a *http1.Response,
-	wrote *counters.Counter) {
+// answer finds a request's final answer. What of its body is not kept is in u, nil where that is nothing.
+func (s *Server) answer(c *client, q *http1.Request, u *upload, arrived time.Time) final {
 	if path, _, _ := bytes.Cut([]byte(q.Target), []byte("?")); string(path) == readyPath {
 		if !s.Serving() {
-			return plain(503, "sending clients away", true), nil
+			return final{answer: plain(503, "sending clients away", true)}
 		}
-		return plain(200, "ready", false), nil
+		return final{answer: plain(200, "ready", false)}
 	}
 	r, status, reason := s.parse(q, arrived)
 	if status != 0 {
 		s.rejected(status, reason)
-		return plain(status, reason, false), &s.Count.Class(r.Class).Failed
+		a := plain(status, reason, false)
+		if status == 405 {
+			a.Header = append(a.Header, http1.Field{Name: "Allow", Value: "GET, HEAD, POST"})
+		}
+		return final{answer: a, count: &s.Count.Class(r.Class).Failed}
 	}
 	id := q.Header.Get(idField)
 	if !s.hold(id, true) {
 		s.rejected(409, "id in use")
-		return plain(409, "a request with this id is open", false), &s.Count.Class(r.Class).Failed
+		return final{answer: plain(409, "a request with this id is open", false),
+			count: &s.Count.Class(r.Class).Failed}
 	}
 	defer s.release(id)
 	s.Count.Taken.Add()
-	s.Count.InProgress.Add(1)
-	c.taken = true
+	if u != nil {
+		// Until its last byte is sent the client's time does not run.
+		u.wait, r.Deadline = r.Deadline.Sub(arrived), arrived.Add(longest)
+	} else {
+		s.Count.InProgress.Add(1)
+		c.taken = true
+	}
 	if log := s.requests.Load(); log.Wants() {
 		c.final = &logging.Final{Request: id, Class: s.Classes[r.Class]}
 		if len(s.Tenants) > 0 {
 			c.final.Tenant = s.Tenants[r.Tenant]
 		}
 	}
-	return s.run(c, id, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body,
-		Header: q.Header.EndToEnd("X-Timeout")})
+	return s.run(c, id, r, &http1.Request{Method: q.Method, Target: q.Target, Body: q.Body, Length: q.Length,
+		Header: q.Header.EndToEnd("X-Timeout")}, u)
 }
 
 // hold notes that an id is in use once more. As the first use of it, it fails where there is another: what
@@ -73,23 +80,30 @@
 }
 
 // run does what the decisions say until they end the request.
-func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request) (*http1.Response,
-	*counters.Counter) {
+func (s *Server) run(c *client, id string, r decide.Request, message *http1.Request, u *upload) final {
 	handled := s.Count.Class(r.Class)
 	select {
 	case <-c.woken: // left over from the request before
 	default:
 	}
 	call := s.Decider.Open(r, c)
+	if u != nil {
+		u.call = call
+	}
 	var tries []*try
 	for {
 		switch step := s.Decider.Pick(call); step.Kind {
 		case decide.Send:
 			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, Until: step.Until}}
+			if u != nil {
+				t.Upload = u
+			}
 			t.Done = func(out upstream.Outcome) {
 				t.out = out
 				s.release(id)
-				s.Decider.Report(call, step.Attempt, out.Result, out.Load)
+				if !s.Decider.Report(call, step.Attempt, out.Result, out.Load) {
+					s.Pool.Release(&out)
+				}
 			}
 			tries = append(tries, t)
 			s.hold(id, false) // it may outlast its client
@@ -100,8 +114,9 @@
 			s.Count.Served.Add()
 			s.ended(c, "served", 200, tries, step.Attempt)
 			a := tries[step.Attempt].out.Answer
-			h := a.Header.EndToEnd("X-Server-Load")
-			return &http1.Response{Status: 200, Body: a.Body, Header: h}, &handled.Passed
+			a.Header = a.Header.EndToEnd("X-Server-Load")
+			return final{answer: a, rest: tries[step.Attempt].out.Rest, count: &handled.Passed,
+				failed: &handled.Failed, done: func() { s.Pool.Release(&tries[step.Attempt].out) }}
 		case decide.Refuse:
 			s.Count.Refused.Add()
 			s.ended(c, "refused", 503, tries, len(tries)-1)
@@ -110,7 +125,7 @@
 				wait := strconv.FormatFloat(step.Wait.Seconds(), 'f', 3, 64)
 				a.Header = append(a.Header, http1.Field{Name: "Retry-After", Value: wait})
 			}
-			return a, &handled.Dropped
+			return final{answer: a, count: &handled.Dropped}
 		case decide.Fail:
 			s.Count.Failed.Add()
 			status, reason := 502, "failed"
@@ -118,11 +133,14 @@
 				status, reason = 504, "no answer in time"
 			}
 			s.ended(c, "failed", status, tries, len(tries)-1)
-			return plain(status, reason, false), &handled.Failed
+			return final{answer: plain(status, reason, false), count: &handled.Failed}
 		case decide.Gone:
 			s.Count.Gone.Add()
 			s.ended(c, "gone", 0, tries, len(tries)-1)
-			return nil, nil
+			if step.Attempt >= 0 {
+				s.Pool.Release(&tries[step.Attempt].out)
+			}
+			return final{}
 		}
 	}
 }
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/config"
@@ -14,17 +15,31 @@
 type client struct {
 	*ring.Conn
 	woken chan struct{}
-	since time.Time // in its present state from then on
-	idle  bool      // no request is whole; whoever unsets it owns the connection
-	half  bool      // but one has begun
-	fresh bool      // none ever was
-	taken bool      // a request that counts as in progress; only its goroutine uses this
+
+	upload atomic.Pointer[upload] // being read by an attempt; nil where there is none
+	since  time.Time              // in its present state from then on
+	idle   bool                   // no request is whole; whoever unsets it owns the connection
+	half   bool                   // but one has begun
+	fresh  bool                   // none ever was
+	taken  bool                   // a request that counts as in progress; only its goroutine uses this
 
 	final *logging.Final // of the request being served, where it is to be logged
 }
 
-// Wait sits in Read until Wake, or until the client closes its side.
+// Wait sits in Read until Wake, or until the client closes its side. While an attempt reads the request's
+// body it leaves the connection alone: the body tells when the client goes.
 func (c *client) Wait() error {
+	if u := c.upload.Load(); u != nil {
+		select {
+		case <-c.woken:
+			return nil
+		case <-u.over:
+			if err := u.gone(); err != nil {
+				return err
+			}
+			c.upload.Store(nil) // before the deadline is set below, or a Wake between would not be heard
+		}
+	}
 	for {
 		// The deadline first: a Wake that comes after this line sets it again, one before has left its
 		// token.
@@ -50,7 +65,9 @@
 	case c.woken <- struct{}{}:
 	default:
 	}
-	c.SetReadDeadline(time.Unix(1, 0))
+	if c.upload.Load() == nil {
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
 // rest marks the connection as between two requests, begin as in one; begin returns false where the
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -30,15 +30,18 @@
 	c.SetReadDeadline(time.Now().Add(limit))
 	_, err := c.In.Peek(1)
 	silent := err != nil
-	arrived := time.Now()
 	var q *http1.Request
+	var body *http1.Body
+	held := 0
 	if !silent {
 		s.starts(c)
-		if !c.fresh {
-			c.SetReadDeadline(arrived.Add(limits.Request))
+		c.SetReadDeadline(time.Now().Add(limits.Request))
+		if q, body, err = http1.ReadRequestHead(c.In); err == nil {
+			held, err = s.keep(c, q, body)
 		}
-		q, err = http1.ReadRequest(c.In)
 	}
+	arrived := time.Now() // a request's time counts from its last byte
+	defer s.Bodies.Give(held)
 	if !s.begin(c) {
 		return false
 	}
@@ -58,19 +61,31 @@
 		s.reject(c, err)
 		return false
 	}
-	if !begins(c.In) {
+	var u *upload
+	if !body.Whole() {
+		u = &upload{server: s, client: c, body: body, over: make(chan struct{})}
+		c.upload.Store(u)
+		defer c.upload.Store(nil)
+	} else if !begins(c.In) {
 		// The length told does not fit: what was read as a whole request is a part of one.
 		s.reject(c, &http1.Malformed{Status: 400, Reason: "more than one request"})
 		return false
 	}
-	answer, wrote := s.answer(c, q, arrived)
-	if answer != nil {
-		answer.Close = q.Close || !s.Serving()
-		err = s.write(c, answer)
-		if err == nil && wrote != nil {
-			wrote.Add()
+	f := s.answer(c, q, u, arrived)
+	if u != nil && u.malformed() != nil {
+		s.reject(c, u.malformed())
+		f.answer = nil
+	}
+	if f.answer != nil {
+		// What is left of a body is in the way of the next request.
+		f.answer.Close = q.Close || !s.Serving() || !body.Whole()
+		again = s.pass(c, q, &f) && !f.answer.Close
+		if !body.Whole() {
+			s.linger(c, limits.Discard)
 		}
-		again = err == nil && !answer.Close
+	}
+	if f.done != nil {
+		f.done()
 	}
 	if c.taken {
 		c.taken = false
@@ -82,16 +97,15 @@
 
 // begins tells whether what has already come behind a request can be the start of another.
 func begins(r *bufio.Reader) bool {
-	b, _ := r.Peek(min(r.Buffered(), len("POST ")))
-	return bytes.HasPrefix([]byte("GET /"), b) || bytes.HasPrefix([]byte("POST "), b)
-}
-
-func (s *Server) write(c *client, a *http1.Response) error {
-	c.SetWriteDeadline(time.Now().Add(s.limits.Load().Write))
-	if err := a.Write(c.Out); err != nil {
-		return err
+	b, _ := r.Peek(min(r.Buffered(), len("\r\nPOST ")))
+	b = bytes.TrimPrefix(b, []byte("\r\n"))
+	b = b[:min(len(b), len("POST "))]
+	for _, method := range []string{"GET ", "POST ", "HEAD "} {
+		if bytes.HasPrefix([]byte(method), b) || bytes.HasPrefix(b, []byte(method)) {
+			return true
+		}
 	}
-	return c.Flush()
+	return string(b) == "\r"
 }
 
 // reject answers what is no whole request, as far as there is somebody to answer.
@@ -107,14 +121,20 @@
 		return
 	}
 	s.rejected(status, err.Error())
-	if s.write(c, plain(status, err.Error(), true)) != nil {
+	c.SetWriteDeadline(time.Now().Add(s.limits.Load().Write))
+	if plain(status, err.Error(), true).Write(c.Out) != nil || c.Flush() != nil {
 		return
 	}
-	// A close with unread bytes is a reset, which could overtake the answer.
+	s.linger(c, s.limits.Load().Linger)
+}
+
+// linger reads on for a while after an answer that ends the connection: a close with unread bytes is a reset,
+// which could overtake the answer.
+func (s *Server) linger(c *client, wait time.Duration) {
 	if t, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		t.CloseWrite()
-		c.SetReadDeadline(time.Now().Add(s.limits.Load().Linger))
-		io.CopyN(io.Discard, t, http1.MaxBody)
+		c.SetReadDeadline(time.Now().Add(wait))
+		io.Copy(io.Discard, t)
 	}
 }
 
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cresshub/internal/bodies"
 	"cresshub/internal/config"
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
@@ -50,6 +51,7 @@
 	Limits  config.Clients
 	Drain   func() drain.Times // as they are now
 	Budget  *sockets.Budget
+	Bodies  *bodies.Budget
 	Count   *counters.Set
 	Log     *slog.Logger
 }
@@ -122,7 +124,7 @@
 	defer nc.Close()
 	c := ring.NewConn(nc)
 	c.SetDeadline(time.Now().Add(s.limits.Load().Away))
-	q, err := http1.ReadRequest(c.In)
+	q, _, err := http1.ReadRequestHead(c.In)
 	if err != nil {
 		return
 	}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -28,8 +28,8 @@
 	if r.Class, known = s.classes[q.Header.Get("X-Priority-Class")]; !known {
 		r.Class = -1
 	}
-	if q.Method != "GET" && q.Method != "POST" {
-		return r, 405, "method is neither GET nor POST"
+	if q.Method != "GET" && q.Method != "HEAD" && q.Method != "POST" {
+		return r, 405, "method is none of GET, HEAD and POST"
 	}
 	if q.Header.Get(idField) == "" {
 		return r, 400, "no X-Request-ID"
@@ -37,7 +37,7 @@
 	if name := q.Header.Repeated(steering...); name != "" { // another reader may go by the other one
 		return r, 400, name + " is repeated"
 	}
-	if q.Method == "GET" && len(q.Body) > 0 {
+	if q.Method != "POST" && (len(q.Body) > 0 || q.Length != 0) {
 		return r, 400, "GET with a body"
 	}
 	if !known {
--- /dev/null
+++ b/internal/ingress/upload.go
@@ -0,0 +1,120 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+)
+
+// firstRoom is what is taken at first for a body of unknown length.
+const firstRoom = 2 << 10
+
+// keep reads a request's body as far as it is kept for another attempt: all of a small one, nothing of one
+// that is known to be large, or where the budget for bodies has no room. held is what it took from that.
+func (s *Server) keep(c *client, q *http1.Request, body *http1.Body) (held int, err error) {
+	if body.Whole() {
+		return 0, nil
+	}
+	if q.Expects && c.In.Buffered() == 0 { // what waits was sent without asking
+		c.SetWriteDeadline(time.Now().Add(s.limits.Load().Write))
+		http1.WriteContinue(c.Out)
+		if err := c.Flush(); err != nil {
+			return 0, err
+		}
+	}
+	q.Length = body.Length()
+	if q.Length > http1.MaxBody {
+		return 0, nil
+	}
+	size := firstRoom
+	if q.Length > 0 {
+		size = int(q.Length)
+	}
+	for n := 0; ; {
+		if n == len(q.Body) {
+			if n > 0 {
+				size = min(2*n, http1.MaxBody)
+			}
+			if n == http1.MaxBody || !s.Bodies.Take(size-n) {
+				return held, nil
+			}
+			held += size - n
+			q.Body = append(make([]byte, 0, size), q.Body...)[:size]
+		}
+		m, err := c.read(body, q.Body[n:], s.limits.Load().Stall)
+		n += m
+		if body.Whole() {
+			q.Body, q.Length = q.Body[:n], 0
+			return held, nil
+		}
+		if err != nil {
+			return held, err
+		}
+	}
+}
+
+// read reads of a body, which may make no progress for so long.
+func (c *client) read(body *http1.Body, p []byte, stall time.Duration) (int, error) {
+	if c.In.Buffered() == 0 {
+		c.SetReadDeadline(time.Now().Add(stall))
+	}
+	return body.Read(p)
+}
+
+// upload is the part of a request's body that is not kept. One attempt reads it; while it does, the request's
+// own goroutine keeps off the connection.
+type upload struct {
+	server *Server
+	client *client
+	body   *http1.Body
+	call   *decide.Call
+	wait   time.Duration // the client waits for an answer so long from its last byte on
+
+	over chan struct{} // closed when the body has ended
+	err  error         // why it ended, io.EOF where it is whole; set before over closes
+}
+
+// Begins says that from here on there can be no other attempt.
+func (u *upload) Begins() { u.server.Decider.Spent(u.call) }
+
+func (u *upload) Read(p []byte) (int, error) {
+	if u.err != nil {
+		return 0, u.err
+	}
+	n, err := u.client.read(u.body, p, u.server.limits.Load().Stall)
+	if err != nil {
+		u.err = err
+		close(u.over)
+	}
+	return n, err
+}
+
+// Sent says that the server has the last byte; the request's time begins.
+func (u *upload) Sent() time.Time {
+	u.client.taken = true // the attempt's report orders this before its reading
+	u.server.Count.InProgress.Add(1)
+	return u.server.Decider.Whole(u.call, time.Now().Add(u.wait))
+}
+
+// malformed is the error of a body that made no sense; nil where it did, or was not read.
+func (u *upload) malformed() error {
+	select {
+	case <-u.over:
+		if errors.As(u.err, new(*http1.Malformed)) {
+			return u.err
+		}
+	default:
+	}
+	return nil
+}
+
+// gone is the error that shows that the client has left; nil where the body is whole.
+func (u *upload) gone() error {
+	if u.err == io.EOF {
+		return nil
+	}
+	return u.err
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -116,7 +116,7 @@
 	defer d.leave(c)
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(patience))
-	q, err := http1.ReadRequestHead(c.In)
+	q, _, err := http1.ReadRequestHead(c.In)
 	d.mu.Lock()
 	c.asked = true
 	d.mu.Unlock()
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -96,6 +96,9 @@
 
 func (s source) Read(p []byte) (int, error) {
 	if s.ring.Len() == 0 {
+		if len(p) > len(s.ring.room) { // a large piece of a body needs no ring between
+			return s.conn.Read(p)
+		}
 		if n, err := s.ring.Fill(s.conn); n == 0 {
 			return 0, err
 		}
@@ -109,6 +112,12 @@
 }
 
 func (s sink) Write(p []byte) (int, error) {
+	if len(p) > len(s.ring.room) {
+		if err := s.ring.Drain(s.conn); err != nil {
+			return 0, err
+		}
+		return s.conn.Write(p)
+	}
 	n := s.ring.Put(p)
 	for n < len(p) {
 		if err := s.ring.Drain(s.conn); err != nil {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"cresshub/internal/bodies"
 	"cresshub/internal/config"
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
@@ -40,6 +41,7 @@
 	door     *operator.Door // nil where there is none
 	times    atomic.Pointer[config.Shutdown]
 	budget   *sockets.Budget
+	bodies   *bodies.Budget
 	upgrade  upgrade
 	since    map[string]time.Time // when servers of the file were first named, by name and address
 }
@@ -76,10 +78,12 @@
 	p.budget = budget
 	p.list = discovery.New(cfg.Discovery.Address, cfg.Upstream.DialLimit(), listLimits(cfg),
 		discovery.Names{Zones: set.ZoneNames, Kinds: set.KindNames}, budget, p.count, log)
-	p.pool = upstream.New(p.list, poolLimits(cfg), set.ReportNames, budget, p.count)
+	p.bodies = bodies.NewBudget(p.bodyBytes())
+	p.pool = upstream.New(p.list, poolLimits(cfg), set.ReportNames, budget, p.bodies, p.count)
 	p.server = ingress.New(ingress.Options{
 		Decider: p.decider, Pool: p.pool, Name: p.list.Name, Classes: set.ClassNames, Tenants: set.TenantNames,
-		Limits: cfg.Clients, Drain: p.drainTimes, Budget: budget, Count: p.count, Log: log,
+		Limits: cfg.Clients, Drain: p.drainTimes, Budget: budget, Bodies: p.bodies, Count: p.count,
+		Log: log,
 	})
 	p.server.LogRequests(p.requestLog())
 	known := cfg.Known
@@ -195,7 +199,8 @@
 
 func poolLimits(cfg *config.Config) upstream.Limits {
 	dial := cfg.Upstream.DialLimit()
-	return upstream.Limits{Dial: dial, Reuse: cfg.Upstream.ReuseLimit(), Probe: dial + cfg.Upstream.Probe}
+	return upstream.Limits{Dial: dial, Reuse: cfg.Upstream.ReuseLimit(), Probe: dial + cfg.Upstream.Probe,
+		Hold: cfg.Upstream.Hold, Stall: cfg.Upstream.Stall}
 }
 
 func (p *Proxy) requestLog() *logging.Requests {
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -83,11 +83,21 @@
 	return n
 }
 
+// bodyBytes is how much memory bodies may take.
+func (p *Proxy) bodyBytes() int64 {
+	memory := float64(p.cfg.Limits.Memory)
+	if memory == 0 {
+		memory = 64 << 20
+	}
+	return int64(memory * p.cfg.Limits.Bodies * p.upgrade.part())
+}
+
 // confine sets the limits anew after a process beside this one came or went.
 func (p *Proxy) confine() {
 	Confine(p.cfg.Limits, p.upgrade.part())
 	if p.budget != nil {
 		p.budget.Resize(p.descriptors())
+		p.bodies.Resize(p.bodyBytes())
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,232 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+)
+
+// exchange sends one request and reads its answer, or of a large one the beginning. again tells whether the
+// connection may be used again once all of the answer is read.
+func (c *conn) exchange(a *Attempt) (out Outcome, again bool) {
+	// The list may have changed while the attempt was dialling or waiting: a drain binds from the first
+	// byte on.
+	address, listed := c.pool.dir.Address(a.Server)
+	switch {
+	case a.ctx.Err() != nil:
+		return Outcome{Result: decide.Withdrawn}, true
+	case !listed || address != c.address:
+		return Outcome{Result: decide.TurnedAway}, false
+	case !time.Now().Before(a.Until):
+		return Outcome{Result: decide.NotSent}, true
+	}
+	stop := context.AfterFunc(a.ctx, func() { c.nc.Close() })
+	if res := c.send(a); res != decide.Served { // the last byte was not written: it never ran
+		stop()
+		return Outcome{Result: res}, false
+	}
+	if !a.probe {
+		c.pool.count.Tries.Add()
+	}
+	method := "GET"
+	if !a.probe {
+		method = a.Request.Method
+	}
+	answer, body, err := http1.ReadResponseHead(c.nc.In, method)
+	streams := false
+	if err == nil {
+		out.held, streams, err = c.keep(a, answer, body)
+	}
+	whole := stop()
+	if err != nil {
+		c.pool.Release(&out)
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Outcome{Result: decide.TimedOut}, false
+	case errors.As(err, new(*http1.Malformed)):
+		// The server is there and has read the request, so it is not broken off: one spoilt answer is no
+		// reason to leave a server alone.
+		return Outcome{Result: a.ended(decide.ErrorAnswer)}, false
+	case err != nil:
+		return Outcome{Result: a.ended(decide.Broken)}, false
+	}
+	out.Result, out.Answer = a.classify(answer), answer
+	out.Load = c.pool.report.read(answer, a.probe)
+	again = whole && !answer.Close
+	if !streams {
+		return out, again && body.Whole() && c.nc.In.Buffered() == 0
+	}
+	if !whole {
+		c.pool.Release(&out)
+		return Outcome{Result: decide.Withdrawn}, false
+	}
+	answer.Streams, answer.Length = true, body.Length()
+	out.Rest = &Stream{conn: c, body: body, over: make(chan bool, 1)}
+	return out, again
+}
+
+// send writes the attempt's request. It returns Served once the last byte is out, else how the attempt ended.
+func (c *conn) send(a *Attempt) decide.Result {
+	c.nc.SetDeadline(a.Until)
+	if a.Upload != nil {
+		c.nc.SetDeadline(time.Now().Add(c.pool.limits.Load().Stall))
+	}
+	w, err := a.message(c.address).Begin(c.nc.Out)
+	if err == nil && a.Upload != nil {
+		var left error
+		if left, err = c.upload(a, w); left != nil {
+			return a.ended(decide.NotSent) // the client ended it: no server is to blame
+		}
+	}
+	if err == nil {
+		err = c.nc.Flush()
+	}
+	if err != nil {
+		return a.ended(decide.NoConnection)
+	}
+	if a.Upload != nil {
+		a.Until = a.Upload.Sent()
+		c.nc.SetDeadline(a.Until)
+	}
+	return decide.Served
+}
+
+// upload writes the part of a body that is not kept, at the pace of both sides. left is the client's error.
+func (c *conn) upload(a *Attempt, w *http1.BodyWriter) (left, err error) {
+	room, give := c.pool.bodies.Buffer()
+	defer give()
+	a.Upload.Begins()
+	if err := c.nc.Flush(); err != nil {
+		return nil, err
+	}
+	stall := c.pool.limits.Load().Stall
+	for {
+		n, left := a.Upload.Read(room)
+		c.nc.SetWriteDeadline(time.Now().Add(stall))
+		if n > 0 {
+			if _, err := w.Write(room[:n]); err != nil {
+				return nil, err
+			}
+			if err := c.nc.Flush(); err != nil {
+				return nil, err
+			}
+		}
+		if left == io.EOF {
+			return nil, w.Close()
+		}
+		if left != nil {
+			return left, nil
+		}
+	}
+}
+
+// firstRoom is what is taken at first for an answer of unknown length.
+const firstRoom = 2 << 10
+
+// keep reads an answer's body as far as it is kept: all of a small one, nothing of one that is known to be
+// large, of one of unknown length what comes soon. held is what it took from the budget; where that has
+// nothing the answer streams.
+func (c *conn) keep(a *Attempt, answer *http1.Response, body *http1.Body) (held int, streams bool,
+	err error) {
+	may := answer.Status == 200 && !a.probe // whatever else is large is not worth passing on
+	length := body.Length()
+	if body.Whole() || length > http1.MaxBody {
+		return 0, length > http1.MaxBody && may, nil
+	}
+	soon := time.Now().Add(c.pool.limits.Load().Hold)
+	size := firstRoom
+	if length >= 0 {
+		size = int(length)
+	}
+	for n := 0; ; {
+		if n == len(answer.Body) {
+			if n > 0 {
+				size = min(2*n, http1.MaxBody)
+			}
+			if n == http1.MaxBody || !c.pool.bodies.Take(size-n) {
+				return held, may, nil
+			}
+			held += size - n
+			answer.Body = append(make([]byte, 0, size), answer.Body...)[:size]
+		}
+		for length < 0 && may && soon.Before(a.Until) && !body.Ready() {
+			c.nc.SetReadDeadline(soon)
+			_, err := c.nc.In.Peek(c.nc.In.Buffered() + 1) // which takes nothing, so nothing is lost by its end
+			c.nc.SetReadDeadline(a.Until)
+			if errors.Is(err, os.ErrDeadlineExceeded) && a.ctx.Err() == nil {
+				answer.Body = answer.Body[:n]
+				return held, true, nil
+			}
+			if err != nil { // Read meets it again, and knows what it means
+				break
+			}
+		}
+		m, err := body.Read(answer.Body[n:])
+		n += m
+		if body.Whole() {
+			answer.Body = answer.Body[:n]
+			return held, false, nil
+		}
+		if err != nil {
+			return held, false, err
+		}
+	}
+}
+
+// Stream is the rest of an answer, read from its server by whoever passes it on.
+type Stream struct {
+	conn *conn
+	body *http1.Body
+	over chan bool // gets whether it was read to its end
+	once sync.Once
+}
+
+// Read reads of the rest; io.EOF comes only where the answer is whole.
+func (s *Stream) Read(p []byte) (int, error) {
+	if s.conn.nc.In.Buffered() == 0 {
+		s.conn.nc.SetReadDeadline(time.Now().Add(s.conn.pool.limits.Load().Stall))
+	}
+	return s.body.Read(p)
+}
+
+func (s *Stream) close() { s.once.Do(func() { s.over <- s.body.Whole() }) }
+
+// message is the attempt's request as it is sent now.
+func (a *Attempt) message(host string) *http1.Request {
+	if a.probe {
+		return &http1.Request{Method: "GET", Target: "/stats", Header: http1.Header{{Name: "Host", Value: host}}}
+	}
+	q := *a.Request
+	left := strconv.FormatFloat(time.Until(a.Until).Seconds(), 'f', 3, 64)
+	q.Header = append(slices.Clip(q.Header), http1.Field{Name: "X-Timeout", Value: left})
+	return &q
+}
+
+// ended is how the attempt ended whose connection broke: given up by us, or as told.
+func (a *Attempt) ended(broke decide.Result) decide.Result {
+	if a.ctx.Err() != nil {
+		return decide.Withdrawn
+	}
+	return broke
+}
+
+func (a *Attempt) classify(r *http1.Response) decide.Result {
+	switch {
+	case r.Status == 200:
+		return decide.Served
+	case a.probe && r.Status == 503:
+		return decide.TurnedAway // too many probes at once: no sign of ill health, which an error would be
+	case (r.Status == 503 || r.Status == 504) && r.Header.Get("X-Not-Processed") == "1":
+		return decide.TurnedAway
+	}
+	return decide.ErrorAnswer
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -6,16 +6,14 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net"
 	"os"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cresshub/internal/bodies"
 	"cresshub/internal/counters"
 	"cresshub/internal/decide"
 	"cresshub/internal/http1"
@@ -33,6 +31,8 @@
 	Dial  time.Duration // a connection that does not stand by then is given up
 	Reuse time.Duration // a connection idle for longer takes no new exchange
 	Probe time.Duration // a probe is waited for so long
+	Hold  time.Duration // an answer of unknown length that is not whole by then is passed on as it comes
+	Stall time.Duration // a body that makes no progress for so long is given up
 }
 
 // Pool holds the connections to all zone servers.
@@ -42,6 +42,7 @@
 	budget *sockets.Budget
 	count  *counters.Set
 	report reportForm
+	bodies *bodies.Budget
 
 	mu   sync.Mutex
 	idle map[decide.ServerID][]*conn // the last used at the end
@@ -49,9 +50,10 @@
 
 // New returns a pool without connections. report is the values of a load report in the order to hand them
 // on, by their settings' names.
-func New(dir Directory, limits Limits, report []string, budget *sockets.Budget, count *counters.Set) *Pool {
+func New(dir Directory, limits Limits, report []string, budget *sockets.Budget, room *bodies.Budget,
+	count *counters.Set) *Pool {
 	p := &Pool{
-		dir: dir, budget: budget, count: count, report: newReportForm(report),
+		dir: dir, budget: budget, count: count, report: newReportForm(report), bodies: room,
 		idle: map[decide.ServerID][]*conn{},
 	}
 	p.SetLimits(limits)
@@ -62,17 +64,40 @@
 // SetLimits changes the figures; what is out goes on by the old ones.
 func (p *Pool) SetLimits(l Limits) { p.limits.Store(&l) }
 
-// Outcome is how an exchange ended.
+// Outcome is how an exchange ended, or that its answer has begun. Whoever gets one gives it back to Release.
 type Outcome struct {
 	Result decide.Result
 	Answer *http1.Response // of a Served one
+	Rest   *Stream         // what follows Answer's Body; nil where that is all
 	Load   []float64       // nil where no load report came
+
+	held int // bytes taken from the budget for Answer's Body
+}
+
+// Release gives back what an outcome holds. A rest that was not read to its end is given up.
+func (p *Pool) Release(o *Outcome) {
+	p.bodies.Give(o.held)
+	o.held = 0
+	if o.Rest != nil {
+		o.Rest.close()
+	}
+}
+
+// Upload is the part of a request's body that is not kept: whoever reads it has it.
+type Upload interface {
+	// Begins says that it is about to be read.
+	Begins()
+	// Read reads of it; io.EOF ends it, any other error is the client's.
+	Read(p []byte) (int, error)
+	// Sent says that the last byte was written, and returns until when the answer is waited for.
+	Sent() time.Time
 }
 
 // Attempt is one try of a request at one server.
 type Attempt struct {
 	Server  decide.ServerID
 	Request *http1.Request // without X-Timeout
+	Upload  Upload         // what follows Request's Body; nil where that is all
 	Until   time.Time      // it is given up then
 	Done    func(Outcome)  // called once, from another goroutine
 
@@ -103,6 +128,7 @@
 		a.cancel()
 		p.count.Probed.Add(int(o.Result))
 		p.reported(o)
+		p.Release(&o)
 		done(o.Result, time.Since(began), o.Load)
 	}
 	p.start(a)
@@ -227,13 +253,22 @@
 	defer c.close()
 	for a := first; ; {
 		out, again := c.exchange(a)
-		if !again {
-			c.close()
+		if out.Rest != nil {
+			a.Done(out)
+			if whole := <-out.Rest.over; !whole || !again {
+				c.close()
+				return
+			}
+			c.pool.park(c)
+		} else {
+			if !again {
+				c.close()
+				a.Done(out)
+				return
+			}
+			c.pool.park(c)
 			a.Done(out)
-			return
 		}
-		c.pool.park(c)
-		a.Done(out)
 		var usable bool
 		if a, usable = c.wait(); a == nil {
 			return
@@ -296,128 +331,3 @@
 	}
 	return decide.NoConnection, false
 }
-
-// exchange sends one request and reads its answer. again tells whether the connection may be used again.
-func (c *conn) exchange(a *Attempt) (out Outcome, again bool) {
-	// The list may have changed while the attempt was dialling or waiting: a drain binds from the first
-	// byte on.
-	address, listed := c.pool.dir.Address(a.Server)
-	switch {
-	case a.ctx.Err() != nil:
-		return Outcome{Result: decide.Withdrawn}, true
-	case !listed || address != c.address:
-		return Outcome{Result: decide.TurnedAway}, false
-	case !time.Now().Before(a.Until):
-		return Outcome{Result: decide.NotSent}, true
-	}
-	stop := context.AfterFunc(a.ctx, func() { c.nc.Close() })
-	c.nc.SetDeadline(a.Until)
-	err := a.message(c.address).Write(c.nc.Out)
-	if err == nil {
-		err = c.nc.Flush()
-	}
-	if err != nil { // the last byte was not written: it never ran
-		stop()
-		return Outcome{Result: a.ended(decide.NoConnection)}, false
-	}
-	if !a.probe {
-		c.pool.count.Tries.Add()
-	}
-	answer, err := http1.ReadResponse(c.nc.In)
-	whole := stop()
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return Outcome{Result: decide.TimedOut}, false
-	case errors.As(err, new(*http1.Malformed)):
-		// The server is there and has read the request, so it is not broken off: one spoilt answer is no
-		// reason to leave a server alone.
-		return Outcome{Result: a.ended(decide.ErrorAnswer)}, false
-	case err != nil:
-		return Outcome{Result: a.ended(decide.Broken)}, false
-	}
-	out = Outcome{Result: a.classify(answer), Answer: answer, Load: c.pool.report.read(answer, a.probe)}
-	return out, whole && !answer.Close && c.nc.In.Buffered() == 0
-}
-
-// message is the attempt's request as it is sent now.
-func (a *Attempt) message(host string) *http1.Request {
-	if a.probe {
-		return &http1.Request{Method: "GET", Target: "/stats", Header: http1.Header{{Name: "Host", Value: host}}}
-	}
-	q := *a.Request
-	left := strconv.FormatFloat(time.Until(a.Until).Seconds(), 'f', 3, 64)
-	q.Header = append(slices.Clip(q.Header), http1.Field{Name: "X-Timeout", Value: left})
-	return &q
-}
-
-// ended is how the attempt ended whose connection broke: given up by us, or as told.
-func (a *Attempt) ended(broke decide.Result) decide.Result {
-	if a.ctx.Err() != nil {
-		return decide.Withdrawn
-	}
-	return broke
-}
-
-func (a *Attempt) classify(r *http1.Response) decide.Result {
-	switch {
-	case r.Status == 200:
-		return decide.Served
-	case a.probe && r.Status == 503:
-		return decide.TurnedAway // too many probes at once: no sign of ill health, which an error would be
-	case (r.Status == 503 || r.Status == 504) && r.Header.Get("X-Not-Processed") == "1":
-		return decide.TurnedAway
-	}
-	return decide.ErrorAnswer
-}
-
-// reportForm finds the values of a load report: by each word that a value may go by, its place.
-type reportForm struct {
-	at   map[string]int
-	size int
-}
-
-// loadWords are other words for those of the settings. Servers have been met that use the settings'
-// words and some that use these; a report not understood looks like none, and steering without
-// reports jams the fleet while every request is still answered, so both are read.
-var loadWords = map[string]string{
-	"active": "inflight", "waiting": "queue", "cpu": "util", "avg_ms": "latency_ms", "rps": "qps",
-	"err_rps": "eps",
-}
-
-func newReportForm(names []string) reportForm {
-	f := reportForm{map[string]int{}, len(names)}
-	for i, n := range names {
-		f.at[n] = i
-		if other, ok := loadWords[n]; ok {
-			f.at[other] = i
-		}
-	}
-	return f
-}
-
-// read returns the report's values in the order of the settings, or nil where one is missing or no
-// number. A probe's answer has it as its body, any other in a header.
-func (f reportForm) read(a *http1.Response, probe bool) []float64 {
-	text := a.Header.Get("X-Server-Load")
-	if probe && text == "" {
-		text = string(a.Body)
-	}
-	if text == "" || f.size == 0 {
-		return nil
-	}
-	row, found := make([]float64, f.size), 0
-	for part := range strings.SplitSeq(strings.TrimSpace(text), ",") {
-		name, value, _ := strings.Cut(part, "=")
-		i, known := f.at[strings.TrimSpace(name)]
-		v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
-		if !known || err != nil || math.IsNaN(v) || math.IsInf(v, 0) {
-			continue
-		}
-		row[i] = v
-		found |= 1 << i
-	}
-	if found != 1<<f.size-1 {
-		return nil
-	}
-	return row
-}
