Bodies: a length beyond 64 MiB is a lie, and a large one has to begin before it counts

A probe of broken attempts: none without a Host or with an odd head.

Change: http1.Largest; 4 KiB of a large body have to be there before a server is chosen or an answer passed on, and a slow one of known length has to go on coming; a broken upload is nobody's fault (NotSent); half heads make room by the time without a byte, so that limits on heads and bodies could come down to 3 s.

--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -403,8 +403,10 @@
 		closes   bool
 	}{
 		{"no HTTP", "hello\r\n\r\n", 400, true},
-		{"GET with a large body", strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 70000\r\n\r\n", 1),
-			400, true},
+		{"GET with a large body", strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 70000\r\n\r\n", 1) +
+			strings.Repeat("x", 5000), 400, true},
+		{"large body that is a lie", strings.Replace(strings.Replace(good, "GET", "POST", 1), "\r\n\r\n",
+			"\r\nContent-Length: 70000\r\n\r\n", 1) + "x", 408, true},
 		{"length twice", strings.Replace(good, "\r\n\r\n", "\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", 1),
 			400, true},
 		{"length beside chunks", strings.Replace(good, "\r\n\r\n",
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -114,13 +114,13 @@
 // Clients bounds what clients may keep the program waiting for.
 type Clients struct {
 	_         about         `doc:"from a connection's start to the first byte of its first request"`
-	First     time.Duration `key:"first_request" default:"3s" min:"10ms" max:"10m" reload:"live"`
+	First     time.Duration `key:"first_request" default:"2s" min:"10ms" max:"10m" reload:"live"`
 	_         about         `doc:"from a request's first byte to the end of its head"`
-	Request   time.Duration `key:"request" default:"6s" min:"10ms" max:"10m" reload:"live"`
+	Request   time.Duration `key:"request" default:"3s" min:"10ms" max:"10m" reload:"live"`
 	_         about         `doc:"a body that makes no progress for so long ends the request, either way"`
-	Stall     time.Duration `key:"stall" default:"8s" min:"10ms" max:"10m" reload:"live"`
+	Stall     time.Duration `key:"stall" default:"3s" min:"10ms" max:"10m" reload:"live"`
 	_         about         `doc:"reading on after an answer that came before the end of a large body"`
-	Discard   time.Duration `key:"discard" default:"3s" min:"0s" max:"10m" reload:"live"`
+	Discard   time.Duration `key:"discard" default:"1s" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"rest between two requests"`
 	Idle      time.Duration `key:"idle" default:"3s" min:"10ms" max:"1h" reload:"live"`
 	_         about         `doc:"to take an answer"`
@@ -133,8 +133,8 @@
 	AwayAtOne int           `key:"turned_away_at_once" default:"8" min:"1" max:"1024"`
 	_         about         `doc:"age at which a connection without a byte may make room"`
 	Silent    time.Duration `key:"silent_for" default:"50ms" min:"0s" max:"10m" reload:"live"`
-	_         about         `doc:"age at which a request that is not whole may make room"`
-	Half      time.Duration `key:"half_for" default:"3s" min:"0s" max:"10m" reload:"live"`
+	_         about         `doc:"without a byte for so long a request that is not whole may make room"`
+	Half      time.Duration `key:"half_for" default:"500ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"rest after which a connection may make room"`
 	Rested    time.Duration `key:"rested_for" default:"20ms" min:"0s" max:"10m" reload:"live"`
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -17,6 +17,8 @@
 	chunked bool
 	toEnd   bool
 	some    bool  // a chunk has begun before
+	endless bool  // it may go on beyond Largest
+	total   int64 // read so far, of one whose length is not known
 	err     error // for good
 }
 
@@ -73,6 +75,10 @@
 		p = p[:min(int64(len(p)), b.left)]
 	}
 	n, err := b.r.Read(p)
+	if b.total += int64(n); b.length < 0 && b.total > Largest && !b.endless {
+		b.err = tooLarge
+		return 0, b.err
+	}
 	if b.toEnd {
 		b.err = err
 		return n, err
@@ -108,9 +114,12 @@
 	size, _, _ := strings.Cut(l, ";")
 	size = strings.TrimRight(size, " \t")
 	n, err := strconv.ParseUint(size, 16, 63)
-	if err != nil || size[0] == '+' || n > maxLength {
+	if err != nil || size[0] == '+' {
 		return malformed("chunk size %.20q", size)
 	}
+	if n > Largest {
+		return tooLarge
+	}
 	if b.left = int64(n); n > 0 {
 		return nil
 	}
@@ -169,5 +178,6 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	b.endless = true
 	return a.Status, b, nil
 }
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -113,7 +113,10 @@
 		return 0, malformed("Content-Length %.20q is no length", v)
 	}
 	n, err := strconv.ParseInt(v, 10, 64)
-	if err != nil || n > maxLength {
+	if n > Largest {
+		return 0, tooLarge
+	}
+	if err != nil {
 		return 0, malformed("Content-Length %q is no length", v)
 	}
 	return n, nil
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -12,12 +12,12 @@
 // Bounds of what is read.
 const (
 	MaxBody   = 64 << 10 // what is kept whole; more is streamed
+	Largest   = 64 << 20 // no body is longer: a length beyond it is a lie, and an endless body ends there
 	maxHead   = 16 << 10
 	maxFields = 64
 	// maxInterim is how many answers 1xx may come before the final one, which counts too.
 	maxInterim = 16
-	maxEmpty   = 4       // empty lines before a request
-	maxLength  = 1 << 50 // of a body or a chunk: beyond that a sum could overflow
+	maxEmpty   = 4 // empty lines before a request
 )
 
 // Malformed says that the other side does not speak HTTP/1.1 as it should.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -75,6 +75,9 @@
 			nil, "400"},
 		{"chunk that overflows", "POST / HTTP/1.1\r\n" + host +
 			"Transfer-Encoding: chunked\r\n\r\n8000000000000001\r\n", nil, "400"},
+		{"length beyond all", "POST / HTTP/1.1\r\n" + host + "Content-Length: 67108865\r\n\r\n", nil, "413"},
+		{"chunk beyond all", "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n4000001\r\n", nil,
+			"413"},
 		{"signed chunk", "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n-1\r\n", nil, "400"},
 		{"target beyond ASCII", "GET /\xc3\xa4 HTTP/1.1\r\n" + host + "\r\n", nil, "400"},
 		{"no host", "GET / HTTP/1.1\r\n\r\n", nil, "400"},
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -101,7 +101,7 @@
 	switch {
 	case !c.idle:
 		return 0
-	case c.half && age > l.Half:
+	case c.half && age > l.Half && now.Sub(c.Heard()) > l.Half: // a slow one goes on coming
 		return 2
 	case !c.half && c.fresh && age > l.Silent:
 		return 3
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -9,11 +9,16 @@
 	"cresshub/internal/http1"
 )
 
-// firstRoom is what is taken at first for a body of unknown length.
-const firstRoom = 2 << 10
+const (
+	// firstRoom is what is taken at first for a body of unknown length.
+	firstRoom = 2 << 10
+	// enough of a large body is there with so much of it: a client whose length is a lie sends less, and costs
+	// no server anything.
+	enough = 4 << 10
+)
 
-// keep reads a request's body as far as it is kept for another attempt: all of a small one, nothing of one
-// that is known to be large, or where the budget for bodies has no room. held is what it took from that.
+// keep reads a request's body as far as it is kept for another attempt: all of a small one, the beginning of
+// one that is known to be large, or what the budget for bodies has room for. held is what it took from that.
 func (s *Server) keep(c *client, q *http1.Request, body *http1.Body) (held int, err error) {
 	if body.Whole() {
 		return 0, nil
@@ -26,11 +31,10 @@
 		}
 	}
 	q.Length = body.Length()
-	if q.Length > http1.MaxBody {
-		return 0, nil
-	}
-	size := firstRoom
-	if q.Length > 0 {
+	large, size := q.Length > http1.MaxBody, firstRoom
+	if large {
+		size = enough
+	} else if q.Length > 0 {
 		size = int(q.Length)
 	}
 	for n := 0; ; {
@@ -38,7 +42,7 @@
 			if n > 0 {
 				size = min(2*n, http1.MaxBody)
 			}
-			if n == http1.MaxBody || !s.Bodies.Take(size-n) {
+			if n == http1.MaxBody || large && n == enough || !s.Bodies.Take(size-n) {
 				return held, nil
 			}
 			held += size - n
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -6,7 +6,9 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // Size is the room of one ring in bytes; it also bounds a header line, which bufio must hold whole.
@@ -90,18 +92,25 @@
 }
 
 type source struct {
-	ring *Buffer
-	conn net.Conn
+	ring  *Buffer
+	conn  net.Conn
+	heard *atomic.Int64
 }
 
 func (s source) Read(p []byte) (int, error) {
 	if s.ring.Len() == 0 {
 		if len(p) > len(s.ring.room) { // a large piece of a body needs no ring between
-			return s.conn.Read(p)
+			n, err := s.conn.Read(p)
+			if n > 0 {
+				s.heard.Store(time.Now().UnixNano())
+			}
+			return n, err
 		}
-		if n, err := s.ring.Fill(s.conn); n == 0 {
+		n, err := s.ring.Fill(s.conn)
+		if n == 0 {
 			return 0, err
 		}
+		s.heard.Store(time.Now().UnixNano())
 	}
 	return s.ring.Take(p), nil
 }
@@ -134,18 +143,28 @@
 	In  *bufio.Reader
 	Out *bufio.Writer
 	out *Buffer
+
+	heard *atomic.Int64 // when bytes last came, as Unix time in nanoseconds
 }
 
 // NewConn lays rings and bufio around c.
 func NewConn(c net.Conn) *Conn {
-	out := New(Size)
+	out, heard := New(Size), &atomic.Int64{}
 	return &Conn{
-		Conn: c, out: out,
-		In:  bufio.NewReaderSize(source{New(Size), c}, Size),
+		Conn: c, out: out, heard: heard,
+		In:  bufio.NewReaderSize(source{New(Size), c, heard}, Size),
 		Out: bufio.NewWriterSize(sink{out, c}, Size/4),
 	}
 }
 
+// Heard is when bytes last came; the zero time where none did. Any goroutine may ask.
+func (c *Conn) Heard() time.Time {
+	if n := c.heard.Load(); n > 0 {
+		return time.Unix(0, n)
+	}
+	return time.Time{}
+}
+
 // Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
 func (c *Conn) Quiet() bool { return c.In.Buffered() == 0 && c.Still() }
 
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -82,9 +82,10 @@
 	}
 	w, err := a.message(c.address).Begin(c.nc.Out)
 	if err == nil && a.Upload != nil {
-		var left error
-		if left, err = c.upload(a, w); left != nil {
-			return a.ended(decide.NotSent) // the client ended it: no server is to blame
+		if err = c.upload(a, w); err != nil {
+			// The client stopped, or the server would not have the body. Neither is a reason to take the
+			// server for one out of reach: a bad client would have it left alone.
+			return a.ended(decide.NotSent)
 		}
 	}
 	if err == nil {
@@ -100,13 +101,13 @@
 	return decide.Served
 }
 
-// upload writes the part of a body that is not kept, at the pace of both sides. left is the client's error.
-func (c *conn) upload(a *Attempt, w *http1.BodyWriter) (left, err error) {
+// upload writes the part of a body that is not kept, at the pace of both sides.
+func (c *conn) upload(a *Attempt, w *http1.BodyWriter) error {
 	room, give := c.pool.bodies.Buffer()
 	defer give()
 	a.Upload.Begins()
 	if err := c.nc.Flush(); err != nil {
-		return nil, err
+		return err
 	}
 	stall := c.pool.limits.Load().Stall
 	for {
@@ -114,55 +115,71 @@
 		c.nc.SetWriteDeadline(time.Now().Add(stall))
 		if n > 0 {
 			if _, err := w.Write(room[:n]); err != nil {
-				return nil, err
+				return err
 			}
 			if err := c.nc.Flush(); err != nil {
-				return nil, err
+				return err
 			}
 		}
 		if left == io.EOF {
-			return nil, w.Close()
+			return w.Close()
 		}
 		if left != nil {
-			return left, nil
+			return left
 		}
 	}
 }
 
-// firstRoom is what is taken at first for an answer of unknown length.
-const firstRoom = 2 << 10
+const (
+	// firstRoom is what is taken at first for an answer of unknown length.
+	firstRoom = 2 << 10
+	// enough of a large answer is there with so much of it: one whose length is a lie brings less.
+	enough = 4 << 10
+)
 
-// keep reads an answer's body as far as it is kept: all of a small one, nothing of one that is known to be
-// large, of one of unknown length what comes soon. held is what it took from the budget; where that has
-// nothing the answer streams.
+// keep reads an answer's body as far as it is kept: all of a small one, the beginning of one that is known
+// to be large, of one of unknown length what comes soon. What comes is a spoilt answer until it shows
+// otherwise, and as long as nothing is passed on another attempt can be made. held is what it took from
+// the budget; where that has nothing the answer streams.
 func (c *conn) keep(a *Attempt, answer *http1.Response, body *http1.Body) (held int, streams bool,
 	err error) {
 	may := answer.Status == 200 && !a.probe // whatever else is large is not worth passing on
 	length := body.Length()
-	if body.Whole() || length > http1.MaxBody {
-		return 0, length > http1.MaxBody && may, nil
-	}
-	soon := time.Now().Add(c.pool.limits.Load().Hold)
-	size := firstRoom
-	if length >= 0 {
+	if body.Whole() {
+		return 0, false, nil
+	}
+	large, size, first := length > http1.MaxBody, firstRoom, -1
+	if large && !may {
+		return 0, false, nil
+	} else if large {
+		size = enough
+	} else if length >= 0 {
 		size = int(length)
 	}
+	began, hold := time.Now(), c.pool.limits.Load().Hold
 	for n := 0; ; {
 		if n == len(answer.Body) {
 			if n > 0 {
 				size = min(2*n, http1.MaxBody)
 			}
-			if n == http1.MaxBody || !c.pool.bodies.Take(size-n) {
+			if n == http1.MaxBody || large && n == enough || !c.pool.bodies.Take(size-n) {
 				return held, may, nil
 			}
 			held += size - n
 			answer.Body = append(make([]byte, 0, size), answer.Body...)[:size]
 		}
-		for length < 0 && may && soon.Before(a.Until) && !body.Ready() {
-			c.nc.SetReadDeadline(soon)
+		for may && (large || length < 0) && !body.Ready() {
+			if first < 0 {
+				first = n
+			}
+			until := a.Until
+			if !large && began.Add(4*hold).Before(until) {
+				until = began.Add(4 * hold)
+			}
+			c.nc.SetReadDeadline(until)
 			_, err := c.nc.In.Peek(c.nc.In.Buffered() + 1) // which takes nothing, so nothing is lost by its end
 			c.nc.SetReadDeadline(a.Until)
-			if errors.Is(err, os.ErrDeadlineExceeded) && a.ctx.Err() == nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) && until.Before(a.Until) && a.ctx.Err() == nil {
 				answer.Body = answer.Body[:n]
 				return held, true, nil
 			}
@@ -172,12 +189,15 @@
 		}
 		m, err := body.Read(answer.Body[n:])
 		n += m
-		if body.Whole() {
+		switch {
+		case body.Whole():
 			answer.Body = answer.Body[:n]
 			return held, false, nil
-		}
-		if err != nil {
+		case err != nil:
 			return held, false, err
+		case first >= 0 && n > first && may && time.Since(began) > hold: // it goes on coming, and slowly
+			answer.Body = answer.Body[:n]
+			return held, true, nil
 		}
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,9 +64,11 @@
 		{"broken in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", decide.Broken},
 		{"malformed", "hello\r\n\r\n", decide.ErrorAnswer}, // the server itself is there
 		{"ended by close", "HTTP/1.1 200 OK\r\n\r\nbody", decide.Served},
-		{"3 GB, of which the beginning counts", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody",
+		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody", decide.ErrorAnswer},
+		{"30 MB that are a lie", "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\nbody", decide.Broken},
+		{"30 MB that begin", "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + strings.Repeat("x", 5000),
 			decide.Served},
-		{"3 GB of an error", "HTTP/1.1 500 x\r\nContent-Length: 3000000000\r\n\r\nbody", decide.ErrorAnswer},
+		{"30 MB of an error", "HTTP/1.1 500 x\r\nContent-Length: 30000000\r\n\r\nbody", decide.ErrorAnswer},
 		{"interim answers", "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", decide.Served},
 		{"silent", "silence", decide.TimedOut},
 	} {
