--- a/cmd/cresshub/bodies_test.go
+++ b/cmd/cresshub/bodies_test.go
@@ -352,7 +352,7 @@
 		"\r\nTransfer-Encoding: Chunked\r\n\r\n2;a=\"b\"\r\nbo\r\n02\r\ndy\r\n0\r\nT: u\r\n\r\n", 1))
 	check("chunks", "POST", "4 ")
 	old := large("GET", "lookup", "old", "chunked&size=3", 15*time.Second)
-	io.WriteString(c, strings.Replace(old, "HTTP/1.1", "HTTP/1.0", 1))
+	io.WriteString(c, strings.Replace(old, "HTTP/1.1\r\nHost: backend.local", "HTTP/1.0", 1))
 	check("HTTP/1.0", "GET", "0 ")
 	if _, err := c.In.Peek(1); err != io.EOF {
 		t.Errorf("HTTP/1.0 goes on: %v", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -383,3 +383,29 @@
 	f.Add("a = [\n[[class]]\n")
 	f.Fuzz(func(t *testing.T, text string) { checkText(t, text) })
 }
+
+// The operators' address comes from the file, the platform's file or EDGE_OPERATOR; one that cannot be
+// used, or is the clients', is told by its key.
+func TestOperator(t *testing.T) {
+	for text, want := range map[string]string{
+		"127.0.0.1:8080": "operator: \"127.0.0.1:8080\" is where clients connect",
+		"nonsense":       "operator: \"nonsense\" is no address",
+		"127.0.0.1:x":    "operator: \"127.0.0.1:x\" has port \"x\"",
+		"127.0.0.1:9":    "",
+	} {
+		c, err := loadTOML("operator = \"" + text + "\"\n" + small)
+		switch {
+		case want == "" && (err != nil || c.Operator != text), !strings.Contains(fmt.Sprint(err), want):
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+	file := strings.Replace(platform, `"listen"`, `"operator":"127.0.0.1:3","listen"`, 1)
+	for _, c := range []struct{ env, want string }{
+		{"X=", "127.0.0.1:3"}, {"EDGE_OPERATOR=127.0.0.1:4", "127.0.0.1:4"},
+	} {
+		got, err := load(Input{}, map[string]string{"p.json": file}, "EDGE_CONFIG=p.json", c.env)
+		if err != nil || got.Operator != c.want {
+			t.Errorf("%s: %v, %v", c.env, got, err)
+		}
+	}
+}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -170,3 +170,30 @@
 		t.Errorf("%d times told as failed, %d watches", n, fresh.Watches.Load())
 	}
 }
+
+// The list as it is held goes to the next process whole: what drains and its place in the count included.
+func TestExport(t *testing.T) {
+	c := client("")
+	if doc, err := c.Export(); doc != nil || err != nil {
+		t.Errorf("of nothing: %s, %v", doc, err)
+	}
+	for _, doc := range []string{
+		nettest.List(true, "in_service", map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:2"}),
+		nettest.List(false, "terminating", map[string]string{"b": "127.0.0.1:2"}),
+		nettest.List(false, "terminated", map[string]string{"a": "127.0.0.1:1"}),
+	} {
+		if _, _, err := c.take(nil, []byte(doc)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	doc, err := c.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := client("")
+	list, err := next.Known(doc)
+	if err != nil || len(list) != 1 || list[0].State != balance.Draining || next.index != 7 ||
+		next.Held() != 1 || next.InService() != 0 {
+		t.Errorf("%s: %+v, %v, version %d", doc, list, err, next.index)
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -149,3 +149,59 @@
 		t.Errorf("taken over: %v, %v", o, err)
 	}
 }
+
+// Why the socket is passed: of connections that wait to be accepted when the old process leaves, those in
+// a queue of its own are lost, those in the shared one are not.
+func TestWaitingConnections(t *testing.T) {
+	const waiting = 64 // each falls into either queue by chance
+	listen := func(address string) net.Listener {
+		l, err := (&net.ListenConfig{Control: Share}).Listen(t.Context(), "tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	for _, passed := range []bool{true, false} {
+		old := listen("127.0.0.1:0")
+		var next net.Listener
+		if passed {
+			path := Path(t.TempDir(), "a")
+			o, err := Listen(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer o.Close()
+			go o.Serve(&successor{old.(*net.TCPListener), make(chan bool, 1), make(chan bool, 1)})
+			joined, err := Join(path, patience)
+			if err != nil {
+				t.Fatal(err)
+			}
+			next = joined.Listener
+		} else {
+			next = listen(old.Addr().String())
+		}
+		for range waiting {
+			c, err := net.Dial("tcp", old.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+		}
+		old.Close()
+		next.(*net.TCPListener).SetDeadline(time.Now().Add(500 * time.Millisecond))
+		kept := 0
+		for kept < waiting {
+			c, err := next.Accept()
+			if err != nil {
+				break
+			}
+			defer c.Close()
+			kept++
+		}
+		t.Logf("passed %v: %d of %d that waited are lost", passed, waiting-kept, waiting)
+		if passed != (kept == waiting) {
+			t.Errorf("passed %v: %d of %d that waited are kept", passed, kept, waiting)
+		}
+	}
+}
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -44,3 +44,28 @@
 	b.Give(Servers)
 	take(Servers, true)
 }
+
+// A process that has to share its limit closes what is idle, and takes no more than its part.
+func TestResize(t *testing.T) {
+	b := NewBudget(reserve+16, 0.6, 0.25)
+	idle := 3
+	b.OnShort(Servers, func() bool {
+		if idle == 0 {
+			return false
+		}
+		idle--
+		b.Give(Servers)
+		return true
+	})
+	for range 12 {
+		b.Take(Servers)
+	}
+	b.Resize(reserve + 8)
+	if idle != 0 || b.used[Servers] != 9 || b.Take(Servers) || b.Take(Clients) {
+		t.Errorf("%d idle left, %v used of 8", idle, b.used)
+	}
+	b.Resize(reserve + 16)
+	if !b.Take(Servers) || !b.Take(Clients) {
+		t.Error("the limit stays down")
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -81,6 +81,9 @@
 		c.nc.SetDeadline(time.Now().Add(c.pool.limits.Load().Stall))
 	}
 	w, err := a.message(c.address).Begin(c.nc.Out)
+	if err == nil && a.Upload != nil {
+		err = c.nc.Flush() // before anything is read that nobody would have for another attempt
+	}
 	if err == nil && a.Upload != nil {
 		if err = c.upload(a, w); err != nil {
 			// The client stopped, or the server would not have the body. Neither is a reason to take the
@@ -106,9 +109,6 @@
 	room, give := c.pool.bodies.Buffer()
 	defer give()
 	a.Upload.Begins()
-	if err := c.nc.Flush(); err != nil {
-		return err
-	}
 	stall := c.pool.limits.Load().Stall
 	for {
 		n, left := a.Upload.Read(room)
@@ -228,6 +228,9 @@
 	q := *a.Request
 	left := strconv.FormatFloat(time.Until(a.Until).Seconds(), 'f', 3, 64)
 	q.Header = append(slices.Clip(q.Header), http1.Field{Name: "X-Timeout", Value: left})
+	if q.Header.Get("Host") == "" { // HTTP/1.0 may come without one
+		q.Header = append(q.Header, http1.Field{Name: "Host", Value: host})
+	}
 	return &q
 }
 
