--- a/cmd/cresshub/operations_test.go
+++ b/cmd/cresshub/operations_test.go
@@ -116,6 +116,11 @@
 			t.Errorf("status %d, closes %v", c.Status, c.Close)
 		}
 	}
+	half := nettest.Dial(t, p.address)
+	io.WriteString(half, "GET /api HTTP/1.1\r\nHost: h\r\n")
+	if a := read(t, half.In); a.Status != 503 || !a.Close {
+		t.Errorf("a head that never ends: status %d, closes %v", a.Status, a.Close)
+	}
 	fresh := nettest.Dial(t, p.address)
 	if _, err := fresh.In.Peek(1); err != io.EOF {
 		t.Errorf("one that came since and rests ends with %v", err)
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -73,7 +73,9 @@
 	for c := range s.clients {
 		switch {
 		case !c.idle:
-		case c.half && c.since.Before(p.Half), !c.half && c.since.Before(p.Rested) && c.Still():
+		case c.half && c.since.Before(p.Half):
+			c.SetReadDeadline(time.Unix(1, 0)) // its own goroutine tells it why
+		case !c.half && c.since.Before(p.Rested) && c.Still():
 			s.closeIdle(c)
 		}
 	}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -115,8 +115,10 @@
 	switch {
 	case errors.As(err, &m):
 		status = m.Status
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.Serving():
 		status = 408
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status = 503
 	default:
 		return
 	}
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -157,7 +157,7 @@
 func (p *Proxy) Joins() (handover.Terms, syscall.Conn, error) {
 	select {
 	case <-p.upgrade.oldGone:
-	case <-time.After(p.cfg.Handover.Wait):
+	case <-time.After(p.cfg.Handover.Wait / 4 * 3): // the other one waits for us no longer than all of it
 	}
 	socket, ok := p.listener.(syscall.Conn)
 	if !ok {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -249,3 +249,63 @@
 		}
 	}
 }
+
+// The rest of an answer that stops, ends early or brings more than it said is never taken for whole, keeps
+// its reader no longer than a stall may last, and leaves no connection to be used again; the budget gets
+// all back.
+func TestRestOfAnAnswer(t *testing.T) {
+	const size = 100_000
+	for _, c := range []struct {
+		name  string
+		bytes int
+		stays bool // the server says nothing more and keeps the connection
+		whole bool
+		idle  int
+	}{
+		{"whole", size, true, true, 1},
+		{"stops", 50_000, true, false, 0},
+		{"ends early", 50_000, false, false, 0},
+		{"more than it said", size + 5, true, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := nettest.Listen(t, func(conn *ring.Conn) {
+				if _, err := http1.ReadRequest(conn.In); err != nil {
+					return
+				}
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size,
+					strings.Repeat("x", c.bytes))
+				if c.stays {
+					io.Copy(io.Discard, conn)
+				}
+			})
+			p := pool(&place{address: address}, time.Hour)
+			l := *p.limits.Load()
+			l.Stall = 300 * time.Millisecond
+			p.SetLimits(l)
+			_, done := attempt(p, ever())
+			out := <-done
+			if out.Result != decide.Served || out.Rest == nil {
+				t.Fatalf("%+v", out)
+			}
+			n, err := io.Copy(io.Discard, out.Rest)
+			if got := n + int64(len(out.Answer.Body)); (err == nil) != c.whole || c.whole && got != size {
+				t.Errorf("%d bytes, %v", got, err)
+			}
+			p.Release(&out)
+			p.Release(&out) // once more changes nothing
+			idle := func() (n int) {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				for _, list := range p.idle {
+					n += len(list)
+				}
+				return n
+			}
+			nettest.Until(t, "the connection is put away", func() bool { return idle() == c.idle })
+			time.Sleep(20 * time.Millisecond)
+			if idle() != c.idle || p.bodies.Used() != 0 {
+				t.Errorf("%d idle connections, %d bytes kept", idle(), p.bodies.Used())
+			}
+		})
+	}
+}
