A test that a change of the operator key by SIGHUP is refused

Cause: the issue asks that a change of `operator` on SIGHUP is told and refused; nothing showed it, and one word in the key's tag (reload:"live") would undo it unseen.

Change: the test of reloads in flight also changes `operator` and expects the line that names the key.

Measured: passes in 1.4 s; with the key marked live the test fails ("the server of a file that was refused answers"), checked by that edit and taken back.

--- a/cmd/cresshub/cli_test.go
+++ b/cmd/cresshub/cli_test.go
@@ -164,6 +164,7 @@
 	reload("[", "cresshub.toml:1: ")
 	reload(strings.Replace(own(quick), "4s", "5s", 1),
 		"a change needs a restart\" name=cresshub keys=class[1].aim")
+	reload("operator = \"127.0.0.1:9\"\n"+own(quick), "a change needs a restart\" name=cresshub keys=operator")
 	ask := func(id string, wait time.Duration) *http1.Response {
 		t.Helper()
 		return nettest.Ask(t, nettest.Dial(t, p.address), nettest.Request("GET", "lookup", id, wait))
