A message without a streamed body costs no allocation for one

Seen on reading the change again: each request allocated two writers of bodies it never streams, a closure that gives its answer back, and a copy of what that closure holds already; Spent took a time it never read.

Change: BodyWriter is a value; a final answer holds the outcome it is of, in place of two things taken from it; Spent takes the request alone.

--- a/balance/stream.go
+++ b/balance/stream.go
@@ -5,7 +5,7 @@
 // Spent says that a request is not held any more: part of it went to the server of the attempt that is out,
 // and nobody has that part now. What comes of the attempt is unknown only from Whole on, so the server is not
 // taken for one that leaves its class unanswered meanwhile.
-func (b *Balancer) Spent(_ time.Duration, id string) {
+func (b *Balancer) Spent(id string) {
 	r := b.requests[id]
 	if r == nil || r.spent {
 		return
--- a/balance/stream_test.go
+++ b/balance/stream_test.go
@@ -15,7 +15,7 @@
 			t.Fatal(acts)
 		}
 		if spent {
-			b.Spent(now, "q")
+			b.Spent("q")
 		}
 		acts = b.Outcome(now, Outcome{ID: "q", Server: acts[0].Server, Result: Refused}, nil)
 		want := Send
@@ -36,8 +36,8 @@
 	acts := b.Request(now, Request{ID: "q", Class: 0, Deadline: now + time.Hour}, nil)
 	r := b.requests["q"]
 	s := b.byID[acts[0].Server]
-	b.Spent(now, "q")
-	b.Spent(now, "q") // told twice is told once
+	b.Spent("q")
+	b.Spent("q") // told twice is told once
 	now += time.Minute
 	if b.stuck(now, r, s) {
 		t.Error("a minute of sending counts as silence")
@@ -51,7 +51,7 @@
 	if h := s.classes[0]; h.out != 0 || s.out != 0 {
 		t.Errorf("%d and %d still count as out", h.out, s.out)
 	}
-	b.Spent(now, "gone")
+	b.Spent("gone")
 	b.Whole(now, "gone", now)
 }
 
--- a/cmd/cresshub/bodies_test.go
+++ b/cmd/cresshub/bodies_test.go
@@ -68,7 +68,7 @@
 			if strings.Contains(q.Target, "chunked") {
 				a.Length = -1
 			}
-			if w, err := a.Begin(c.Out, false); err != nil || w != nil && send(w, length) != nil || c.Flush() != nil {
+			if w, err := a.Begin(c.Out, false); err != nil || q.Method != "HEAD" && send(&w, length) != nil || c.Flush() != nil {
 				return
 			}
 		}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -195,9 +195,9 @@
 // Spent says that a call's request is not held any more: the attempt that is out is the last one. Its time
 // does not run until Whole.
 func (d *Decider) Spent(c *Call) {
-	now := d.enter()
-	defer d.leave()
-	d.b.Spent(now, c.id)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.b.Spent(c.id)
 }
 
 // Whole says that the last byte of a request that is not held is sent, by the latest attempt. It returns
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -22,7 +22,7 @@
 
 // Begin lays the request out in w. Where its body is not all in Body the rest goes to the BodyWriter, and the
 // message is whole once that is closed.
-func (q *Request) Begin(w *bufio.Writer) (*BodyWriter, error) {
+func (q *Request) Begin(w *bufio.Writer) (BodyWriter, error) {
 	w.WriteString(q.Method)
 	w.WriteByte(' ')
 	w.WriteString(q.Target)
@@ -46,7 +46,7 @@
 
 // Begin lays the answer out in w, for a client that understands chunks or, where old, one that does not.
 // Where its body streams the rest goes to the BodyWriter, and the message is whole once that is closed.
-func (a *Response) Begin(w *bufio.Writer, old bool) (*BodyWriter, error) {
+func (a *Response) Begin(w *bufio.Writer, old bool) (BodyWriter, error) {
 	w.WriteString("HTTP/1.1 ")
 	w.WriteString(strconv.Itoa(a.Status))
 	w.WriteByte(' ')
@@ -67,8 +67,7 @@
 	}
 	writeHead(w, a.Header, a.Close, length)
 	if a.Bodiless || length == none {
-		_, err := w.Write(nil)
-		return nil, err
+		return writeBody(w, none, nil)
 	}
 	return writeBody(w, length, a.Body)
 }
@@ -98,22 +97,22 @@
 	w.WriteString("\r\n")
 }
 
-// BodyWriter writes a body piece by piece.
+// BodyWriter writes a body piece by piece. It is a value, so that a message without one costs no allocation.
 type BodyWriter struct {
 	w      *bufio.Writer
 	length int64
 	left   int64
 }
 
-func writeBody(w *bufio.Writer, length int64, first []byte) (*BodyWriter, error) {
-	b := &BodyWriter{w: w, length: length, left: length}
+func writeBody(w *bufio.Writer, length int64, first []byte) (BodyWriter, error) {
+	b := BodyWriter{w: w, length: length, left: max(length, 0)}
 	_, err := b.Write(first)
 	return b, err
 }
 
 // Write writes a piece; more than was told in the head is an error.
 func (b *BodyWriter) Write(p []byte) (int, error) {
-	if b.length >= 0 {
+	if b.length >= 0 || b.length == none {
 		if int64(len(p)) > b.left {
 			return 0, io.ErrShortWrite
 		}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -115,8 +115,7 @@
 			s.ended(c, "served", 200, tries, step.Attempt)
 			a := tries[step.Attempt].out.Answer
 			a.Header = a.Header.EndToEnd("X-Server-Load")
-			return final{answer: a, rest: tries[step.Attempt].out.Rest, count: &handled.Passed,
-				failed: &handled.Failed, done: func() { s.Pool.Release(&tries[step.Attempt].out) }}
+			return final{a, &tries[step.Attempt].out, &handled.Passed, &handled.Failed}
 		case decide.Refuse:
 			s.Count.Refused.Add()
 			s.ended(c, "refused", 503, tries, len(tries)-1)
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -84,8 +84,8 @@
 			s.linger(c, limits.Discard)
 		}
 	}
-	if f.done != nil {
-		f.done()
+	if f.from != nil {
+		s.Pool.Release(f.from)
 	}
 	if c.taken {
 		c.taken = false
--- a/internal/ingress/pass.go
+++ b/internal/ingress/pass.go
@@ -13,10 +13,9 @@
 // final is a request's final answer and what belongs to it.
 type final struct {
 	answer *http1.Response   // nil where nobody waits for one
-	rest   *upstream.Stream  // what follows the answer's Body; nil where that is all
-	done   func()            // gives back what the answer holds; may be nil
+	from   *upstream.Outcome // what the answer is of, to be released; nil where it is our own
 	count  *counters.Counter // where it counts once it is written; nil where it is of no class
-	failed *counters.Counter // where it counts instead if its server breaks it off; set where rest is
+	failed *counters.Counter // where it counts instead if its server breaks it off; set where from is
 }
 
 // sendBuffer bounds what the system keeps of an answer that streams. With more a slow client is written to in
@@ -38,7 +37,7 @@
 	if err != nil {
 		return false
 	}
-	if f.rest == nil {
+	if f.from == nil || f.from.Rest == nil {
 		f.count.Add()
 		return true
 	}
@@ -48,7 +47,7 @@
 	room, give := s.Bodies.Buffer()
 	defer give()
 	for {
-		n, end := f.rest.Read(room)
+		n, end := f.from.Rest.Read(room)
 		c.SetWriteDeadline(time.Now().Add(limits.Stall))
 		if n > 0 {
 			if _, err := w.Write(room[:n]); err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -105,7 +105,7 @@
 }
 
 // upload writes the part of a body that is not kept, at the pace of both sides.
-func (c *conn) upload(a *Attempt, w *http1.BodyWriter) error {
+func (c *conn) upload(a *Attempt, w http1.BodyWriter) error {
 	room, give := c.pool.bodies.Buffer()
 	defer give()
 	a.Upload.Begins()
