One form of the list of servers, and discovery's list apart from its watches

No behaviour changes.

Measured: the tests of discovery, config, architecture and of reloads pass as before.

--- a/internal/config/platform.go
+++ b/internal/config/platform.go
@@ -11,6 +11,7 @@
 
 	"cresshub/balance"
 	"cresshub/internal/keyed"
+	"cresshub/internal/registry"
 	"cresshub/internal/wire"
 )
 
@@ -195,21 +196,7 @@
 	if len(c.Servers) == 0 {
 		return nil
 	}
-	type entry struct {
-		Name    string  `json:"name"`
-		Address string  `json:"address"`
-		Zone    string  `json:"zone"`
-		Type    string  `json:"type"`
-		Group   int     `json:"group"`
-		Status  string  `json:"status"`
-		Weight  float64 `json:"weight"`
-		SinceMS int64   `json:"since_ms"`
-	}
-	list := struct {
-		Index     int64   `json:"index"`
-		Snapshot  bool    `json:"snapshot"`
-		Endpoints []entry `json:"endpoints"`
-	}{Snapshot: true}
+	list := registry.Document{Snapshot: true}
 	named := map[string]bool{}
 	for _, s := range c.Servers {
 		key := s.Name + " " + s.Address
@@ -217,9 +204,10 @@
 		if _, ok := since[key]; !ok {
 			since[key] = now
 		}
-		e := entry{s.Name, s.Address, s.Hall, s.Kind, s.Cell, "in_service", s.Weight, 0}
+		e := registry.Endpoint{Name: s.Name, Address: s.Address, Zone: s.Hall, Type: s.Kind, Group: s.Cell,
+			Status: "in_service", Weight: s.Weight}
 		if !since[key].IsZero() {
-			e.SinceMS = since[key].UnixMilli()
+			e.SinceMS = float64(since[key].UnixMilli())
 		}
 		if s.Drains {
 			e.Status = "terminating"
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,146 @@
+package discovery
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/decide"
+	"cresshub/internal/registry"
+)
+
+var states = map[string]balance.ServerState{
+	"in_service": balance.Up, "terminating": balance.Draining, "terminated": balance.Removed,
+}
+
+// Known takes in the list as it was held before the start and returns it for the decisions.
+func (c *Client) Known(raw []byte) ([]decide.Server, error) {
+	_, list, err := c.take(nil, raw)
+	return list, err
+}
+
+// Address returns where a server listens; false where it is not in service.
+func (c *Client) Address(s decide.ServerID) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a, ok := c.inService[s]
+	return a, ok
+}
+
+// Export returns the list as it is held, in discovery's form; nil where there is none.
+func (c *Client) Export() ([]byte, error) {
+	c.mu.Lock()
+	doc := registry.Document{Index: c.index, Snapshot: true, Endpoints: slices.Collect(maps.Values(c.listed))}
+	c.mu.Unlock()
+	if len(doc.Endpoints) == 0 {
+		return nil, nil
+	}
+	return json.Marshal(doc)
+}
+
+// Held is how many servers the list holds, those that drain included.
+func (c *Client) Held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byName)
+}
+
+// InService is how many of them are in service.
+func (c *Client) InService() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inService)
+}
+
+// Name returns what a server is called, or "" where no list holds it.
+func (c *Client) Name(s decide.ServerID) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken[s]
+}
+
+var errOvertaken = errors.New("another watch has told the list since")
+
+// take applies one document: from here on no attempt begins at a server that it takes out of service.
+// With its first one a watch becomes the source; the one before it is not heard any more.
+func (c *Client) take(w *watch, raw []byte) (whole bool, list []decide.Server, err error) {
+	var doc registry.Document
+	if err := json.Unmarshal(raw, &doc); err != nil {
+		return false, nil, err
+	}
+	for i := range doc.Endpoints {
+		e := &doc.Endpoints[i]
+		if _, ok := states[e.Status]; !ok || e.Name == "" || e.Group < 0 || !(e.SinceMS >= 0 && e.SinceMS < 1e15) {
+			return false, nil, fmt.Errorf("endpoint %d (%.40q) makes no sense", i, e.Name)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w != nil {
+		if w.number < c.source {
+			return false, nil, errOvertaken
+		}
+		c.source = w.number
+	}
+	c.index = doc.Index
+	if doc.Snapshot {
+		// A machine that is replaced comes back under another name: without this the names of all that
+		// ever were would be kept.
+		clear(c.inService)
+		clear(c.byName)
+		clear(c.taken)
+		clear(c.listed)
+	}
+	for i := range doc.Endpoints {
+		e := &doc.Endpoints[i]
+		s := decide.Server{
+			ID: c.id(e.Name), Zone: place(&c.names.Zones, e.Zone), Kind: place(&c.names.Kinds, e.Type),
+			Cell: e.Group, State: states[e.Status], Rating: e.Weight,
+			Started: time.Duration(math.Round(e.SinceMS*1000)) * time.Microsecond,
+		}
+		list = append(list, s)
+		c.listed[e.Name] = *e
+		switch delete(c.inService, s.ID); s.State {
+		case balance.Up:
+			c.inService[s.ID] = e.Address
+		case balance.Removed: // or names would pile up where no whole list ever comes
+			delete(c.byName, e.Name)
+			delete(c.listed, e.Name)
+			delete(c.taken, s.ID)
+		}
+	}
+	return doc.Snapshot, list, nil
+}
+
+// place finds a word's position; one the settings do not name gets a position behind theirs.
+func place(words *[]string, w string) int {
+	i := slices.Index(*words, w)
+	if i < 0 {
+		i = len(*words)
+		*words = append(*words, w)
+	}
+	return i
+}
+
+// id gives a name its number: the same at every client proxy, for the decisions place keys by it. Only
+// where two names meet in one number does it depend on which was seen first.
+func (c *Client) id(name string) decide.ServerID {
+	if s, ok := c.byName[name]; ok {
+		return s
+	}
+	h := fnv.New32a()
+	io.WriteString(h, name)
+	s := decide.ServerID(h.Sum32())
+	for c.taken[s] != "" {
+		s++
+	}
+	c.byName[name], c.taken[s] = s, name
+	return s
+}
