A new process tells the old one before it says yes

Seen on reading the change again: the new process said yes on its door and in the log before the old one was told, and before it could itself be found by the next one. SIGTERM follows the yes, so the old one could begin its end as one without a successor, and a third process started at once could find nobody.

Change: the old one is told and the socket for the next one is there first.

--- a/cmd/cresshub/bodies_test.go
+++ b/cmd/cresshub/bodies_test.go
@@ -71,7 +71,11 @@
 			if strings.Contains(q.Target, "chunked") {
 				a.Length = -1
 			}
-			if w, err := a.Begin(c.Out, false); err != nil || q.Method != "HEAD" && send(&w, length) != nil || c.Flush() != nil {
+			w, err := a.Begin(c.Out, false)
+			if err == nil && q.Method != "HEAD" {
+				err = send(&w, length)
+			}
+			if err != nil || c.Flush() != nil {
 				return
 			}
 		}
@@ -167,7 +171,7 @@
 	kb, err := strconv.Atoi(strings.Fields(peak)[0])
 	t.Logf("peak of resident memory: %d kB for %d bodies of %d bytes", kb, 2*transfers, size)
 	info, _ := debug.ReadBuildInfo()
-	raced := slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"}) // takes far more
+	raced := slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"})
 	if err != nil || kb > 64<<10 && !raced {                                                 // what the program is told it may have
 		t.Errorf("peak of resident memory: %d kB (%v)", kb, err)
 	}
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -116,12 +116,18 @@
 		}
 	}
 	go p.server.Serve(p.listener)
-	u.serving.Store(true)
+	p.meet()
+	u.serving.Store(true) // last, for the yes that follows is what the old process is ended at
 	words := []any{"listen", p.Address()}
 	if p.door != nil {
 		words = append(words, "operator", p.door.Address())
 	}
 	p.log.Info("ready", words...)
+}
+
+// meet makes this process the one that new ones find, and tells the old one that it takes clients.
+func (p *Proxy) meet() {
+	u := &p.upgrade
 	if u.path == "" {
 		return
 	}
