--- a/cmd/cresshub/bodies_test.go
+++ b/cmd/cresshub/bodies_test.go
@@ -172,7 +172,7 @@
 	t.Logf("peak of resident memory: %d kB for %d bodies of %d bytes", kb, 2*transfers, size)
 	info, _ := debug.ReadBuildInfo()
 	raced := slices.Contains(info.Settings, debug.BuildSetting{Key: "-race", Value: "true"})
-	if err != nil || kb > 64<<10 && !raced {                                                 // what the program is told it may have
+	if err != nil || kb > 64<<10 && !raced { // what the program is told it may have
 		t.Errorf("peak of resident memory: %d kB (%v)", kb, err)
 	}
 }
