--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -278,7 +278,7 @@
 
 // BenchmarkDecision is what one request with all its events costs the module, by the number of servers.
 func BenchmarkDecision(b *testing.B) {
-	for _, n := range []int{10, 100, 1000} {
+	for _, n := range []int{10, 60, 100, 1000} {
 		for _, policy := range []string{"module", "random", "basic-li"} {
 			b.Run(fmt.Sprint(policy, "/", n), func(b *testing.B) {
 				sc := queues(n, 2, 0.7, "fresh", 0, max(b.N, 100))
