--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,7 +128,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{opt: o, start: time.Now(), log: o.Log, view: view, stop: make(chan struct{}), left: map[string]uint64{},
+	f := &Fleet{opt: o, start: time.Now(), log: o.Log, view: view, stop: make(chan struct{}),
+		left:    map[string]uint64{},
 		changes: make(chan membership.Change, 256)}
 	f.meta.Store(&membership.Meta{Incarnation: uint64(f.start.UnixMilli()), Version: o.Version, Hall: o.Hall})
 	c := memberlist.DefaultLANConfig()
