Trim memberlist's log lines with bytes.TrimRight, not a loop of our own

Cause: on reading the change again, internal/fleet had a hand-written trimNewline and an interface assertion beside it, where the standard library's bytes.TrimRight does the same.

Measured: go vet clean; TestFleetSeesKillAndLeave and TestFleetRefusesATakenName pass twice each.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,10 +9,10 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"log/slog"
 	"math/rand/v2"
@@ -365,15 +365,6 @@
 type gossipLog struct{ log *slog.Logger }
 
 func (g *gossipLog) Write(p []byte) (int, error) {
-	g.log.Debug("fleet: gossip", "says", string(trimNewline(p)))
+	g.log.Debug("fleet: gossip", "says", string(bytes.TrimRight(p, "\r\n")))
 	return len(p), nil
 }
-
-func trimNewline(p []byte) []byte {
-	for len(p) > 0 && (p[len(p)-1] == '\n' || p[len(p)-1] == '\r') {
-		p = p[:len(p)-1]
-	}
-	return p
-}
-
-var _ io.Writer = (*gossipLog)(nil)
