A request whose client left while it waited is not sent on, whatever it waited for

Ruled out: a client with nothing sent behind its request (Read hears it), a dial or a resting connection closed at hand-over where cancelling is allowed (Withdrawn before the first byte).

At fault: client.Wait slept on its wake-up alone where anything was buffered and where an upload was set; decide.Pick handed out a Send that was ready without a look at the client; upstream had no way to give up an attempt that was not written other than a cancel, which the settings may forbid.

Changed: Wait reads on as far as the buffer goes and looks each 50 ms at a connection that it cannot read (ring.Conn.Left: peek, and poll for the end behind bytes); Pick looks before it hands out a Send; an attempt of which nothing was written is dropped when its request ends.

TestBodyThatStops had its client close before the server was met and expected the attempt all the same; for such a client nothing is sent now, so it closes once the server has met it, and checks the same.

--- a/cmd/cresshub/bodies_test.go
+++ b/cmd/cresshub/bodies_test.go
@@ -222,10 +222,12 @@
 	}
 }
 
-// A client that stops in the midst of a large body costs its server nothing that could pass for a request.
+// A client that stops in the midst of a large body costs its server nothing that could pass for a request. It
+// leaves once its server has met it: for one that left before nothing is sent.
 func TestBodyThatStops(t *testing.T) {
-	ended := make(chan error, 1)
+	began, ended := make(chan bool, 1), make(chan error, 1)
 	zone := largeZone(t, func(q *http1.Request, b *http1.Body, c *ring.Conn) bool {
+		began <- true
 		_, _, err := sum(b)
 		ended <- err
 		return true
@@ -245,6 +247,11 @@
 				t.Errorf("%+v, %v", a, err)
 			}
 		}
+		select {
+		case <-began:
+		case <-time.After(nettest.Patience):
+			t.Fatalf("%s: the server was never met", framing)
+		}
 		c.Close()
 		select {
 		case err := <-ended:
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -46,10 +46,11 @@
 }
 
 // Waiter is how the goroutine of a request sleeps. Wait returns nil once Wake was called, or an error
-// when the client is gone. A Wake that comes first is not lost.
+// when the client is gone. A Wake that comes first is not lost. Left tells without waiting whether it is.
 type Waiter interface {
 	Wait() error
 	Wake()
+	Left() bool
 }
 
 // Request is one request of a client, whatever protocol it came by.
@@ -143,25 +144,34 @@
 	return c
 }
 
-// Pick returns the next step of a call and sleeps until there is one.
+// Pick returns the next step of a call and sleeps until there is one. For a client that has left nothing is
+// sent any more, wherever its request waited meanwhile.
 func (d *Decider) Pick(c *Call) Step {
-	for {
-		if s, ok := d.next(c); ok {
+	for looked := false; ; {
+		s, ok := d.next(c, looked)
+		switch {
+		case ok && s.Kind == Send && !looked:
+			if looked = true; c.waiter.Left() {
+				d.gone(c)
+			}
+		case ok:
 			return s
-		}
-		if err := c.waiter.Wait(); err != nil {
+		case c.waiter.Wait() != nil:
 			d.gone(c)
 		}
 	}
 }
 
-func (d *Decider) next(c *Call) (s Step, ok bool) {
+// next takes the next step of a call. A Send is left standing until the client was looked for.
+func (d *Decider) next(c *Call, looked bool) (s Step, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(c.steps) == 0 {
 		return s, false
 	}
-	s, c.steps = c.steps[0], c.steps[1:]
+	if s = c.steps[0]; s.Kind != Send || looked {
+		c.steps = c.steps[1:]
+	}
 	return s, true
 }
 
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -16,6 +16,7 @@
 	follow chan bool
 	wake   chan bool
 	gone   chan bool
+	left   bool
 }
 
 func (p *party) Probe(s ServerID) { p.probes <- s }
@@ -36,6 +37,8 @@
 	}
 }
 
+func (p *party) Left() bool { return p.left }
+
 func decider(t *testing.T, set func(*balance.Settings)) (*Decider, *party) {
 	s := balance.Settings{
 		Tick: 5 * time.Millisecond, MaxAttempts: 3, MayCancel: true, AskWithin: time.Millisecond, MustFollow: true,
@@ -47,7 +50,8 @@
 	if set != nil {
 		set(&s)
 	}
-	p := &party{make(chan ServerID, 9), make(chan bool, 9), make(chan bool, 1), make(chan bool, 1)}
+	p := &party{probes: make(chan ServerID, 9), follow: make(chan bool, 9), wake: make(chan bool, 1),
+		gone: make(chan bool, 1)}
 	d, err := New(s, 20*time.Millisecond, p)
 	if err != nil {
 		t.Fatal(err)
@@ -160,3 +164,30 @@
 	d.ListFailed()
 	<-p.follow
 }
+
+// A step to send may cross with its client's leaving, the first one or one after an attempt: it is not handed
+// out, and the decisions hear that the attempt was not made.
+func TestNothingIsSentForAClientThatLeft(t *testing.T) {
+	for _, before := range []int{0, 1} {
+		d, p := decider(t, nil)
+		c := d.Open(soon(), p)
+		for i := range before {
+			if s := d.Pick(c); s.Kind != Send {
+				t.Fatalf("attempt %d: %+v", i, s)
+			}
+			d.Report(c, i, TurnedAway, nil)
+		}
+		p.left = true
+		if s := d.Pick(c); s.Kind != Gone {
+			t.Errorf("after %d attempts: %+v", before, s)
+		}
+		p.left = false
+		next := d.Open(soon(), p) // what was not made holds nothing back
+		if s := d.Pick(next); s.Kind != Send {
+			t.Errorf("another client: %+v", s)
+		}
+		if len(d.calls) != 1 {
+			t.Errorf("%d calls are open", len(d.calls))
+		}
+	}
+}
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -92,6 +92,11 @@
 		u.call = call
 	}
 	var tries []*try
+	defer func() {
+		for _, t := range tries {
+			t.Drop()
+		}
+	}()
 	for {
 		switch step := s.Decider.Pick(call); step.Kind {
 		case decide.Send:
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -29,10 +29,16 @@
 	useClass int
 }
 
-// Wait sits in Read until Wake, or until the client closes its side. While an attempt reads the request's
-// body it leaves the connection alone: the body tells when the client goes.
+// lookEvery is how often a client is looked for whose connection cannot be read.
+const lookEvery = 50 * time.Millisecond
+
+var errLeft = errors.New("the client has ended its sending")
+
+// Wait sits in Read until Wake, or until the client closes its side: a close and the end of its sending alone
+// look the same, so whoever wants an answer keeps both open. While an attempt reads the request's body, or
+// may begin to, the connection is left alone and only looked at.
 func (c *client) Wait() error {
-	if u := c.upload.Load(); u != nil {
+	for u := c.upload.Load(); u != nil; u = c.upload.Load() {
 		select {
 		case <-c.woken:
 			return nil
@@ -41,6 +47,10 @@
 				return err
 			}
 			c.upload.Store(nil) // before the deadline is set below, or a Wake between would not be heard
+		case <-time.After(lookEvery):
+			if c.Left() {
+				return errLeft
+			}
 		}
 	}
 	for {
@@ -52,12 +62,20 @@
 			return nil
 		default:
 		}
-		if c.In.Buffered() > 0 { // the next request came early; there is nothing to learn from Read now
-			<-c.woken
-			return nil
+		early := c.In.Buffered() // of the next request, or what a client sends that does not wait for answers
+		if early < c.In.Size() {
+			if _, err := c.In.Peek(early + 1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				return err
+			}
+			continue
 		}
-		if _, err := c.In.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
+		select { // no room to read on
+		case <-c.woken:
+			return nil
+		case <-time.After(lookEvery):
+			if c.Left() {
+				return errLeft
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/ingress/left_test.go
@@ -0,0 +1,138 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// leaves are the ways in which a client leaves. The end of its sending alone is one of them: it is all that a
+// close shows, and who cannot be told from one that has gone is not sent on.
+var leaves = map[string]func(*net.TCPConn){
+	"closes":         func(c *net.TCPConn) { c.Close() },
+	"resets":         func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	"ends sending":   func(c *net.TCPConn) { c.CloseWrite() },
+	"sends on first": func(c *net.TCPConn) { io.WriteString(c, "GET /api"); c.Close() },
+}
+
+func get(id string) string { return nettest.Request("GET", "lookup", id, 30*time.Second) }
+
+// post is a request whose body is told to be so long.
+func post(id string, length int, body string) string {
+	head := nettest.Request("POST", "assign", id, 30*time.Second)
+	return strings.Replace(head, "\r\n\r\n", fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n%s", length, body), 1)
+}
+
+// A request whose client leaves while it waits is not sent on, whatever it waits for, and whatever else the
+// client had sent.
+func TestClientLeavesWhileItsRequestWaits(t *testing.T) {
+	for name, text := range map[string]string{
+		"alone":           get("id"),
+		"pipelined":       get("id") + get("next"),
+		"half a request":  get("id") + "GET /a",
+		"more than fits":  get("id") + strings.Repeat(get("next"), 200),
+		"upload":          post("id", 100_000, strings.Repeat("x", 10_000)),
+		"a whole upload":  post("id", 100_000, strings.Repeat("x", 100_000)),
+		"upload and more": post("id", 70_000, strings.Repeat("x", 70_000)) + get("next"),
+	} {
+		for way, leave := range leaves {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, nil)
+				zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+				c := nettest.Dial(t, r.address)
+				go io.WriteString(c, text) // not all of it is read
+				nettest.Until(t, "the request is taken", func() bool { return r.Count.Taken.Load() == 1 })
+				began := time.Now()
+				leave(c.Conn.(*net.TCPConn))
+				nettest.Until(t, "the client is missed", func() bool {
+					return r.Count.Gone.Load() == 1 || r.Count.Refused.Load() > 0
+				})
+				if r.Count.Gone.Load() != 1 {
+					t.Fatalf("it was waited for until its request was refused after %v", time.Since(began))
+				}
+				r.list(zone.Address)
+				if a := nettest.Ask(t, nettest.Dial(t, r.address), get("other")); a.Status != 200 {
+					t.Errorf("another client gets %d", a.Status)
+				}
+				if got := zone.Got(""); len(got) != 1 || got[0].Header.Get(idField) != "other" {
+					t.Errorf("%d requests were sent on", len(got))
+				}
+			})
+		}
+	}
+}
+
+// The same while a connection is dialled for it, or after one that rested turned out closed, also where what
+// was sent may not be cancelled: this was not.
+func TestClientLeavesWhileADialStands(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		for _, rested := range []bool{true, false} {
+			t.Run(fmt.Sprintf("cancel %v, rested %v", may, rested), func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, func(s *balance.Settings) { s.MayCancel = may })
+				var first *ring.Conn
+				accepted := make(chan *ring.Conn, 2)
+				zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+				relay := nettest.Listen(t, func(c *ring.Conn) { // answers once, and then closes when it is told
+					accepted <- c
+					q, err := http1.ReadRequest(c.In)
+					if err == nil && q.Header.Get(idField) == "before" {
+						nettest.OK("").Write(c.Out)
+						c.Flush()
+						io.Copy(io.Discard, c.In)
+						return
+					}
+					if err == nil {
+						t.Errorf("%s was sent on", q.Header.Get(idField))
+					}
+				})
+				r.list(relay)
+				from := 1 // the look-ups that belong to the request that is left
+				if rested {
+					nettest.Ask(t, nettest.Dial(t, r.address), get("before"))
+					first = <-accepted
+					from = 3
+				}
+				at, on := make(chan bool), make(chan bool)
+				r.mu.Lock()
+				r.looked = func(n int) {
+					if n == from && rested { // just as the connection that rested is handed over
+						first.Close()
+					}
+					if n == from+1 { // right before the first byte
+						at <- true
+						<-on
+					}
+				}
+				r.mu.Unlock()
+				c := nettest.Dial(t, r.address)
+				io.WriteString(c, get("left"))
+				<-at
+				c.Close()
+				nettest.Until(t, "the client is missed", func() bool { return r.Count.Gone.Load() == 1 })
+				close(on)
+				r.list(zone.Address)
+				if a := nettest.Ask(t, nettest.Dial(t, r.address), get("after")); a.Status != 200 {
+					t.Errorf("another client gets %d", a.Status)
+				}
+				nettest.Until(t, "the attempt ends", func() bool {
+					r.Server.mu.Lock()
+					defer r.Server.mu.Unlock()
+					return r.open["left"] == 0
+				})
+				if got := r.Count.Tries.Load(); got != int64(from/2)+1 { // one for each client that stayed
+					t.Errorf("%d attempts were written", got)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/ingress/rig_test.go
@@ -0,0 +1,104 @@
+package ingress
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/bodies"
+	"cresshub/internal/config"
+	"cresshub/internal/counters"
+	"cresshub/internal/decide"
+	"cresshub/internal/drain"
+	"cresshub/internal/nettest"
+	"cresshub/internal/sockets"
+	"cresshub/internal/upstream"
+)
+
+// rig is a proxy without discovery: what it lists, and when a look-up is answered, a test says.
+type rig struct {
+	*Server
+	address string
+	ended   chan struct{} // closed when Shutdown has returned
+
+	mu     sync.Mutex
+	listed map[decide.ServerID]string
+	looked func(n int) // called on each look-up of an address with its number from 1 on
+	looks  int
+}
+
+func (r *rig) Address(s decide.ServerID) (string, bool) {
+	r.mu.Lock()
+	r.looks++
+	n, looked, a := r.looks, r.looked, r.listed[s]
+	r.mu.Unlock()
+	if looked != nil {
+		looked(n)
+	}
+	return a, a != ""
+}
+
+func (r *rig) Probe(decide.ServerID) {}
+func (r *rig) Follow()               {}
+
+// list has the proxy told of servers, which take the numbers from 1 on.
+func (r *rig) list(addresses ...string) {
+	var list []decide.Server
+	r.mu.Lock()
+	for i, a := range addresses {
+		id := decide.ServerID(i + 1)
+		r.listed[id] = a
+		list = append(list, decide.Server{ID: id, Rating: 1})
+	}
+	r.mu.Unlock()
+	r.Decider.Listed(true, list)
+}
+
+// newRig starts a proxy that knows no server. Its class "lookup" may run again, "assign" must not; change may
+// alter the settings.
+func newRig(t testing.TB, change func(*balance.Settings)) *rig {
+	set := balance.Settings{
+		Tick: time.Millisecond, MaxAttempts: 3, MayCancel: true, MayDuplicate: true,
+		Classes: []balance.Class{
+			{Aim: time.Minute, Deadline: time.Minute, Effect: balance.Idempotent, Worth: 1},
+			{Aim: time.Minute, Deadline: time.Minute, Effect: balance.AtMostOnce, Worth: 8},
+		},
+	}
+	if change != nil {
+		change(&set)
+	}
+	r := &rig{listed: map[decide.ServerID]string{}, ended: make(chan struct{})}
+	decider, err := decide.New(set, 20*time.Millisecond, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	budget, room, count := sockets.NewBudget(200, 0.6, 0.9), bodies.NewBudget(1<<20), counters.New(
+		[]string{"lookup", "assign"})
+	wait := nettest.Patience
+	limits := upstream.Limits{Dial: wait, Reuse: wait, Probe: wait, Hold: time.Second, Stall: wait}
+	pool := upstream.New(r, limits, nil, budget, room, count)
+	r.Server = New(Options{
+		Decider: decider, Pool: pool, Name: func(decide.ServerID) string { return "s" },
+		Classes: []string{"lookup", "assign"}, Tenants: []string{"acme"},
+		Limits: config.Clients{First: wait, Request: wait, Stall: wait, Idle: wait, Write: wait,
+			Linger: time.Second, Away: wait, AwayAtOne: 8, Discard: time.Second},
+		Drain: func() drain.Times {
+			return drain.Times{CloseIdle: 50 * time.Millisecond, Accept: 80 * time.Millisecond,
+				CloseAll: 120 * time.Millisecond, CloseHalf: 300 * time.Millisecond}
+		},
+		Budget: budget, Bodies: room, Count: count, Log: slog.New(slog.DiscardHandler),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.address = l.Addr().String()
+	stop := make(chan struct{})
+	go decider.Run(stop)
+	go r.Serve(l)
+	t.Cleanup(func() { l.Close(); close(stop) })
+	return r
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Size is the room of one ring in bytes; it also bounds a header line, which bufio must hold whole.
@@ -145,6 +147,7 @@
 	out *Buffer
 
 	heard *atomic.Int64 // when bytes last came, as Unix time in nanoseconds
+	look  *look         // nil until somebody asks
 }
 
 // NewConn lays rings and bufio around c.
@@ -189,6 +192,44 @@
 	return err == nil && quiet
 }
 
+// Left tells whether the other side has ended its sending or broken off, also where what it sent before still
+// waits to be read. Like Still it leaves that where it is. One goroutine may ask at a time.
+func (c *Conn) Left() bool {
+	if c.look == nil {
+		s, ok := c.Conn.(syscall.Conn)
+		if !ok {
+			return false
+		}
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return true
+		}
+		c.look = &look{raw: raw}
+		c.look.at = c.look.find // once, for it costs an allocation
+	}
+	err := c.look.raw.Control(c.look.at)
+	return err != nil || c.look.left
+}
+
+// look is what Left needs; it is kept so that a look costs no allocation.
+type look struct {
+	raw  syscall.RawConn
+	at   func(fd uintptr)
+	room [1]byte
+	ends [1]unix.PollFd
+	left bool
+}
+
+func (l *look) find(fd uintptr) {
+	n, _, err := syscall.Recvfrom(int(fd), l.room[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	l.left = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	if n > 0 { // the end may stand behind what waits
+		l.ends[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+		n, err := unix.Poll(l.ends[:], 0)
+		l.left = err == nil && n > 0 && l.ends[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // Flush hands everything written so far to the system. After an error the last byte of what was
 // written since the previous Flush has not left this process.
 func (c *Conn) Flush() error {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,8 @@
 		return Outcome{Result: decide.TurnedAway}, false
 	case !time.Now().Before(a.Until):
 		return Outcome{Result: decide.NotSent}, true
+	case !a.fate.CompareAndSwap(waiting, begun):
+		return Outcome{Result: decide.Withdrawn}, true
 	}
 	stop := context.AfterFunc(a.ctx, func() { c.nc.Close() })
 	if res := c.send(a); res != decide.Served { // the last byte was not written: it never ran
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,8 +104,15 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	probe  bool
+	fate   atomic.Int32 // one of those below
 }
 
+const (
+	waiting = iota
+	begun   // its first byte may be out
+	dropped
+)
+
 // Start sets the attempt going and returns.
 func (p *Pool) Start(a *Attempt) {
 	done := a.Done
@@ -120,6 +127,14 @@
 // Cancel gives the attempt up, if it is still out: its connection is closed.
 func (a *Attempt) Cancel() { a.cancel() }
 
+// Drop gives the attempt up if none of it was written: nobody needs it any more, and a server that never met
+// it cannot have to cancel it.
+func (a *Attempt) Drop() {
+	if a.fate.CompareAndSwap(waiting, dropped) {
+		a.cancel()
+	}
+}
+
 // Probe asks a server for its load and returns; done is called once, from another goroutine.
 func (p *Pool) Probe(s decide.ServerID, done func(res decide.Result, took time.Duration, load []float64)) {
 	began := time.Now()
