Watches: lists in any form, silence missed in time, counts that fall, and lists that are pushed

By test: an indented list ended its watch ("unexpected end of JSON input"), a silent watch was missed after 3 s and one refused call later asked for after 6.5 s, where it binds after 6 s, and a count of discovery that fell was taken for a continuation.

Ruled out: lists cut off, too large or spoilt (the last good one stays, TestListsInPieces); Follow asked as a watch ends (the failure told later has it asked again); a move under way as another comes or as the old watch is reset (TestMove, and reading: the old one stands until the new has told, tries go on by themselves).

At fault: balance asks for the list only where MustFollow is set, and nothing else ever called Follow; discovery.watch scanned lines; Limits.Silence of 3 s and two pauses of the decisions add up to over 6 s; discovery.take did not look at the count.

A silent watch is opened anew by the follower within a quarter of the silence, which is 2.5 s now: the protocol has a line every 2 s and lets what is missed bind after 6 s. Where lists are pushed the follower opens watches by itself, first with the whole list, and clients are taken once it was heard or cannot be had.

With the old lines put back the tests fail (ListsInPieces in 6 of 10 forms; SilentWatch, CountsAnew and Unasked hang until their bound).

--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -211,6 +211,40 @@
 	}
 }
 
+// Where lists come unasked, what discovery has binds a new process from its first request on, whatever the
+// list says that it was started with. Without discovery that list has to do.
+func TestUnaskedListsBindFromTheStart(t *testing.T) {
+	work := nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") })
+	x, y := nettest.Serve(t, work), nettest.Serve(t, work)
+	list := nettest.NewDiscovery(t)
+	text := strings.Replace(configuration(list.Address, known("in_service", x), 200), "on_request", "pushed", 1)
+	p := launch(t, text)
+	list.Send(t, nettest.List(true, "in_service", map[string]string{"s-1": y.Address}))
+	_, p.address, _ = strings.Cut(p.expect(t, "msg=ready"), "listen=")
+	c := nettest.Dial(t, p.address)
+	ask := func(id string) {
+		if a := nettest.Ask(t, c, nettest.Request("GET", "lookup", id, 15*time.Second)); a.Status != 200 {
+			t.Errorf("%s: %d", id, a.Status)
+		}
+	}
+	ask("first")
+	list.Send(t, nettest.List(false, "in_service", map[string]string{"s-0": x.Address}))
+	list.Send(t, nettest.List(false, "terminating", map[string]string{"s-1": y.Address}))
+	nettest.Until(t, "all lists are taken in", func() bool {
+		p.cmd.Process.Signal(syscall.SIGUSR1)
+		return strings.Contains(p.expect(t, "msg=counters"), "lists.read=3")
+	})
+	ask("second")
+	if len(x.Got("/api")) != 1 || len(y.Got("/api")) != 1 {
+		t.Errorf("%d and %d attempts", len(x.Got("/api")), len(y.Got("/api")))
+	}
+	text = configuration("127.0.0.1:1", known("in_service", x), 200)
+	p = launch(t, strings.Replace(text, "on_request", "pushed", 1))
+	_, p.address, _ = strings.Cut(p.expect(t, "msg=ready"), "listen=")
+	c = nettest.Dial(t, p.address)
+	ask("third")
+}
+
 func TestClientGoneEndsItsAttempt(t *testing.T) {
 	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.Silence }))
 	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,7 +84,7 @@
 	_         about         `doc:"longest time without a watch or a question to discovery"`
 	AskWithin time.Duration `key:"ask_within" default:"10s" min:"0s" max:"1h"`
 	_         about         `doc:"a watch that says nothing for so long is broken"`
-	Silence   time.Duration `key:"silence" default:"3s" min:"10ms" max:"10m" reload:"live"`
+	Silence   time.Duration `key:"silence" default:"2500ms" min:"10ms" max:"10m" reload:"live"`
 	_         about         `doc:"largest object that discovery may send"`
 	MaxList   Size          `key:"max_list" default:"1MiB" min:"1KiB" max:"64MiB" reload:"live"`
 }
--- /dev/null
+++ b/internal/discovery/crossings_test.go
@@ -0,0 +1,189 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// entry is a list of one server in discovery's form.
+func entry(index int, whole bool, name, status string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[{"name":%q,"address":"127.0.0.1:1",`+
+		`"zone":"kita","type":"m2","group":1,"status":%q,"weight":1,"since_ms":0}]}`, index, whole, name, status)
+}
+
+// script is a discovery whose n-th call, from 0 on, is answered by serve; the call's target is handed in.
+func script(t *testing.T, serve func(n int, target string, c *ring.Conn)) string {
+	calls := make(chan int, 1)
+	calls <- 0
+	return nettest.Listen(t, func(c *ring.Conn) {
+		for {
+			q, err := http1.ReadRequest(c.In)
+			if err != nil {
+				return
+			}
+			n := <-calls
+			calls <- n + 1
+			serve(n, q.Target, c)
+		}
+	})
+}
+
+// follow runs a client until the test ends.
+func follow(t *testing.T, address string, l Limits) (*Client, *sink) {
+	s := &sink{make(chan string, 9), make(chan bool, 9)}
+	c := client(address)
+	l.MaxList = 1 << 16
+	c.SetLimits(l)
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan bool)
+	go func() { c.Run(ctx, s, func() {}); close(over) }()
+	t.Cleanup(func() { cancel(); <-over })
+	return c, s
+}
+
+// A list is taken whatever lines and pieces it comes in, and one that is cut off, too large or no list leaves
+// the last good one.
+func TestListsInPieces(t *testing.T) {
+	one, two := entry(8, true, "a", "in_service"), entry(9, false, "b", "in_service")
+	indent := strings.NewReplacer("{", "{\n  ", ",", ",\r\n\t", "}", "\n}")
+	bytes := ""
+	for i := range one {
+		bytes += chunk(one[i : i+1])
+	}
+	for name, in := range map[string]struct {
+		said string
+		held int
+	}{
+		"on lines of their own": {chunk(one+"\n") + chunk(two+"\n"), 2},
+		"indented":              {chunk(indent.Replace(one)+"\n") + chunk("\n"+indent.Replace(two)+"\n"), 2},
+		"byte by byte":          {bytes + chunk("\n") + chunk(two), 2},
+		"in one piece":          {chunk(one + two), 2},
+		"across pieces":         {chunk(one+two[:20]) + chunk(two[20:]), 2},
+		"cut off":               {chunk(one) + chunk(two[:20]), 1},
+		"empty lines":           {chunk("\n") + chunk("\r\n") + chunk(one) + chunk("\n"), 1},
+		"too large":             {chunk(one) + chunk(`{"index":9,"more":"`+strings.Repeat("x", 1<<16)+`"}`), 1},
+		"no list":               {chunk(one) + chunk("nonsense"), 1},
+		"an unknown status":     {chunk(one) + chunk(entry(9, false, "b", "asleep")), 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, s := follow(t, script(t, func(n int, _ string, conn *ring.Conn) {
+				io.WriteString(conn, chunked+in.said)
+				conn.Close()
+			}), Limits{Silence: nettest.Patience})
+			c.Follow()
+			<-s.failed
+			got := []int{c.Held(), c.InService(), len(s.listed), int(c.Index()) - 7}
+			if diff := cmp.Diff([]int{in.held, in.held, in.held, in.held}, got); diff != "" {
+				t.Errorf("held, in service, told, version: %s", diff)
+			}
+		})
+	}
+}
+
+// A watch that falls silent, also in the midst of a list of which bytes go on coming, is opened anew from
+// what is held, without being asked for and without a word to the decisions.
+func TestSilentWatchIsOpenedAnew(t *testing.T) {
+	for name, last := range map[string]string{"between lists": "\n", "in a list": `{"index":9,"endpo`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c, s := follow(t, script(t, func(n int, target string, conn *ring.Conn) {
+				switch {
+				case n == 0:
+					io.WriteString(conn, chunked+chunk(entry(8, true, "a", "in_service"))+chunk(last))
+					for last != "\n" {
+						if _, err := io.WriteString(conn, chunk(" ")); err != nil {
+							return
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+				case target == "/registry/instances?watch=1&from=8":
+					io.WriteString(conn, chunked+chunk(entry(9, false, "b", "in_service")))
+				default:
+					t.Errorf("call %d: %s", n, target)
+				}
+			}), Limits{Silence: 100 * time.Millisecond})
+			c.Follow()
+			if got := <-s.listed + ", " + <-s.listed; got != "true 1, false 1" || len(s.failed) > 0 {
+				t.Errorf("listed %s, told as failed %d times", got, len(s.failed))
+			}
+		})
+	}
+}
+
+// Discovery that is back with a lower count tells changes to a list that is not ours: it is asked for afresh.
+// The change is taken in at once, for a drain binds.
+func TestDiscoveryCountsAnew(t *testing.T) {
+	for _, first := range []string{"terminating", "in_service"} {
+		c, s := follow(t, script(t, func(n int, target string, conn *ring.Conn) {
+			switch n {
+			case 0:
+				io.WriteString(conn, chunked+chunk(entry(8, true, "a", "in_service"))+chunk(entry(3, false, "b", first)))
+			case 1:
+				if target != "/registry/instances" {
+					t.Errorf("then %s", target)
+				}
+				nettest.OK(entry(4, true, "b", "in_service")).Write(conn.Out)
+				conn.Flush()
+			default:
+				if target != "/registry/instances?watch=1&from=4" {
+					t.Errorf("at last %s", target)
+				}
+				io.WriteString(conn, chunked+chunk(entry(5, false, "c", "in_service")))
+			}
+		}), Limits{Silence: nettest.Patience})
+		c.Follow()
+		got := []string{<-s.listed, <-s.listed, <-s.listed, <-s.listed}
+		if diff := cmp.Diff([]string{"true 1", "false 1", "true 1", "false 1"}, got); diff != "" {
+			t.Error(diff)
+		}
+		if c.Held() != 2 || c.Index() != 5 || len(s.failed) > 0 { // a, which the new count does not know, is gone
+			t.Errorf("%d held at version %d", c.Held(), c.Index())
+		}
+	}
+}
+
+// Where changes bind unasked the whole list is asked for at the start, and again after every end, with nobody
+// asking.
+func TestUnasked(t *testing.T) {
+	c, s := follow(t, script(t, func(n int, target string, conn *ring.Conn) {
+		want := "/registry/instances"
+		switch n {
+		case 0, 1:
+			(&http1.Response{Status: 503}).Write(conn.Out)
+		case 2:
+			nettest.OK(entry(4, true, "a", "in_service")).Write(conn.Out)
+		default: // each watch tells one change and ends
+			want = fmt.Sprintf("/registry/instances?watch=1&from=%d", n+1)
+			io.WriteString(conn.Out, chunked+chunk(entry(n+2, false, "b", "in_service"))+"0\r\n\r\n")
+		}
+		if conn.Flush(); n == 3 || n == 4 {
+			conn.Close()
+		}
+		if target != want {
+			t.Errorf("call %d: %s", n, target)
+		}
+	}), Limits{Silence: nettest.Patience, Again: 10 * time.Millisecond})
+	for i, want := range []string{"true 1", "false 1", "false 1", "false 1"} {
+		if got := <-s.listed; got != want {
+			t.Errorf("list %d: %s", i, got)
+		}
+	}
+	if len(s.failed) > 0 || c.Held() != 2 {
+		t.Errorf("told as failed %d times, %d held", len(s.failed), c.Held())
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -2,7 +2,6 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -33,8 +33,15 @@
 	Silence time.Duration
 	// MaxList bounds one object of the watch, in bytes.
 	MaxList int
+	// Again is the longest pause before a watch that ended is opened again, where changes bind from the moment
+	// discovery has them: then nobody asks for them by Follow. 0 is where somebody does.
+	Again time.Duration
 }
 
+// Reopen is the longest pause before a watch that fell silent is opened anew: all watches may fall silent at
+// once, and what they miss binds soon.
+func (l *Limits) Reopen() time.Duration { return l.Silence / 4 }
+
 // Sink takes in what discovery says.
 type Sink interface {
 	Listed(whole bool, list []decide.Server)
@@ -68,7 +75,8 @@
 	now     *watch // the one followed, nil while there is none
 	before  *watch // at the address left; it stands until the one followed has told the list
 	moving  bool   // nothing was told at address yet
-	retries int    // since the move
+	again   bool   // the watch fell silent, and is opened anew without being asked for
+	retries int    // since the move, or since a watch told something last
 	feed    Feed
 	watches int64 // begun
 
@@ -90,6 +98,7 @@
 	afresh  bool // the whole list is wanted: what another service counts is not continued
 	token   uint64
 	cancel  context.CancelFunc
+	said    bool  // it told something
 	err     error // why it ended
 }
 
@@ -192,6 +201,10 @@
 		c.fedBy(ctx, f)
 	default:
 	}
+	if c.unasked() && !c.feed.Held && c.now == nil {
+		c.moving = true // what was known before the start may be old, and what discovery has binds
+		c.now = c.start(ctx, c.address, true)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -209,14 +222,14 @@
 				c.log.Error("list kept, the new one cannot be used", logging.Err, err)
 			}
 		case <-retry.C:
-			if c.now == nil && c.moving && !c.feed.Held {
-				c.now = c.start(ctx, c.address, true)
+			if c.now == nil && (c.moving || c.again || c.unasked()) && !c.feed.Held {
+				c.now = c.start(ctx, c.address, c.moving)
 			}
 		case w := <-c.told:
 			if w != c.now {
 				break
 			}
-			c.moving = false
+			c.moving, c.retries = false, 0
 			c.leave(c.before)
 			c.before = nil
 		case w := <-c.ended:
@@ -251,8 +264,17 @@
 	}
 }
 
-// end takes in that a watch is over. A time above 0 is when to try again by ourselves: after a move
-// there is nobody to be told by, and what the new service has to say binds whether it was read or not.
+// unasked tells whether watches are opened without being asked for.
+func (c *Client) unasked() bool { return c.limits.Load().Again > 0 }
+
+var (
+	errSilent = errors.New("it said nothing for too long")
+	errFell   = errors.New("discovery counts anew from below, the list is asked for afresh")
+)
+
+// end takes in that a watch is over. A time above 0 is when to try again by ourselves: after a move or a
+// silence, and where changes bind unasked, there is nobody to be told by, and what is said meanwhile binds
+// whether it was read or not.
 func (c *Client) end(w *watch) time.Duration {
 	w.cancel()
 	if w == c.before {
@@ -264,10 +286,24 @@
 	c.now = nil
 	c.count.ListsFailed.Add()
 	c.log.Warn("watch ended", logging.Address, w.address, logging.Err, w.err)
-	if c.moving {
+	limits := c.limits.Load()
+	if w.said {
+		c.retries = 0
+	}
+	if errors.Is(w.err, errFell) {
+		c.moving = true
+	}
+	if c.again = errors.Is(w.err, errSilent); c.again {
+		return 1 + time.Duration(rand.Float64()*float64(limits.Reopen()))
+	}
+	if c.moving || c.unasked() {
 		c.retries++
 		// Every client proxy is told of a move in the same moment, so the tries are spread.
-		return time.Duration((0.5 + rand.Float64()) * float64(200*time.Millisecond<<min(c.retries, 4)))
+		wait := 200 * time.Millisecond << min(c.retries, 4)
+		if c.unasked() {
+			wait = min(wait, limits.Again*2/3)
+		}
+		return time.Duration((0.5 + rand.Float64()) * float64(wait))
 	}
 	select { // asked again while it stood
 	case <-c.asked:
@@ -331,18 +367,18 @@
 	if err != nil {
 		return err
 	}
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, c.limits.Load().MaxList)
+	said := newValues(body, func() Limits { return *c.limits.Load() },
+		func(t time.Time) { conn.SetReadDeadline(t) },
+		func() { c.heard.Store(max(1, int64(time.Since(c.begun)))) })
 	for {
-		conn.SetReadDeadline(time.Now().Add(c.limits.Load().Silence))
-		if !lines.Scan() {
-			return errors.Join(lines.Err(), io.EOF)
+		list, err := said.next()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errSilent
 		}
-		c.heard.Store(max(1, int64(time.Since(c.begun))))
-		if len(lines.Bytes()) == 0 {
-			continue
+		if err == nil {
+			err, w.said = c.tell(w, list), true
 		}
-		if err := c.tell(w, lines.Bytes()); err != nil {
+		if err != nil {
 			return err
 		}
 	}
@@ -376,11 +412,11 @@
 	c.telling.Lock()
 	defer c.telling.Unlock()
 	whole, list, err := c.take(w, raw)
-	if err != nil {
+	if err != nil && err != errFell {
 		return err
 	}
 	c.sink.Listed(whole, list)
 	c.changed()
 	c.count.Lists.Add()
-	return nil
+	return err
 }
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -79,7 +79,8 @@
 var errOvertaken = errors.New("another watch has told the list since")
 
 // take applies one document: from here on no attempt begins at a server that it takes out of service.
-// With its first one a watch becomes the source; the one before it is not heard any more.
+// With its first one a watch becomes the source; the one before it is not heard any more. A change whose
+// count lies below what was told is taken in, with errFell: what lies between it and the list is unknown.
 func (c *Client) take(w *watch, raw []byte) (whole bool, list []decide.Server, err error) {
 	var doc registry.Document
 	if err := json.Unmarshal(raw, &doc); err != nil {
@@ -98,6 +99,9 @@
 			return false, nil, errOvertaken
 		}
 		c.source = w.number
+		if !doc.Snapshot && doc.Index < c.index {
+			err = errFell
+		}
 	}
 	c.index = doc.Index
 	if doc.Snapshot {
@@ -126,7 +130,7 @@
 			delete(c.taken, s.ID)
 		}
 	}
-	return doc.Snapshot, list, nil
+	return doc.Snapshot, list, err
 }
 
 // place finds a word's position; one the settings do not name gets a position behind theirs.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -228,7 +228,12 @@
 }
 
 func listLimits(cfg *config.Config) discovery.Limits {
-	return discovery.Limits{Silence: cfg.Discovery.Silence, MaxList: int(cfg.Discovery.MaxList)}
+	l := discovery.Limits{Silence: cfg.Discovery.Silence, MaxList: int(cfg.Discovery.MaxList)}
+	if cfg.Discovery.Mode == "told" && cfg.Discovery.Address != "" {
+		// What discovery has binds from then on: a drain has to be heard well within its grace.
+		l.Again = max(cfg.Drain.Grace/4, 20*time.Millisecond)
+	}
+	return l
 }
 
 func poolLimits(cfg *config.Config) upstream.Limits {
--- /dev/null
+++ b/internal/serve/silence_test.go
@@ -0,0 +1,52 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/config"
+)
+
+// What a silent watch misses binds 6 s after it fell silent. That is time enough, at the platform's settings
+// and with the longest pause everywhere, to miss it, to have one call refused, and to make another; and so it
+// is where one call takes as long as a call may.
+func TestSilenceEndsBeforeItBinds(t *testing.T) {
+	const binds, answer = 6 * time.Second, 400 * time.Millisecond // of each of two calls
+	cfg, err := config.Load(config.Input{
+		Environ: func() []string { return []string{"EDGE_CONFIG=x"} },
+		Read: func(string) ([]byte, error) {
+			return []byte(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","settings":{
+				"registry-mode":"on_request","invariants":{"ask-within-ms":10000},"limits":{"dial-timeout-ms":250},
+				"grades":[{"name":"a","aim-ms":500,"deadline-ms":1000,"effect":"at_most_once"}]}}`), nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits, dial := listLimits(cfg), cfg.Upstream.DialLimit()
+	longest := time.Duration(0) // pause of the decisions after a call that failed
+	for seed := range uint64(1000) {
+		set := cfg.Settings().Settings
+		set.Seed = seed
+		b, err := balance.New(set, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		acts := b.List(0, balance.ListFailed, nil, nil)
+		if len(acts) != 1 || acts[0].Kind != balance.SetTimer {
+			t.Fatalf("a call that failed: %+v", acts)
+		}
+		longest = max(longest, acts[0].Wait)
+	}
+	heard := limits.Silence + limits.Reopen() + dial
+	if sum := heard + answer + longest + dial + answer; sum > binds {
+		t.Errorf("refused once: %v", sum)
+	}
+	if sum := heard + limits.Silence; sum > binds {
+		t.Errorf("slow: %v", sum)
+	}
+	if limits.Again != 0 {
+		t.Errorf("asked for unasked, each %v", limits.Again)
+	}
+}
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -105,16 +105,22 @@
 // the list was heard afresh or some time has passed. Then new processes are met.
 func (p *Proxy) takeClients() {
 	u := &p.upgrade
-	if u.old != nil {
-		go p.untilOldIsGone()
-		for end := time.Now().Add(p.cfg.Handover.Settle); time.Now().Before(end) && !p.heard(); {
-			select {
-			case <-u.oldGone: // nobody else takes them
-				end = time.Time{}
-			case <-time.After(5 * time.Millisecond):
-			}
+	alone := func() bool { // nobody else takes them
+		select {
+		case <-u.oldGone:
+			return true
+		default:
+			return false
 		}
 	}
+	switch {
+	case u.old != nil:
+		go p.untilOldIsGone()
+		p.settle(alone)
+	case listLimits(p.cfg).Again > 0:
+		// What discovery has binds from the first request on. Where it cannot be had, what was known must do.
+		p.settle(func() bool { return p.count.ListsFailed.Load() > 0 })
+	}
 	go p.server.Serve(p.listener)
 	p.meet()
 	u.serving.Store(true) // last, for the yes that follows is what the old process is ended at
@@ -125,6 +131,14 @@
 	p.log.Info("ready", words...)
 }
 
+// settle waits until the list was heard afresh, enough holds, or some time has passed.
+func (p *Proxy) settle(enough func() bool) {
+	end := time.Now().Add(p.cfg.Handover.Settle)
+	for time.Now().Before(end) && !p.heard() && !enough() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // meet makes this process the one that new ones find, and tells the old one that it takes clients.
 func (p *Proxy) meet() {
 	u := &p.upgrade
