The end: what was sent early is answered, nothing is kept so long that a kill could cut it

Seen by tests over loopback sockets: with two requests sent at once and SIGTERM, or lame duck, during the first, the second was cut ("200 one, end, end"); a connection whose next request had been read with the one before passed for one at rest ("it was closed"); a client beyond the sockets read its 503 and then "connection reset by peer", for its body was unread; with lists pushed and SIGTERM before the first list a client that had connected was reset. By reading: connections at rest were kept for 1.2 s, half requests for 3 s, where the platform may kill 0.7 s and the longest deadline after the signal.

At fault: ingress/exchange.go (Close with the first answer whatever waits), client.rest (half unset), turnAway and the plain close after a last answer (unread bytes), serve.takeClients, and the defaults of [shutdown].

Changed: a connection stays open while more of its client waits, up to close_all_after; rest sees what was read; last answers linger where bytes are unread; settle ends with the signal. accept_for 800 to 600 ms, close_all_after 1.2 s to 700 ms, close_half_after 3 s to 700 ms: the protocol's 0.4 s for new connections and 0.7 s before the kill are the reason. drain_test and config_test state the new values and the new field.

--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -245,6 +246,32 @@
 	ask("third")
 }
 
+// The signal to end may come while a new process still waits for its first list: who has connected by then is
+// answered.
+func TestTermBeforeTheFirstList(t *testing.T) {
+	asked := make(chan bool, 9)
+	silent := nettest.Serve(t, func(*http1.Request) *http1.Response { asked <- true; return nettest.Silence })
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := free.Addr().String()
+	free.Close()
+	text := strings.Replace(configuration(silent.Address, "null", 200), "on_request", "pushed", 1)
+	p := launch(t, strings.Replace(text, "127.0.0.1:0", address, 1))
+	<-asked
+	c := nettest.Dial(t, address)
+	io.WriteString(c, nettest.Request("GET", "lookup", "id", 15*time.Second))
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if a, err := http1.ReadResponse(c.In); err != nil || a.Status != 503 {
+		t.Errorf("%+v, %v", a, err)
+	}
+	p.expect(t, "requests.refused=1")
+	if err := p.cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestClientGoneEndsItsAttempt(t *testing.T) {
 	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.Silence }))
 	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -242,16 +242,19 @@
 	Rested    time.Duration `key:"rested_for" default:"20ms" min:"0s" max:"10m" reload:"live"`
 }
 
-// Shutdown times how clients are sent away, each from SIGTERM or an operator's lame duck on.
+// Shutdown times how clients are sent away, each from SIGTERM or an operator's lame duck on. The platform
+// may kill the process once its longest deadline and 0.7 s have passed: what is taken later than 0.7 s
+// after the signal could be cut, so that nothing that rests or is not whole is kept for longer. New
+// connections come for 0.4 s.
 type Shutdown struct {
 	_         about         `doc:"connections that rest close"`
 	CloseIdle time.Duration `key:"close_idle_after" default:"500ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"new connections are taken until then"`
-	Accept    time.Duration `key:"accept_for" default:"800ms" min:"0s" max:"10m" reload:"live"`
+	Accept    time.Duration `key:"accept_for" default:"600ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those that came since close"`
-	CloseAll  time.Duration `key:"close_all_after" default:"1200ms" min:"0s" max:"10m" reload:"live"`
+	CloseAll  time.Duration `key:"close_all_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those whose request has begun and is not whole"`
-	CloseHalf time.Duration `key:"close_half_after" default:"3s" min:"0s" max:"10m" reload:"live"`
+	CloseHalf time.Duration `key:"close_half_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
 }
 
 // Upstream is the connections to servers.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -223,7 +223,7 @@
 		{"[log]\nrequests = 2026-12-01\n" + small, "c.toml:2: log.requests: found a localdate"},
 		{small + "[[server]]\nname=\"a\"\naddress=\"127.0.0.1:1\"\n", "c.toml:2: discovery.address: is set and"},
 		{"halls = [1]\n" + small, "c.toml:1: halls: found a list"},
-		{"[shutdown]\naccept_for = \"2s\"\n" + small, "c.toml:2: shutdown.close_all_after: 1.2s is before"},
+		{"[shutdown]\naccept_for = \"2s\"\n" + small, "c.toml:2: shutdown.close_all_after: 700ms is before"},
 		{"x = 99999999999999999999\n" + small, "c.toml:1: x: 99999999999999999999 is no whole"},
 		{"[upstream]\ndial = \"2m\"\n" + small, "c.toml:2: upstream.dial: 2m is out of range, 0s to 1m"},
 		{"[log]\nlevel = \"a\nb\"\n" + small, "c.toml:2: log.level: "},
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -52,6 +52,8 @@
 	Half time.Time
 	// Refuse tells that new connections are no longer taken.
 	Refuse bool
+	// Last tells that a client's next answer is its last one, also where more of it waits to be read.
+	Last bool
 	// Over tells that the process may end once it holds no connection.
 	Over bool
 }
@@ -68,7 +70,7 @@
 			p.Rested = began
 		}
 		if age >= t.CloseAll {
-			p.Rested = now
+			p.Rested, p.Last = now, true
 		}
 		if age >= t.CloseHalf {
 			p.Half = now
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -26,13 +26,13 @@
 		{"serving", State{}, 5000, Plan{}},
 		{"lame, at once", lame, 0, Plan{}},
 		{"lame, what rested", lame, 500, Plan{Rested: at(0)}},
-		{"lame, all that rest", lame, 1300, Plan{Rested: at(1300)}},
-		{"lame, heads too", lame, 3000, Plan{Rested: at(3000), Half: at(3000)}},
+		{"lame, all that rest", lame, 1300, Plan{Rested: at(1300), Last: true}},
+		{"lame, heads too", lame, 3000, Plan{Rested: at(3000), Half: at(3000), Last: true}},
 		{"ending, what rested", end, 600, Plan{Rested: at(0)}},
 		{"ending, no more", end, 900, Plan{Rested: at(0), Refuse: true}},
-		{"ending, over", end, 1200, Plan{Rested: at(1200), Refuse: true, Over: true}},
+		{"ending, over", end, 1200, Plan{Rested: at(1200), Refuse: true, Last: true, Over: true}},
 		{"both, the later began", lame.End(at(300)), 900, Plan{Rested: at(300)}},
-		{"both, the further counts", lame.End(at(1000)), 1300, Plan{Rested: at(1300)}},
+		{"both, the further counts", lame.End(at(1000)), 1300, Plan{Rested: at(1300), Last: true}},
 	} {
 		if diff := cmp.Diff(c.want, c.state.Plan(at(c.ms), times)); diff != "" {
 			t.Errorf("%s: %s", c.name, diff)
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -92,10 +92,12 @@
 }
 
 // rest marks the connection as between two requests, begin as in one; begin returns false where the
-// connection was closed meanwhile.
+// connection was closed meanwhile. Where the next request was read with the one before it has begun: nothing
+// of it waits in the system, where whoever closes what rests would see it.
 func (s *Server) rest(c *client) {
+	waits := c.Waits()
 	s.mu.Lock()
-	c.idle, c.half, c.fresh, c.since = true, false, false, time.Now()
+	c.idle, c.half, c.fresh, c.since = true, waits, false, time.Now()
 	s.mu.Unlock()
 }
 
--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -14,6 +14,17 @@
 // Serving tells whether clients are taken; /health/ready says the same.
 func (s *Server) Serving() bool { return s.drain.Load().Serving() }
 
+// Ending tells whether Shutdown was called.
+func (s *Server) Ending() bool { return s.drain.Load().Ending() }
+
+// leaving tells whether a client's connection ends with its present answer, as far as we have a say in
+// it. What it has sent behind its request is ours to answer, so where there is such it stays open for a
+// while.
+func (s *Server) leaving(c *client) bool {
+	d := s.drain.Load()
+	return !d.Serving() && (d.Plan(time.Now(), s.Drain()).Last || c.Quiet())
+}
+
 // LameDuck sends clients away for a while, or takes them again; it returns at once. Everything that comes is
 // still answered.
 func (s *Server) LameDuck(on bool) {
@@ -61,7 +72,7 @@
 		s.closeBefore(p)
 		left := len(s.clients)
 		s.mu.Unlock()
-		if left == 0 && p.Over {
+		if left == 0 && p.Over && len(s.away) == 0 {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/ingress/drain_test.go
@@ -0,0 +1,246 @@
+package ingress
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cresshub/internal/drain"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// held is a zone server whose answers wait until release is closed.
+func held(t *testing.T) (zone *nettest.Party, release chan bool) {
+	release = make(chan bool)
+	return nettest.Serve(t, func(q *http1.Request) *http1.Response {
+		<-release
+		return nettest.OK(q.Header.Get(idField))
+	}), release
+}
+
+// ending begins the end of a rig and returns once its state says so.
+func (r *rig) ending(t *testing.T) {
+	go func() {
+		r.Shutdown(r.listener)
+		close(r.ended)
+	}()
+	nettest.Until(t, "it ends", func() bool { return !r.Serving() })
+}
+
+// outcome is what a client reads next: an answer's status and body, or how the connection ended.
+func outcome(c *ring.Conn) string {
+	a, err := http1.ReadResponse(c.In)
+	var timeout net.Error
+	switch {
+	case err == nil:
+		return fmt.Sprint(a.Status, " ", strings.TrimSpace(string(a.Body)))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "nothing"
+	}
+	return "end"
+}
+
+// What a client sent before the end of its connection was in sight is answered, also where it did not
+// wait for the answer before; and the process ends after that.
+func TestEndAnswersWhatWasSentEarly(t *testing.T) {
+	for _, lame := range []bool{false, true} {
+		r := newRig(t, nil)
+		zone, release := held(t)
+		r.list(zone.Address)
+		c := nettest.Dial(t, r.address)
+		io.WriteString(c, get("one")+get("two"))
+		nettest.Until(t, "the first is sent on", func() bool { return len(zone.Got("")) == 1 })
+		if lame {
+			r.LameDuck(true)
+		} else {
+			r.ending(t)
+		}
+		close(release)
+		if got := outcome(c) + ", " + outcome(c) + ", " + outcome(c); got != "200 one, 200 two, end" {
+			t.Errorf("lame %v: %s", lame, got)
+		}
+		if lame {
+			r.ending(t)
+		}
+		<-r.ended
+	}
+}
+
+// A request that was read together with the one before it is not taken for rest by whoever closes what rests.
+func TestWhatWasReadEarlyIsNoRest(t *testing.T) {
+	s := server()
+	far, near := tcpPair(t)
+	c := &client{Conn: ring.NewConn(near), woken: make(chan struct{}, 1)}
+	s.clients[c] = struct{}{}
+	io.WriteString(far, "GET /one\r\nGET /two\r\n")
+	nettest.Until(t, "all has come", func() bool { c.In.Peek(1); return c.In.Buffered() == 20 })
+	c.In.Discard(10)
+	s.rest(c)
+	s.mu.Lock()
+	s.closeBefore(drain.Plan{Rested: time.Now().Add(time.Hour)})
+	_, open := s.clients[c]
+	s.mu.Unlock()
+	if !open {
+		t.Error("it was closed")
+	}
+	c.In.Discard(10)
+	s.rest(c)
+	s.mu.Lock()
+	s.closeBefore(drain.Plan{Rested: time.Now().Add(time.Hour)})
+	_, open = s.clients[c]
+	s.mu.Unlock()
+	if open {
+		t.Error("one that rests stayed")
+	}
+}
+
+func tcpPair(t *testing.T) (far, near net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if far, err = net.Dial("tcp", l.Addr().String()); err == nil {
+		near, err = l.Accept()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { far.Close(); near.Close() })
+	return far, near
+}
+
+// Half a head is answered at the limit, servers that hang are waited for to the deadline and no longer,
+// and new connections are taken for as long as told.
+func TestEndWithAllKindsOfClients(t *testing.T) {
+	r := newRig(t, nil)
+	zone, release := held(t)
+	defer close(release)
+	r.list(zone.Address)
+	half, hangs, rests := nettest.Dial(t, r.address), nettest.Dial(t, r.address), nettest.Dial(t, r.address)
+	io.WriteString(half, "GET /api HT")
+	io.WriteString(hangs, nettest.Request("POST", "assign", "hangs", 600*time.Millisecond))
+	nettest.Until(t, "the request is sent on", func() bool { return len(zone.Got("")) == 1 })
+	r.ending(t)
+	var fresh []string
+	for began := time.Now(); time.Since(began) < 40*time.Millisecond; { // the rig accepts for 80 ms
+		c := nettest.Dial(t, r.address)
+		io.WriteString(c, "GET "+readyPath+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		fresh = append(fresh, outcome(c))
+	}
+	for _, got := range fresh {
+		if got != "503 sending clients away" {
+			t.Errorf("a new connection: %s", got)
+		}
+	}
+	if got := outcome(half); !strings.HasPrefix(got, "503 ") {
+		t.Errorf("half a head: %s", got)
+	}
+	if got := outcome(rests); got != "end" {
+		t.Errorf("one that rests: %s", got)
+	}
+	if got := outcome(hangs); got != "504 no answer in time" {
+		t.Errorf("one that waits: %s", got)
+	}
+	<-r.ended
+}
+
+// The last byte of a request may cross with the close of its connection: it is answered, or it was not
+// sent on.
+func TestRequestCrossesWithTheClose(t *testing.T) {
+	r := newRig(t, nil)
+	zone := nettest.Serve(t, func(q *http1.Request) *http1.Response { return nettest.OK(q.Header.Get(idField)) })
+	r.list(zone.Address)
+	const n = 50
+	answered := make([]string, n)
+	var all sync.WaitGroup
+	conns := make([]*ring.Conn, n)
+	for i := range conns {
+		conns[i] = nettest.Dial(t, r.address)
+		outcome := nettest.Ask(t, conns[i], get(fmt.Sprint("before-", i)))
+		if outcome.Status != 200 {
+			t.Fatalf("%+v", outcome)
+		}
+	}
+	r.ending(t)
+	for i, c := range conns {
+		all.Add(1)
+		go func() { // over the time in which the sweeps close what rests
+			defer all.Done()
+			time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+			io.WriteString(c, get(fmt.Sprint(i)))
+			answered[i] = outcome(c)
+		}()
+	}
+	all.Wait()
+	<-r.ended
+	sent := map[string]bool{}
+	for _, q := range zone.Got("") {
+		sent[q.Header.Get(idField)] = true
+	}
+	for i, got := range answered {
+		if id := fmt.Sprint(i); (got == "200 "+id) != sent[id] || got == "nothing" {
+			t.Errorf("%s: %s, sent on: %v", id, got, sent[id])
+		}
+	}
+}
+
+// On and off in any order leave one sweep at most, and the last word counts.
+func TestLameDuckWhileASweepRuns(t *testing.T) {
+	r := newRig(t, nil)
+	for range 20 {
+		var all sync.WaitGroup
+		for _, on := range []bool{true, false, true} {
+			all.Add(1)
+			go func() { defer all.Done(); r.LameDuck(on) }()
+		}
+		all.Wait()
+		r.LameDuck(true)
+		c := nettest.Dial(t, r.address)
+		if got := outcome(c); got != "end" {
+			t.Errorf("while it is on: %s", got)
+		}
+		r.LameDuck(false)
+		nettest.Until(t, "the sweep ends", func() bool {
+			r.Server.mu.Lock()
+			defer r.Server.mu.Unlock()
+			return !r.sweeping
+		})
+	}
+}
+
+// An answer that ends its connection is read whole, though more had come than was read: the end is a
+// plain one.
+func TestLastAnswerIsNotOvertaken(t *testing.T) {
+	for name, full := range map[string]bool{"ends": false, "turned away": true} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+			r.list(zone.Address)
+			text := strings.Replace(get("id"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1) +
+				strings.Repeat(get("next"), 100)
+			if full {
+				for n := int64(1); r.Count.TurnedAway.Load() == 0; n++ {
+					io.WriteString(nettest.Dial(t, r.address), "GET /")
+					nettest.Until(t, "it is accepted", func() bool { return r.Count.Accepted.Load() == n })
+				}
+				text = post("id", 8000, strings.Repeat("x", 8000))
+			}
+			c := nettest.Dial(t, r.address)
+			io.WriteString(c, text)
+			if got := outcome(c); got != map[bool]string{false: "200 ", true: "503 "}[full] {
+				t.Fatalf("answer %q", got)
+			}
+			if _, err := c.In.Peek(1); err != io.EOF {
+				t.Errorf("then %v", err)
+			}
+		})
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -78,13 +78,15 @@
 	}
 	if f.answer != nil {
 		// What is left of a body is in the way of the next request.
-		f.answer.Close = q.Close || !s.Serving() || !body.Whole()
+		f.answer.Close = q.Close || s.leaving(c) || !body.Whole()
 		if c.use != nil {
 			c.use.In = body.Taken()
 		}
 		again = s.pass(c, q, &f) && !f.answer.Close
 		if !body.Whole() {
 			s.linger(c, limits.Discard)
+		} else if f.answer.Close && !c.Quiet() {
+			s.linger(c, limits.Linger)
 		}
 	}
 	if f.from != nil {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -125,12 +125,16 @@
 	defer nc.Close()
 	c := ring.NewConn(nc)
 	c.SetDeadline(time.Now().Add(s.limits.Load().Away))
-	q, _, err := http1.ReadRequestHead(c.In)
+	q, body, err := http1.ReadRequestHead(c.In)
 	if err != nil {
 		return
 	}
 	(&http1.Response{Status: 503, Close: true}).Write(c.Out)
-	if class, ok := s.classes[q.Header.Get("X-Priority-Class")]; c.Flush() == nil && ok {
+	flushed := c.Flush()
+	if flushed == nil && !(body.Whole() && c.Quiet()) { // what is not read would have the answer overtaken
+		defer s.linger(&client{Conn: c}, s.limits.Load().Linger)
+	}
+	if class, ok := s.classes[q.Header.Get("X-Priority-Class")]; flushed == nil && ok {
 		s.Count.Class(class).Dropped.Add()
 		if t := (&client{}); s.Used != nil {
 			s.use(t, q, class)
--- a/internal/ingress/rig_test.go
+++ b/internal/ingress/rig_test.go
@@ -21,8 +21,9 @@
 // rig is a proxy without discovery: what it lists, and when a look-up is answered, a test says.
 type rig struct {
 	*Server
-	address string
-	ended   chan struct{} // closed when Shutdown has returned
+	address  string
+	listener net.Listener
+	ended    chan struct{} // closed when Shutdown has returned
 
 	mu     sync.Mutex
 	listed map[decide.ServerID]string
@@ -84,7 +85,7 @@
 		Decider: decider, Pool: pool, Name: func(decide.ServerID) string { return "s" },
 		Classes: []string{"lookup", "assign"}, Tenants: []string{"acme"},
 		Limits: config.Clients{First: wait, Request: wait, Stall: wait, Idle: wait, Write: wait,
-			Linger: time.Second, Away: wait, AwayAtOne: 8, Discard: time.Second},
+			Half: wait, Silent: wait, Rested: wait, Linger: time.Second, Away: wait, AwayAtOne: 8, Discard: time.Second},
 		Drain: func() drain.Times {
 			return drain.Times{CloseIdle: 50 * time.Millisecond, Accept: 80 * time.Millisecond,
 				CloseAll: 120 * time.Millisecond, CloseHalf: 300 * time.Millisecond}
@@ -95,7 +96,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.address = l.Addr().String()
+	r.address, r.listener = l.Addr().String(), l
 	stop := make(chan struct{})
 	go decider.Run(stop)
 	go r.Serve(l)
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -144,6 +144,7 @@
 	net.Conn
 	In  *bufio.Reader
 	Out *bufio.Writer
+	in  *Buffer
 	out *Buffer
 
 	heard *atomic.Int64 // when bytes last came, as Unix time in nanoseconds
@@ -152,10 +153,10 @@
 
 // NewConn lays rings and bufio around c.
 func NewConn(c net.Conn) *Conn {
-	out, heard := New(Size), &atomic.Int64{}
+	in, out, heard := New(Size), New(Size), &atomic.Int64{}
 	return &Conn{
-		Conn: c, out: out, heard: heard,
-		In:  bufio.NewReaderSize(source{New(Size), c, heard}, Size),
+		Conn: c, in: in, out: out, heard: heard,
+		In:  bufio.NewReaderSize(source{in, c, heard}, Size),
 		Out: bufio.NewWriterSize(sink{out, c}, Size/4),
 	}
 }
@@ -168,8 +169,11 @@
 	return time.Time{}
 }
 
+// Waits tells whether bytes were read that nobody has taken yet.
+func (c *Conn) Waits() bool { return c.In.Buffered() > 0 || c.in.Len() > 0 }
+
 // Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
-func (c *Conn) Quiet() bool { return c.In.Buffered() == 0 && c.Still() }
+func (c *Conn) Quiet() bool { return !c.Waits() && c.Still() }
 
 // Still tells whether nothing waits in the system. It does not touch what was read, so another goroutine may
 // sit in Read.
--- a/internal/serve/silence_test.go
+++ b/internal/serve/silence_test.go
@@ -8,11 +8,8 @@
 	"cresshub/internal/config"
 )
 
-// What a silent watch misses binds 6 s after it fell silent. That is time enough, at the platform's settings
-// and with the longest pause everywhere, to miss it, to have one call refused, and to make another; and so it
-// is where one call takes as long as a call may.
-func TestSilenceEndsBeforeItBinds(t *testing.T) {
-	const binds, answer = 6 * time.Second, 400 * time.Millisecond // of each of two calls
+// platform is the configuration as the platform gives it, with all else by default.
+func platform(t *testing.T) *config.Config {
 	cfg, err := config.Load(config.Input{
 		Environ: func() []string { return []string{"EDGE_CONFIG=x"} },
 		Read: func(string) ([]byte, error) {
@@ -24,6 +21,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return cfg
+}
+
+// The platform may kill a process once its longest deadline and 0.7 s have passed since the signal to
+// end, and has clients open connections for 0.4 s: no connection is kept at rest, or for a request that
+// is not whole, so long that what comes on it could be cut.
+func TestEndIsOverBeforeTheKill(t *testing.T) {
+	const sure, opens = 700 * time.Millisecond, 400 * time.Millisecond
+	s := platform(t).Shutdown
+	for name, d := range map[string]time.Duration{"accept": s.Accept, "rest": s.CloseAll, "half": s.CloseHalf} {
+		if d > sure || d < opens {
+			t.Errorf("%s: %v", name, d)
+		}
+	}
+}
+
+// What a silent watch misses binds 6 s after it fell silent. That is time enough, at the platform's settings
+// and with the longest pause everywhere, to miss it, to have one call refused, and to make another; and so it
+// is where one call takes as long as a call may.
+func TestSilenceEndsBeforeItBinds(t *testing.T) {
+	const binds, answer = 6 * time.Second, 400 * time.Millisecond // of each of two calls
+	cfg := platform(t)
 	limits, dial := listLimits(cfg), cfg.Upstream.DialLimit()
 	longest := time.Duration(0) // pause of the decisions after a call that failed
 	for seed := range uint64(1000) {
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -116,10 +116,13 @@
 	switch {
 	case u.old != nil:
 		go p.untilOldIsGone()
-		p.settle(alone)
+		if p.settle(func() bool { return alone() || p.server.Ending() }); p.server.Ending() && !alone() {
+			return // the old one goes on, and is not told that we take its clients
+		}
 	case listLimits(p.cfg).Again > 0:
 		// What discovery has binds from the first request on. Where it cannot be had, what was known must do.
-		p.settle(func() bool { return p.count.ListsFailed.Load() > 0 })
+		// Where the end is told meanwhile, who has connected is owed an answer all the same.
+		p.settle(func() bool { return p.count.ListsFailed.Load() > 0 || p.server.Ending() })
 	}
 	go p.server.Serve(p.listener)
 	p.meet()
