A late second answer is not taken for the next request's, and hand-over looks at age again

Seen by test: a server that answers, and sends a copy of its answer once the next request on that connection has come, has the copy passed on as the second request's answer ("first, first").

Checked: answers carry nothing that tells whose they are (Content-Length alone), so the content cannot show it. Bytes left in the ring behind an answer: wait meets them.

At fault: upstream.handIdle took the connection used last however short ago; wait did not look at the age again (a request written past the server's limit ends as a reset, which may have run); a hand-over that failed ran the next connection inside the goroutine of the first.

Changed: upstream.rest (20 ms, live) that a connection needs after an answer to a request; the one used last that has rested is taken. Age is looked at once more.

With the old lines back TestLateSecondAnswer, TestRest and TestHandOver fail. 100 runs of each, plain and under the race detector: one verdict. TestSecondCopyIsNoAnswer builds its connection with an age, which wait reads.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -265,6 +265,8 @@
 	IdleClose time.Duration `key:"idle_close" default:"5s" min:"0s" max:"1h" reload:"live"`
 	_         about         `doc:"part of idle_close up to which a connection is used again"`
 	Reuse     float64       `key:"reuse" default:"0.75" min:"0" max:"0.95" reload:"live"`
+	_         about         `doc:"a connection rests so long after an answer: a second one may follow it"`
+	Rest      time.Duration `key:"rest" default:"20ms" min:"0s" max:"10s" reload:"live"`
 	_         about         `doc:"how long a probe may take beyond a dial"`
 	Probe     time.Duration `key:"probe" default:"50ms" min:"1ms" max:"1m" reload:"live"`
 	_         about         `doc:"an answer of unknown length that takes longer is passed on as it comes"`
--- a/internal/ingress/rig_test.go
+++ b/internal/ingress/rig_test.go
@@ -85,7 +85,8 @@
 		Decider: decider, Pool: pool, Name: func(decide.ServerID) string { return "s" },
 		Classes: []string{"lookup", "assign"}, Tenants: []string{"acme"},
 		Limits: config.Clients{First: wait, Request: wait, Stall: wait, Idle: wait, Write: wait,
-			Half: wait, Silent: wait, Rested: wait, Linger: time.Second, Away: wait, AwayAtOne: 8, Discard: time.Second},
+			Half: wait, Silent: wait, Rested: wait, Away: wait, AwayAtOne: 8,
+			Linger: time.Second, Discard: time.Second},
 		Drain: func() drain.Times {
 			return drain.Times{CloseIdle: 50 * time.Millisecond, Accept: 80 * time.Millisecond,
 				CloseAll: 120 * time.Millisecond, CloseHalf: 300 * time.Millisecond}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -238,7 +238,8 @@
 
 func poolLimits(cfg *config.Config) upstream.Limits {
 	dial := cfg.Upstream.DialLimit()
-	return upstream.Limits{Dial: dial, Reuse: cfg.Upstream.ReuseLimit(), Probe: dial + cfg.Upstream.Probe,
+	return upstream.Limits{Dial: dial, Reuse: cfg.Upstream.ReuseLimit(),
+		Rest: cfg.Upstream.Rest, Probe: dial + cfg.Upstream.Probe,
 		Hold: cfg.Upstream.Hold, Stall: cfg.Upstream.Stall}
 }
 
--- /dev/null
+++ b/internal/upstream/crossings_test.go
@@ -0,0 +1,162 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// A second answer that comes some milliseconds late, when the next request is already out, is not taken
+// for the answer to that one: a connection rests before it is used again. A probe's answer needs no rest.
+func TestLateSecondAnswer(t *testing.T) {
+	second := make(chan bool) // closed when the second request has come
+	conns := make(chan int, 1)
+	conns <- 0
+	address := nettest.Listen(t, func(c *ring.Conn) {
+		n := <-conns
+		conns <- n + 1
+		copied := false
+		for {
+			if _, err := http1.ReadRequest(c.In); err != nil {
+				return
+			}
+			if n == 0 && !copied {
+				nettest.OK("first").Write(c.Out)
+				c.Flush()
+				go func() {
+					<-second
+					nettest.OK("first").Write(c.Out)
+					c.Flush()
+				}()
+				copied = true
+				continue
+			}
+			close(second)
+			if n > 0 {
+				nettest.OK("own").Write(c.Out)
+				c.Flush()
+			}
+		}
+	})
+	p := pool(&place{address: address}, time.Hour)
+	l := *p.limits.Load()
+	l.Rest = time.Hour
+	p.SetLimits(l)
+	var got []string
+	for range 2 {
+		_, done := attempt(p, ever())
+		out := <-done
+		if out.Answer == nil {
+			t.Fatalf("%+v", out)
+		}
+		got = append(got, string(out.Answer.Body))
+	}
+	if diff := cmp.Diff([]string{"first", "own"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestRest(t *testing.T) {
+	x := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+	p := pool(&place{address: x.Address}, time.Hour)
+	l := *p.limits.Load()
+	l.Rest = time.Minute
+	p.SetLimits(l)
+	probed := make(chan bool)
+	ask := func() { _, done := attempt(p, ever()); <-done }
+	p.Probe(0, func(decide.Result, time.Duration, []float64) { probed <- true })
+	<-probed
+	ask() // on the same
+	ask() // on one of its own
+	if n := x.Opened.Load(); n != 2 {
+		t.Errorf("%d connections after a probe and two requests", n)
+	}
+	p.mu.Lock()
+	for _, c := range p.idle[0] {
+		c.since = c.since.Add(-2 * time.Minute)
+	}
+	p.idle[0][1].since = time.Now()
+	p.mu.Unlock()
+	ask() // on the one that has rested, though another was used later
+	if n := x.Opened.Load(); n != 2 {
+		t.Errorf("%d connections, one of which has rested", n)
+	}
+}
+
+// At hand-over a connection may turn out closed, reset, noisy or too old; and a sweep or a reclaim may
+// come just then. The attempt is made once, on one of its own, and nothing of it is written before.
+func TestHandOver(t *testing.T) {
+	for name, happens := range map[string]func(p *Pool, c *conn, far *ring.Conn){
+		"nothing": func(*Pool, *conn, *ring.Conn) {},
+		"closed":  func(_ *Pool, _ *conn, far *ring.Conn) { far.Close() },
+		"noise":   func(_ *Pool, _ *conn, far *ring.Conn) { io.WriteString(far, "x") },
+		"a late answer": func(_ *Pool, _ *conn, far *ring.Conn) {
+			io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate")
+		},
+		"too old":   func(_ *Pool, c *conn, _ *ring.Conn) { c.since = time.Now().Add(-2 * time.Hour) },
+		"a sweep":   func(p *Pool, _ *conn, _ *ring.Conn) { p.mu.Unlock(); p.Sweep(); p.mu.Lock() },
+		"a reclaim": func(p *Pool, _ *conn, _ *ring.Conn) { p.mu.Unlock(); p.closeOne(); p.mu.Lock() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			accepted := make(chan *ring.Conn, 9)
+			got := make(chan string, 9)
+			address := nettest.Listen(t, func(c *ring.Conn) {
+				accepted <- c
+				for n := 0; ; n++ {
+					if _, err := http1.ReadRequest(c.In); err != nil {
+						return
+					}
+					got <- fmt.Sprint(n)
+					nettest.OK("own").Write(c.Out)
+					c.Flush()
+				}
+			})
+			p := pool(&place{address: address}, time.Hour)
+			_, done := attempt(p, ever())
+			<-done
+			far := <-accepted
+			<-got
+			// The lock keeps the connection's goroutine from looking before all has happened.
+			p.mu.Lock()
+			c := p.idle[0][0]
+			p.idle[0] = nil
+			next := make(chan Outcome, 1)
+			a := &Attempt{Request: &http1.Request{Method: "POST", Target: "/", Header: http1.Header{{Name: "Host",
+				Value: "h"}}}, Until: ever(), Done: func(o Outcome) { next <- o }}
+			a.arm()
+			c.next = a
+			happens(p, c, far)
+			if name == "noise" || name == "a late answer" {
+				p.mu.Unlock()
+				nettest.Until(t, "it has come", func() bool {
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					return c.next == nil || !c.nc.Still()
+				})
+				p.mu.Lock()
+			}
+			c.nc.SetReadDeadline(time.Unix(1, 0))
+			p.mu.Unlock()
+			out := <-next
+			if out.Result != decide.Served || string(out.Answer.Body) != "own" {
+				t.Errorf("%s %+v", decide.ResultNames[out.Result], out.Answer)
+			}
+			want := "0"
+			if name == "nothing" || name == "a sweep" || name == "a reclaim" {
+				want = "1"
+			}
+			if n := <-got; n != want || len(got) > 0 {
+				t.Errorf("it was request %s of its connection, want %s; %d more came", n, want, len(got))
+			}
+		})
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -65,7 +65,7 @@
 	out.Load = c.pool.report.read(answer, a.probe)
 	again = whole && !answer.Close
 	if !streams {
-		return out, again && body.Whole() && c.nc.In.Buffered() == 0
+		return out, again && body.Whole() && !c.nc.Waits()
 	}
 	if !whole {
 		c.pool.Release(&out)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -30,6 +30,7 @@
 type Limits struct {
 	Dial  time.Duration // a connection that does not stand by then is given up
 	Reuse time.Duration // a connection idle for longer takes no new exchange
+	Rest  time.Duration // nor does one whose last answer to a request is not so old: a second one may follow
 	Probe time.Duration // a probe is waited for so long
 	Hold  time.Duration // an answer of unknown length that is not whole by then is passed on as it comes
 	Stall time.Duration // a body that makes no progress for so long is given up
@@ -157,8 +158,10 @@
 	}
 }
 
+func (a *Attempt) arm() { a.ctx, a.cancel = context.WithCancel(context.Background()) }
+
 func (p *Pool) start(a *Attempt) {
-	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.arm()
 	address, ok := p.dir.Address(a.Server)
 	if !ok {
 		go a.Done(Outcome{Result: decide.TurnedAway})
@@ -178,17 +181,21 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[a.Server]
-	if len(list) == 0 {
-		return false
-	}
-	c := list[len(list)-1]
-	if c.address != address || time.Since(c.since) > p.limits.Load().Reuse {
-		return false // the rest is older still; each closes itself when its time comes
+	now, limits := time.Now(), p.limits.Load()
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if c.address != address || now.Sub(c.since) > limits.Reuse {
+			return false // the rest is older still; each closes itself when its time comes
+		}
+		if !c.probed && now.Sub(c.since) < limits.Rest {
+			continue // a late second answer would be taken for the next request's
+		}
+		p.idle[a.Server] = slices.Delete(list, i, i+1)
+		c.next = a
+		c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes its goroutine
+		return true
 	}
-	p.idle[a.Server] = list[:len(list)-1]
-	c.next = a
-	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes its goroutine
-	return true
+	return false
 }
 
 // park lists c as idle.
@@ -248,8 +255,9 @@
 	nc      *ring.Conn
 	ended   sync.Once
 
-	since time.Time // idle from then on
-	next  *Attempt  // handed over while idle
+	since  time.Time // idle from then on
+	next   *Attempt  // handed over while idle
+	probed bool      // the last answer was a probe's
 }
 
 func (c *conn) close() {
@@ -267,6 +275,7 @@
 	}
 	defer c.close()
 	for a := first; ; {
+		c.probed = a.probe
 		out, again := c.exchange(a)
 		if out.Rest != nil {
 			a.Done(out)
@@ -292,7 +301,7 @@
 			// It closed just as it was handed over. Not a byte of the attempt was written, so this is
 			// still its first sending.
 			c.close()
-			(&conn{pool: c.pool, server: c.server, address: c.address}).run(a)
+			go (&conn{pool: c.pool, server: c.server, address: c.address}).run(a)
 			return
 		}
 	}
@@ -314,7 +323,9 @@
 	p.unlist(c)
 	// The deadline that wakes this goroutine also ends Read when bytes wait in the system: a second copy of
 	// an answer, noise, or the end. The next request must not get them for its answer.
-	return a, errors.Is(err, os.ErrDeadlineExceeded) && (a == nil || c.nc.Quiet())
+	// And it may have grown too old since it was handed over, where this goroutine had to wait for its turn.
+	return a, errors.Is(err, os.ErrDeadlineExceeded) &&
+		(a == nil || c.nc.Quiet() && time.Since(c.since) <= p.limits.Load().Reuse)
 }
 
 var dialer = net.Dialer{KeepAlive: -1} // every exchange has a deadline of its own
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -175,7 +175,7 @@
 	io.WriteString(nc, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	nettest.Until(t, "the copy waits in the system", func() bool { return !nc.Quiet() })
 	a := &Attempt{}
-	c := &conn{pool: p, nc: nc, next: a}
+	c := &conn{pool: p, nc: nc, next: a, since: time.Now()}
 	nc.SetReadDeadline(time.Unix(1, 0))
 	if got, usable := c.wait(); got != a || usable {
 		t.Errorf("attempt handed over: %v, connection usable: %v", got == a, usable)
