--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -84,7 +84,8 @@
 	mu        sync.Mutex
 	names     Names
 	index     int64
-	source    int64 // number of the watch that is believed
+	source    int64  // number of the watch that is believed
+	origin    string // where the list comes from
 	byName    map[string]decide.ServerID
 	taken     map[decide.ServerID]string
 	inService map[decide.ServerID]string   // of those in service
@@ -110,6 +111,7 @@
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), fixed: make(chan []byte, 1),
 		begun: time.Now(), feeds: make(chan Feed, 1), refused: func(uint64, string) {}, told: make(chan *watch),
 		ended:  make(chan *watch),
+		origin: address,
 		names:  Names{slices.Clone(names.Zones), slices.Clone(names.Kinds)},
 		byName: map[string]decide.ServerID{}, taken: map[decide.ServerID]string{},
 		inService: map[decide.ServerID]string{}, listed: map[string]registry.Endpoint{},
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -48,6 +48,13 @@
 	return json.Marshal(doc)
 }
 
+// Origin is the address of the discovery that the list comes from.
+func (c *Client) Origin() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origin
+}
+
 // Index is discovery's count of changes of the list as it is held.
 func (c *Client) Index() int64 {
 	c.mu.Lock()
@@ -98,7 +105,7 @@
 		if w.number < c.source {
 			return false, nil, errOvertaken
 		}
-		c.source = w.number
+		c.source, c.origin = w.number, w.address
 		if !doc.Snapshot && doc.Index < c.index {
 			err = errFell
 		}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -30,7 +30,8 @@
 
 // Terms are what the old process tells the new one.
 type Terms struct {
-	Known json.RawMessage `json:"known,omitempty"` // its list of servers, in discovery's form
+	Known     json.RawMessage `json:"known,omitempty"`     // its list of servers, in discovery's form
+	Discovery string          `json:"discovery,omitempty"` // where that list comes from
 }
 
 // Path is where the process that serves an address can be met, in a folder that both see.
--- /dev/null
+++ b/internal/serve/reload_test.go
@@ -0,0 +1,50 @@
+package serve
+
+import (
+	"io"
+	"os"
+	"syscall"
+	"testing"
+
+	"cresshub/internal/config"
+)
+
+// A new process may join, leave and be counted while the configuration is read again. The race detector sees
+// what both would touch.
+func TestReloadWhileANewProcessJoins(t *testing.T) {
+	t.Setenv("TMPDIR", "")
+	p, err := New(platform(t), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	signals, over, read := make(chan os.Signal), make(chan bool), 0
+	go func() {
+		p.Run(signals, func() (*config.Config, error) {
+			next := platform(t)
+			next.Log.Level = []string{"error", "warn"}[read%2]
+			read++
+			return next, nil
+		})
+		close(over)
+	}()
+	for range 20 {
+		joined := make(chan bool)
+		go func() {
+			if _, _, err := p.Joins(); err != nil {
+				t.Error(err)
+			}
+			p.Serves()
+			p.Left()
+			close(joined)
+		}()
+		signals <- syscall.SIGHUP
+		<-joined
+	}
+	signals <- syscall.SIGTERM
+	signals <- syscall.SIGHUP // also while it ends
+	signals <- syscall.SIGTERM
+	<-over
+	if read != 21 || p.upgrade.part() != 1 {
+		t.Errorf("read %d times; its part of the limits is %v", read, p.upgrade.part())
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -32,7 +32,8 @@
 
 // Proxy is one client proxy with its parts.
 type Proxy struct {
-	cfg      *config.Config
+	cfg      *config.Config // as it is now; of whoever calls New and Run alone
+	begun    *config.Config // as it was at the start, where what takes a restart stands for good
 	log      *logging.Logger
 	count    *counters.Set
 	decider  *decide.Decider
@@ -64,7 +65,7 @@
 // New wires a proxy and listens; it serves once Run is called. The log goes to w.
 func New(cfg *config.Config, w io.Writer) (*Proxy, error) {
 	set := cfg.Settings()
-	p := &Proxy{cfg: cfg, count: counters.New(set.ClassNames), since: map[string]time.Time{}}
+	p := &Proxy{cfg: cfg, begun: cfg, count: counters.New(set.ClassNames), since: map[string]time.Time{}}
 	p.times.Store(&cfg.Shutdown)
 	p.log = logging.New(w, logging.Options{
 		Format: cfg.Log.Format, Level: logging.ParseLevel(cfg.Log.Level), Repeat: cfg.Log.Repeat,
@@ -97,7 +98,11 @@
 	p.server.LogRequests(p.requestLog())
 	known := cfg.Known
 	if old := p.upgrade.old; old != nil && len(old.Known) > 0 {
-		known = old.Known // as of now; the configuration's is as of some time
+		if old.Discovery == cfg.Discovery.Address {
+			known = old.Known // as of now; the configuration's is as of some time
+		} else { // another deployment's servers, and another count of changes
+			log.Warn("list of the old process left aside", "discovery", old.Discovery)
+		}
 	}
 	if list := cfg.ServerList(time.Time{}, p.since); list != nil {
 		known = list
--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -32,7 +32,7 @@
 func (p *Proxy) join() error {
 	u := &p.upgrade
 	u.oldGone = make(chan struct{})
-	dir := p.cfg.Handover.Dir
+	dir := p.begun.Handover.Dir
 	if dir == "" {
 		dir = os.Getenv("TMPDIR")
 	}
@@ -40,7 +40,7 @@
 	if dir != "" {
 		control = handover.Share
 		var err error
-		u.old, err = handover.Join(handover.Path(dir, p.cfg.Listen.Address), p.cfg.Handover.Wait)
+		u.old, err = handover.Join(handover.Path(dir, p.begun.Listen.Address), p.begun.Handover.Wait)
 		if err != nil {
 			p.log.Warn("no handover, listening beside the old process", logging.Err, err)
 		}
@@ -55,7 +55,7 @@
 	u.alone = true
 	close(u.oldGone)
 	var err error
-	if p.listener, err = listen(p.cfg.Listen.Address, control); err != nil {
+	if p.listener, err = listen(p.begun.Listen.Address, control); err != nil {
 		return fmt.Errorf("listen.address: %w", err)
 	}
 	if dir != "" {
@@ -76,8 +76,8 @@
 
 // descriptors is how many connections and files the process may hold beside its door.
 func (p *Proxy) descriptors() int {
-	n := int(float64(descriptors(p.cfg.Limits.Sockets)) * p.upgrade.part())
-	if p.cfg.Operator != "" {
+	n := int(float64(descriptors(p.begun.Limits.Sockets)) * p.upgrade.part())
+	if p.begun.Operator != "" {
 		n -= operator.Callers + 1 // and its listener
 	}
 	return n
@@ -85,16 +85,16 @@
 
 // bodyBytes is how much memory bodies may take.
 func (p *Proxy) bodyBytes() int64 {
-	memory := float64(p.cfg.Limits.Memory)
+	memory := float64(p.begun.Limits.Memory)
 	if memory == 0 {
 		memory = 64 << 20
 	}
-	return int64(memory * p.cfg.Limits.Bodies * p.upgrade.part())
+	return int64(memory * p.begun.Limits.Bodies * p.upgrade.part())
 }
 
 // confine sets the limits anew after a process beside this one came or went.
 func (p *Proxy) confine() {
-	Confine(p.cfg.Limits, p.upgrade.part())
+	Confine(p.begun.Limits, p.upgrade.part())
 	if p.budget != nil {
 		p.budget.Resize(p.descriptors())
 		p.bodies.Resize(p.bodyBytes())
@@ -119,7 +119,7 @@
 		if p.settle(func() bool { return alone() || p.server.Ending() }); p.server.Ending() && !alone() {
 			return // the old one goes on, and is not told that we take its clients
 		}
-	case listLimits(p.cfg).Again > 0:
+	case listLimits(p.begun).Again > 0:
 		// What discovery has binds from the first request on. Where it cannot be had, what was known must do.
 		// Where the end is told meanwhile, who has connected is owed an answer all the same.
 		p.settle(func() bool { return p.count.ListsFailed.Load() > 0 || p.server.Ending() })
@@ -136,7 +136,7 @@
 
 // settle waits until the list was heard afresh, enough holds, or some time has passed.
 func (p *Proxy) settle(enough func() bool) {
-	end := time.Now().Add(p.cfg.Handover.Settle)
+	end := time.Now().Add(p.begun.Handover.Settle)
 	for time.Now().Before(end) && !p.heard() && !enough() {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -180,7 +180,7 @@
 func (p *Proxy) Joins() (handover.Terms, syscall.Conn, error) {
 	select {
 	case <-p.upgrade.oldGone:
-	case <-time.After(p.cfg.Handover.Wait / 4 * 3): // the other one waits for us no longer than all of it
+	case <-time.After(p.begun.Handover.Wait / 4 * 3): // the other one waits for us no longer than all of it
 	}
 	socket, ok := p.listener.(syscall.Conn)
 	if !ok {
@@ -192,7 +192,7 @@
 	}
 	p.log.Info("a new process takes over")
 	p.successor(+1)
-	return handover.Terms{Known: known}, socket, nil
+	return handover.Terms{Known: known, Discovery: p.list.Origin()}, socket, nil
 }
 
 // Serves notes that a new process takes clients.
