--- a/internal/serve/upgrade.go
+++ b/internal/serve/upgrade.go
@@ -105,15 +105,24 @@
 // the list was heard afresh or some time has passed. Then new processes are met.
 func (p *Proxy) takeClients() {
 	u := &p.upgrade
-	if u.old != nil {
+	alone := func() bool { // nobody else takes them
+		select {
+		case <-u.oldGone:
+			return true
+		default:
+			return false
+		}
+	}
+	switch {
+	case u.old != nil:
 		go p.untilOldIsGone()
-		for end := time.Now().Add(p.cfg.Handover.Settle); time.Now().Before(end) && !p.heard(); {
-			select {
-			case <-u.oldGone: // nobody else takes them
-				end = time.Time{}
-			case <-time.After(5 * time.Millisecond):
-			}
+		if p.settle(func() bool { return alone() || p.server.Ending() }); p.server.Ending() && !alone() {
+			return // the old one goes on, and is not told that we take its clients
 		}
+	case listLimits(p.cfg).Again > 0:
+		// What discovery has binds from the first request on. Where it cannot be had, what was known must do.
+		// Where the end is told meanwhile, who has connected is owed an answer all the same.
+		p.settle(func() bool { return p.count.ListsFailed.Load() > 0 || p.server.Ending() })
 	}
 	go p.server.Serve(p.listener)
 	p.meet()
@@ -125,6 +134,14 @@
 	p.log.Info("ready", words...)
 }
 
+// settle waits until the list was heard afresh, enough holds, or some time has passed.
+func (p *Proxy) settle(enough func() bool) {
+	end := time.Now().Add(p.cfg.Handover.Settle)
+	for time.Now().Before(end) && !p.heard() && !enough() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // meet makes this process the one that new ones find, and tells the old one that it takes clients.
 func (p *Proxy) meet() {
 	u := &p.upgrade
