--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -84,7 +84,7 @@
 	_         about         `doc:"longest time without a watch or a question to discovery"`
 	AskWithin time.Duration `key:"ask_within" default:"10s" min:"0s" max:"1h"`
 	_         about         `doc:"a watch that says nothing for so long is broken"`
-	Silence   time.Duration `key:"silence" default:"3s" min:"10ms" max:"10m" reload:"live"`
+	Silence   time.Duration `key:"silence" default:"2500ms" min:"10ms" max:"10m" reload:"live"`
 	_         about         `doc:"largest object that discovery may send"`
 	MaxList   Size          `key:"max_list" default:"1MiB" min:"1KiB" max:"64MiB" reload:"live"`
 }
@@ -242,16 +242,19 @@
 	Rested    time.Duration `key:"rested_for" default:"20ms" min:"0s" max:"10m" reload:"live"`
 }
 
-// Shutdown times how clients are sent away, each from SIGTERM or an operator's lame duck on.
+// Shutdown times how clients are sent away, each from SIGTERM or an operator's lame duck on. The platform
+// may kill the process once its longest deadline and 0.7 s have passed: what is taken later than 0.7 s
+// after the signal could be cut, so that nothing that rests or is not whole is kept for longer. New
+// connections come for 0.4 s.
 type Shutdown struct {
 	_         about         `doc:"connections that rest close"`
 	CloseIdle time.Duration `key:"close_idle_after" default:"500ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"new connections are taken until then"`
-	Accept    time.Duration `key:"accept_for" default:"800ms" min:"0s" max:"10m" reload:"live"`
+	Accept    time.Duration `key:"accept_for" default:"600ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those that came since close"`
-	CloseAll  time.Duration `key:"close_all_after" default:"1200ms" min:"0s" max:"10m" reload:"live"`
+	CloseAll  time.Duration `key:"close_all_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those whose request has begun and is not whole"`
-	CloseHalf time.Duration `key:"close_half_after" default:"3s" min:"0s" max:"10m" reload:"live"`
+	CloseHalf time.Duration `key:"close_half_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
 }
 
 // Upstream is the connections to servers.
@@ -262,6 +265,8 @@
 	IdleClose time.Duration `key:"idle_close" default:"5s" min:"0s" max:"1h" reload:"live"`
 	_         about         `doc:"part of idle_close up to which a connection is used again"`
 	Reuse     float64       `key:"reuse" default:"0.75" min:"0" max:"0.95" reload:"live"`
+	_         about         `doc:"a connection rests so long after an answer: a second one may follow it"`
+	Rest      time.Duration `key:"rest" default:"20ms" min:"0s" max:"10s" reload:"live"`
 	_         about         `doc:"how long a probe may take beyond a dial"`
 	Probe     time.Duration `key:"probe" default:"50ms" min:"1ms" max:"1m" reload:"live"`
 	_         about         `doc:"an answer of unknown length that takes longer is passed on as it comes"`
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -48,6 +48,13 @@
 	return json.Marshal(doc)
 }
 
+// Origin is the address of the discovery that the list comes from.
+func (c *Client) Origin() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origin
+}
+
 // Index is discovery's count of changes of the list as it is held.
 func (c *Client) Index() int64 {
 	c.mu.Lock()
@@ -79,7 +86,8 @@
 var errOvertaken = errors.New("another watch has told the list since")
 
 // take applies one document: from here on no attempt begins at a server that it takes out of service.
-// With its first one a watch becomes the source; the one before it is not heard any more.
+// With its first one a watch becomes the source; the one before it is not heard any more. A change whose
+// count lies below what was told is taken in, with errFell: what lies between it and the list is unknown.
 func (c *Client) take(w *watch, raw []byte) (whole bool, list []decide.Server, err error) {
 	var doc registry.Document
 	if err := json.Unmarshal(raw, &doc); err != nil {
@@ -97,7 +105,10 @@
 		if w.number < c.source {
 			return false, nil, errOvertaken
 		}
-		c.source = w.number
+		c.source, c.origin = w.number, w.address
+		if !doc.Snapshot && doc.Index < c.index {
+			err = errFell
+		}
 	}
 	c.index = doc.Index
 	if doc.Snapshot {
@@ -126,7 +137,7 @@
 			delete(c.taken, s.ID)
 		}
 	}
-	return doc.Snapshot, list, nil
+	return doc.Snapshot, list, err
 }
 
 // place finds a word's position; one the settings do not name gets a position behind theirs.
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Size is the room of one ring in bytes; it also bounds a header line, which bufio must hold whole.
@@ -142,17 +144,19 @@
 	net.Conn
 	In  *bufio.Reader
 	Out *bufio.Writer
+	in  *Buffer
 	out *Buffer
 
 	heard *atomic.Int64 // when bytes last came, as Unix time in nanoseconds
+	look  *look         // nil until somebody asks
 }
 
 // NewConn lays rings and bufio around c.
 func NewConn(c net.Conn) *Conn {
-	out, heard := New(Size), &atomic.Int64{}
+	in, out, heard := New(Size), New(Size), &atomic.Int64{}
 	return &Conn{
-		Conn: c, out: out, heard: heard,
-		In:  bufio.NewReaderSize(source{New(Size), c, heard}, Size),
+		Conn: c, in: in, out: out, heard: heard,
+		In:  bufio.NewReaderSize(source{in, c, heard}, Size),
 		Out: bufio.NewWriterSize(sink{out, c}, Size/4),
 	}
 }
@@ -165,8 +169,11 @@
 	return time.Time{}
 }
 
+// Waits tells whether bytes were read that nobody has taken yet.
+func (c *Conn) Waits() bool { return c.In.Buffered() > 0 || c.in.Len() > 0 }
+
 // Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
-func (c *Conn) Quiet() bool { return c.In.Buffered() == 0 && c.Still() }
+func (c *Conn) Quiet() bool { return !c.Waits() && c.Still() }
 
 // Still tells whether nothing waits in the system. It does not touch what was read, so another goroutine may
 // sit in Read.
@@ -189,6 +196,44 @@
 	return err == nil && quiet
 }
 
+// Left tells whether the other side has ended its sending or broken off, also where what it sent before still
+// waits to be read. Like Still it leaves that where it is. One goroutine may ask at a time.
+func (c *Conn) Left() bool {
+	if c.look == nil {
+		s, ok := c.Conn.(syscall.Conn)
+		if !ok {
+			return false
+		}
+		raw, err := s.SyscallConn()
+		if err != nil {
+			return true
+		}
+		c.look = &look{raw: raw}
+		c.look.at = c.look.find // once, for it costs an allocation
+	}
+	err := c.look.raw.Control(c.look.at)
+	return err != nil || c.look.left
+}
+
+// look is what Left needs; it is kept so that a look costs no allocation.
+type look struct {
+	raw  syscall.RawConn
+	at   func(fd uintptr)
+	room [1]byte
+	ends [1]unix.PollFd
+	left bool
+}
+
+func (l *look) find(fd uintptr) {
+	n, _, err := syscall.Recvfrom(int(fd), l.room[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	l.left = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+	if n > 0 { // the end may stand behind what waits
+		l.ends[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
+		n, err := unix.Poll(l.ends[:], 0)
+		l.left = err == nil && n > 0 && l.ends[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
+}
+
 // Flush hands everything written so far to the system. After an error the last byte of what was
 // written since the previous Flush has not left this process.
 func (c *Conn) Flush() error {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,8 @@
 		return Outcome{Result: decide.TurnedAway}, false
 	case !time.Now().Before(a.Until):
 		return Outcome{Result: decide.NotSent}, true
+	case !a.fate.CompareAndSwap(waiting, begun):
+		return Outcome{Result: decide.Withdrawn}, true
 	}
 	stop := context.AfterFunc(a.ctx, func() { c.nc.Close() })
 	if res := c.send(a); res != decide.Served { // the last byte was not written: it never ran
@@ -63,7 +65,7 @@
 	out.Load = c.pool.report.read(answer, a.probe)
 	again = whole && !answer.Close
 	if !streams {
-		return out, again && body.Whole() && c.nc.In.Buffered() == 0
+		return out, again && body.Whole() && !c.nc.Waits()
 	}
 	if !whole {
 		c.pool.Release(&out)
