--- a/internal/ingress/drain.go
+++ b/internal/ingress/drain.go
@@ -38,11 +38,11 @@
 	}
 }
 
-// sweep closes what a drain has come to close until clients are taken again.
+// sweep closes what a drain has come to close until clients are taken again, or Shutdown does it.
 func (s *Server) sweep() {
 	for ; ; time.Sleep(sweepEvery) {
 		s.mu.Lock()
-		if s.drain.Load().Serving() {
+		if d := s.drain.Load(); d.Serving() || d.Ending() {
 			s.sweeping = false
 			s.mu.Unlock()
 			return
--- a/internal/serve/reload_test.go
+++ b/internal/serve/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -27,19 +28,22 @@
 		})
 		close(over)
 	}()
-	for range 20 {
-		joined := make(chan bool)
-		go func() {
-			if _, _, err := p.Joins(); err != nil {
-				t.Error(err)
+	var joins sync.WaitGroup
+	for range 4 {
+		joins.Go(func() {
+			for range 50 {
+				if _, _, err := p.Joins(); err != nil {
+					t.Error(err)
+				}
+				p.Serves()
+				p.Left()
 			}
-			p.Serves()
-			p.Left()
-			close(joined)
-		}()
+		})
+	}
+	for range 20 {
 		signals <- syscall.SIGHUP
-		<-joined
 	}
+	joins.Wait()
 	signals <- syscall.SIGTERM
 	signals <- syscall.SIGHUP // also while it ends
 	signals <- syscall.SIGTERM
--- /dev/null
+++ b/internal/upstream/leak_test.go
@@ -0,0 +1,9 @@
+package upstream
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -69,6 +69,17 @@
 		{"30 MB that begin", "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + strings.Repeat("x", 5000),
 			decide.Served},
 		{"30 MB of an error", "HTTP/1.1 500 x\r\nContent-Length: 30000000\r\n\r\nbody", decide.ErrorAnswer},
+		{"a head without end", "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: and more\r\n", 10_000),
+			decide.ErrorAnswer},
+		{"a line without end", "HTTP/1.1 200 " + strings.Repeat("O", 200_000), decide.ErrorAnswer},
+		{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx", decide.ErrorAnswer},
+		{"a length beside chunks", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\nx",
+			decide.ErrorAnswer},
+		{"shorter than it said", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nbody", decide.Broken},
+		{"longer than it said", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbody", decide.Served},
+		{"a chunk without end", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\nbody",
+			decide.ErrorAnswer},
+		{"a chunk cut off", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nbody", decide.Broken},
 		{"interim answers", "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", decide.Served},
 		{"silent", "silence", decide.TimedOut},
 	} {
@@ -87,10 +98,13 @@
 			if c.want == decide.TimedOut {
 				until = time.Now().Add(2 * time.Second)
 			}
-			_, done := attempt(pool(&place{address: address}, time.Hour), until)
-			if got := <-done; got.Result != c.want {
+			p := pool(&place{address: address}, time.Hour)
+			_, done := attempt(p, until)
+			got := <-done
+			if got.Result != c.want {
 				t.Errorf("%s", decide.ResultNames[got.Result])
 			}
+			p.Release(&got)
 		})
 	}
 }
