--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -253,8 +253,8 @@
 	Accept    time.Duration `key:"accept_for" default:"600ms" min:"0s" max:"10m" reload:"live"`
 	_         about         `doc:"also those that came since close"`
 	CloseAll  time.Duration `key:"close_all_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
-	_         about         `doc:"also those whose request has begun and is not whole"`
-	CloseHalf time.Duration `key:"close_half_after" default:"700ms" min:"0s" max:"10m" reload:"live"`
+	_         about         `doc:"those whose request is not whole too; at the end with close_all_after"`
+	CloseHalf time.Duration `key:"close_half_after" default:"3s" min:"0s" max:"10m" reload:"live"`
 }
 
 // Upstream is the connections to servers.
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -9,7 +9,7 @@
 	CloseIdle time.Duration // connections that rested when it began close
 	Accept    time.Duration // new connections are taken until then, where the process ends
 	CloseAll  time.Duration // all that rest close, also those that came since
-	CloseHalf time.Duration // so do those whose request has begun and is not whole
+	CloseHalf time.Duration // so do those whose request has begun and is not whole; at the end with all others
 }
 
 // State is how far a proxy is with sending its clients away. The zero State serves.
@@ -78,6 +78,9 @@
 	}
 	if !s.end.IsZero() {
 		age := now.Sub(s.end)
+		if age >= t.CloseAll { // what comes later could be cut by whoever ends the process for good
+			p.Half = now
+		}
 		p.Refuse, p.Over = age >= t.Accept, age >= t.CloseAll && age >= t.Accept
 	}
 	return p
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -30,8 +30,11 @@
 		{"lame, heads too", lame, 3000, Plan{Rested: at(3000), Half: at(3000), Last: true}},
 		{"ending, what rested", end, 600, Plan{Rested: at(0)}},
 		{"ending, no more", end, 900, Plan{Rested: at(0), Refuse: true}},
-		{"ending, over", end, 1200, Plan{Rested: at(1200), Refuse: true, Last: true, Over: true}},
+		{"ending, over", end, 1200, Plan{Rested: at(1200), Half: at(1200), Refuse: true, Last: true,
+			Over: true}},
 		{"both, the later began", lame.End(at(300)), 900, Plan{Rested: at(300)}},
+		{"half a request goes by the end", lame.End(at(100)), 1300, Plan{Rested: at(1300), Half: at(1300),
+			Refuse: true, Last: true, Over: true}},
 		{"both, the further counts", lame.End(at(1000)), 1300, Plan{Rested: at(1300), Last: true}},
 	} {
 		if diff := cmp.Diff(c.want, c.state.Plan(at(c.ms), times)); diff != "" {
