A connection's reset stays a reset: an answer without length that broke off was served

Checked: a server that sends a head without length, some body and a reset, on loopback: served. Chunks, lengths and heads that are reset were told as broken, and stay so; the rest of an answer that streams was too.

At fault: upstream/exchange.go, keep: where more of a body without length is waited for it looks with Peek, and an error there is left to the Read that follows, "Read meets it again". The system tells of a reset once; the next read is an end of file, and that is where such a body is whole. Looks at the system (ring.Still, Left) take it away in the same manner.

Changed: ring keeps what broke a connection, whoever met it, and every later Read tells the same.

--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -93,30 +95,52 @@
 	}
 }
 
+// source is what is read of a connection. The system tells of a reset once, and from then on of an end, so
+// what broke the connection is kept.
 type source struct {
 	ring  *Buffer
 	conn  net.Conn
-	heard *atomic.Int64
+	heard atomic.Int64          // when bytes last came, as Unix time in nanoseconds
+	broke atomic.Pointer[error] // set by whoever meets it: Read, or a look at the system
 }
 
-func (s source) Read(p []byte) (int, error) {
-	if s.ring.Len() == 0 {
-		if len(p) > len(s.ring.room) { // a large piece of a body needs no ring between
-			n, err := s.conn.Read(p)
-			if n > 0 {
-				s.heard.Store(time.Now().UnixNano())
-			}
-			return n, err
-		}
-		n, err := s.ring.Fill(s.conn)
-		if n == 0 {
-			return 0, err
-		}
-		s.heard.Store(time.Now().UnixNano())
+func (s *source) Read(p []byte) (int, error) {
+	if s.ring.Len() > 0 {
+		return s.ring.Take(p), nil
+	}
+	if len(p) > len(s.ring.room) { // a large piece of a body needs no ring between
+		return s.hear(s.conn.Read(p))
+	}
+	n, err := s.hear(s.ring.Fill(s.conn))
+	if n == 0 {
+		return 0, err
 	}
 	return s.ring.Take(p), nil
 }
 
+func (s *source) hear(n int, err error) (int, error) {
+	if n > 0 {
+		s.heard.Store(time.Now().UnixNano())
+		return n, err
+	}
+	if broke := s.broke.Load(); broke != nil {
+		return 0, *broke
+	}
+	if err != nil && err != io.EOF && !errors.Is(err, os.ErrDeadlineExceeded) {
+		broke := err // a variable of its own costs an allocation here alone
+		s.broke.Store(&broke)
+	}
+	return 0, err
+}
+
+// looked notes what a look at the system met.
+func (s *source) looked(err error) {
+	if err != nil && err != syscall.EAGAIN && err != syscall.EINTR {
+		broke := err
+		s.broke.CompareAndSwap(nil, &broke)
+	}
+}
+
 type sink struct {
 	ring *Buffer
 	conn net.Conn
@@ -144,33 +168,32 @@
 	net.Conn
 	In  *bufio.Reader
 	Out *bufio.Writer
-	in  *Buffer
+	in  *source
 	out *Buffer
 
-	heard *atomic.Int64 // when bytes last came, as Unix time in nanoseconds
-	look  *look         // nil until somebody asks
+	look *look // nil until somebody asks
 }
 
 // NewConn lays rings and bufio around c.
 func NewConn(c net.Conn) *Conn {
-	in, out, heard := New(Size), New(Size), &atomic.Int64{}
+	in, out := &source{ring: New(Size), conn: c}, New(Size)
 	return &Conn{
-		Conn: c, in: in, out: out, heard: heard,
-		In:  bufio.NewReaderSize(source{in, c, heard}, Size),
+		Conn: c, in: in, out: out,
+		In:  bufio.NewReaderSize(in, Size),
 		Out: bufio.NewWriterSize(sink{out, c}, Size/4),
 	}
 }
 
 // Heard is when bytes last came; the zero time where none did. Any goroutine may ask.
 func (c *Conn) Heard() time.Time {
-	if n := c.heard.Load(); n > 0 {
+	if n := c.in.heard.Load(); n > 0 {
 		return time.Unix(0, n)
 	}
 	return time.Time{}
 }
 
 // Waits tells whether bytes were read that nobody has taken yet.
-func (c *Conn) Waits() bool { return c.In.Buffered() > 0 || c.in.Len() > 0 }
+func (c *Conn) Waits() bool { return c.In.Buffered() > 0 || c.in.ring.Len() > 0 }
 
 // Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
 func (c *Conn) Quiet() bool { return !c.Waits() && c.Still() }
@@ -192,6 +215,7 @@
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
+		c.in.looked(err)
 	})
 	return err == nil && quiet
 }
@@ -208,7 +232,7 @@
 		if err != nil {
 			return true
 		}
-		c.look = &look{raw: raw}
+		c.look = &look{raw: raw, in: c.in}
 		c.look.at = c.look.find // once, for it costs an allocation
 	}
 	err := c.look.raw.Control(c.look.at)
@@ -218,6 +242,7 @@
 // look is what Left needs; it is kept so that a look costs no allocation.
 type look struct {
 	raw  syscall.RawConn
+	in   *source
 	at   func(fd uintptr)
 	room [1]byte
 	ends [1]unix.PollFd
@@ -226,6 +251,7 @@
 
 func (l *look) find(fd uintptr) {
 	n, _, err := syscall.Recvfrom(int(fd), l.room[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	l.in.looked(err)
 	l.left = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
 	if n > 0 { // the end may stand behind what waits
 		l.ends[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLRDHUP}
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -106,3 +107,46 @@
 		}
 	}
 }
+
+// The system tells of a reset once, and from then on of an end: whoever reads again must not take that for
+// one.
+func TestResetStaysOne(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, soon := range []bool{false, true} { // whether a look at the system meets it first
+		near, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		far, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		far.Write([]byte("ab"))
+		far.(*net.TCPConn).SetLinger(0)
+		far.Close()
+		c := NewConn(near)
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if soon {
+			for end := time.Now().Add(20 * time.Second); !c.Left() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		if b, err := c.In.Peek(2); err != nil || string(b) != "ab" {
+			t.Fatalf("%q, %v", b, err)
+		}
+		c.In.Discard(2)
+		if soon && c.Quiet() {
+			t.Error("a reset is taken for quiet")
+		}
+		for range 3 {
+			if _, err := c.In.Peek(1); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("looked at first: %v; %v", soon, err)
+			}
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,6 +65,9 @@
 		{"broken in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", decide.Broken},
 		{"malformed", "hello\r\n\r\n", decide.ErrorAnswer}, // the server itself is there
 		{"ended by close", "HTTP/1.1 200 OK\r\n\r\nbody", decide.Served},
+		{"ended by a reset", "HTTP/1.1 200 OK\r\n\r\nbody RESET", decide.Broken},
+		{"a reset in place of a body", "HTTP/1.1 200 OK\r\n\r\nRESET", decide.Broken},
+		{"a reset after much", "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 30_000) + "RESET", decide.Broken},
 		{"3 GB", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nbody", decide.ErrorAnswer},
 		{"30 MB that are a lie", "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\nbody", decide.Broken},
 		{"30 MB that begin", "HTTP/1.1 200 OK\r\nContent-Length: 30000000\r\n\r\n" + strings.Repeat("x", 5000),
@@ -92,7 +96,11 @@
 				if c.answer == "silence" {
 					io.Copy(io.Discard, conn)
 				}
-				io.WriteString(conn, c.answer)
+				answer, reset := strings.CutSuffix(c.answer, "RESET")
+				io.WriteString(conn, answer)
+				if reset {
+					conn.Conn.(*net.TCPConn).SetLinger(0)
+				}
 			})
 			until := ever()
 			if c.want == decide.TimedOut {
