A repeat that begins after its window is not written, wherever it waited meanwhile

Read, and proven by a test: balance.mayRepeat looks at a class's window for repeats when an attempt is decided. The test holds a repeat right before its first byte until the window of 300 ms is over: it was written, "late true: 200, 2 attempts came".

Ruled out: attempts of classes that must not run twice (none follows one that may have run), the deadline (looked at before the first byte), drains (the list is looked at there too).

At fault: upstream/exchange.go looked at the attempt's time alone; balance.send did not look at the window again after probes were waited for.

Changed: mayRepeat tells until when (balance.until), Send carries it as Within, the attempt as By; the dial ends then, and what would begin later ends as not sent.

--- a/balance/api.go
+++ b/balance/api.go
@@ -185,7 +185,7 @@
 type ActionKind uint8
 
 const (
-	Send       ActionKind = iota // start an attempt of ID on Server; time-out Wait, 0 for none
+	Send       ActionKind = iota // start an attempt of ID on Server, Within; time-out Wait, 0 for none
 	Cancel                       // stop waiting for attempt Attempt of ID
 	Refuse                       // final answer of ID: no, trying again is harmless, after Wait
 	Fail                         // final answer of ID: failed, nothing is promised
@@ -201,5 +201,6 @@
 	Server  ServerID
 	Attempt int
 	Wait    time.Duration
+	Within  time.Duration // what begins later than this must not begin
 	Token   uint64
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -311,22 +311,20 @@
 	return true
 }
 
-// mayRepeat tells whether the rules allow one more attempt now.
-func (b *Balancer) mayRepeat(now time.Duration, r *request) bool {
+// until is the time before which the rules allow one more attempt to begin; 0 where they allow none.
+func (b *Balancer) until(r *request) time.Duration {
 	if r.spent || len(r.attempts) >= b.set.MaxAttempts || r.out > 0 && !b.set.MayDuplicate {
-		return false
+		return 0
 	}
-	c := &b.set.Classes[r.Class]
+	c, until := &b.set.Classes[r.Class], r.Deadline
 	for i := range r.attempts {
-		a := &r.attempts[i]
-		if !a.mayRun {
-			continue
-		}
-		if c.Effect == AtMostOnce || c.Effect == Deduplicated && now+2*b.set.Tick >= a.sent+c.Window {
-			return false
+		if a := &r.attempts[i]; a.mayRun && c.Effect == AtMostOnce {
+			return 0
+		} else if a.mayRun && c.Effect == Deduplicated {
+			until = min(until, a.sent+c.Window-2*b.set.Tick)
 		}
 	}
-	return true
+	return until
 }
 
 // trust lets little through to a server that was ejected, until one success.
@@ -620,7 +618,8 @@
 		fill(b.shares, b.weigh(now, r, all, whole, sure, false))
 		x = b.draw()
 	}
-	if x == nil || len(r.attempts) == 0 && b.hopeless(now, r, x.s) || r.out > 0 && r.tried(x.s) {
+	until := b.until(r)
+	if x == nil || now >= until || len(r.attempts) == 0 && b.hopeless(now, r, x.s) || r.out > 0 && r.tried(x.s) {
 		return b.end(now, r, acts)
 	}
 	s := x.s
@@ -636,7 +635,8 @@
 	calm := fresh && s.waiting == 0 && s.held+float64(s.since) <= 2 && b.lag() == 0
 	r.attempts = append(r.attempts, attempt{to: s, sent: now, epoch: s.epoch, level: s.held + float64(s.since-1),
 		fresh: fresh, calm: calm, mayRun: true})
-	acts = append(acts, Action{Kind: Send, ID: r.ID, Server: s.ID, Wait: b.patience(now, r)})
+	acts = append(acts, Action{Kind: Send, ID: r.ID, Server: s.ID, Wait: b.patience(now, r),
+		Within: until - now})
 	if b.set.MayDuplicate && b.set.Classes[r.Class].Effect == Idempotent {
 		wait := time.Duration(b.unusual(r, s) * 1e9)
 		if now+wait+b.expected(r) < r.came+b.aim(r) {
@@ -649,7 +649,7 @@
 // second sends another copy of what its server leaves unanswered for unusually long, where that is
 // harmless. It draws on what further attempts may be, so that in a jam there are few.
 func (b *Balancer) second(now time.Duration, r *request, acts []Action) []Action {
-	if r.over || r.out != 1 || b.budget < 1 || !b.mayRepeat(now, r) {
+	if r.over || r.out != 1 || b.budget < 1 || now >= b.until(r) {
 		return acts
 	}
 	b.budget--
@@ -774,7 +774,7 @@
 		return acts
 	}
 	// A further attempt that cannot earn anything any more would only feed a jam.
-	if o.Result == Skipped || o.Result == Done || b.budget < 1 || !b.mayRepeat(now, r) ||
+	if o.Result == Skipped || o.Result == Done || b.budget < 1 || now >= b.until(r) ||
 		b.set.Classes[r.Class].LateWorth == 0 && now+b.expected(r) > r.came+b.aim(r) {
 		return b.end(now, r, acts)
 	}
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -77,7 +77,8 @@
 			to := c.listed[a.Server]
 			same := class.Group == GroupAll || class.Group == GroupZone && to.Zone == s.to.Zone ||
 				class.Group == GroupCell && to.Zone == s.to.Zone && to.Cell == s.to.Cell
-			if a.Kind == Send && (!same || now > s.at+class.Window) || a.Kind == Refuse && class.Group != GroupAll {
+			late := now+a.Within > s.at+class.Window
+			if a.Kind == Send && (!same || late) || a.Kind == Refuse && class.Group != GroupAll {
 				allowed = false
 			}
 		}
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -69,7 +69,7 @@
 
 // The steps. All but the first two end the request.
 const (
-	Send   StepKind = iota // start attempt Attempt at Server, and give it up at Until
+	Send   StepKind = iota // start attempt Attempt at Server before By, and give it up at Until
 	Cancel                 // stop waiting for attempt Attempt
 	Answer                 // pass on what attempt Attempt was served
 	Refuse                 // say no; trying again is harmless, after Wait
@@ -82,6 +82,7 @@
 	Kind    StepKind
 	Server  ServerID
 	Attempt int
+	By      time.Time
 	Until   time.Time
 	Wait    time.Duration
 }
@@ -365,7 +366,8 @@
 		}
 		switch a.Kind {
 		case balance.Send:
-			c.step(Step{Kind: Send, Server: a.Server, Attempt: len(c.sent), Until: d.until(c, now, a.Wait)})
+			c.step(Step{Kind: Send, Server: a.Server, Attempt: len(c.sent), Until: d.until(c, now, a.Wait),
+				By: d.start.Add(now + a.Within - d.base)})
 			c.sent, c.waits = append(c.sent, now), append(c.waits, a.Wait)
 		case balance.Cancel:
 			c.step(Step{Kind: Cancel, Attempt: a.Attempt})
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -100,7 +100,8 @@
 	for {
 		switch step := s.Decider.Pick(call); step.Kind {
 		case decide.Send:
-			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, Until: step.Until}}
+			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, By: step.By,
+				Until: step.Until}}
 			if u != nil {
 				t.Upload = u
 			}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -25,7 +25,7 @@
 		return Outcome{Result: decide.Withdrawn}, true
 	case !listed || address != c.address:
 		return Outcome{Result: decide.TurnedAway}, false
-	case !time.Now().Before(a.Until):
+	case !time.Now().Before(a.Until), !a.By.IsZero() && !time.Now().Before(a.By):
 		return Outcome{Result: decide.NotSent}, true
 	case !a.fate.CompareAndSwap(waiting, begun):
 		return Outcome{Result: decide.Withdrawn}, true
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -99,6 +99,7 @@
 	Server  decide.ServerID
 	Request *http1.Request // without X-Timeout
 	Upload  Upload         // what follows Request's Body; nil where that is all
+	By      time.Time      // it must not begin later; zero where that is no matter
 	Until   time.Time      // it is given up then
 	Done    func(Outcome)  // called once, from another goroutine
 
@@ -336,9 +337,13 @@
 		return decide.NotSent, false
 	}
 	until := time.Now().Add(c.pool.limits.Load().Dial)
-	cut := a.Until.Before(until)
+	latest := a.Until
+	if !a.By.IsZero() && a.By.Before(latest) {
+		latest = a.By
+	}
+	cut := latest.Before(until)
 	if cut {
-		until = a.Until
+		until = latest
 	}
 	ctx, cancel := context.WithDeadline(a.ctx, until)
 	defer cancel()
