--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -198,8 +198,8 @@
 // Quiet tells whether nothing waits to be read, neither here nor in the system: no byte and no end.
 func (c *Conn) Quiet() bool { return !c.Waits() && c.Still() }
 
-// Await returns once there is something to read, be it an end, and takes nothing of it out of the system: until
-// Read is called Still sees it. It heeds the read deadline.
+// Await returns once there is something to read, be it an end, and takes nothing of it out of the system:
+// until Read is called Still sees it. It heeds the read deadline.
 func (c *Conn) Await() error {
 	if c.Waits() {
 		return nil
