The crossings that no test forced: attempts, answers, bad clients, watches and hand-overs

The issue's table against the tests: no test had a cancel after the first or last byte of an answer, a second copy that answers first, attempts of which the last is turned away, bytes behind Connection: close, an address that changes at hand-over, an answer before its request is whole, most bad clients, a reset before a drain, a list without length that is cut off, and a process killed in the midst of passing its socket.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -32,6 +32,9 @@
 // Add changes the figure by n.
 func (g *Gauge) Add(n int64) { g.n.Add(n) }
 
+// Load returns the figure.
+func (g *Gauge) Load() int64 { return g.n.Load() }
+
 // Handled counts the requests of one class by the final answer that was written.
 type Handled struct{ Passed, Dropped, Failed Counter }
 
@@ -96,7 +99,7 @@
 		line("handled."+class+".bad_gateway", h.Failed.n.Load(), "c")
 	}
 	line("upstream_tries", s.Tries.n.Load(), "c")
-	line("in_progress", s.InProgress.n.Load(), "g")
+	line("in_progress", s.InProgress.Load(), "g")
 	for _, name := range slices.Sorted(maps.Keys(gauges)) {
 		line(name, int64(gauges[name]), "g")
 	}
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -187,3 +188,58 @@
 		t.Errorf("told as failed %d times, %d held", len(s.failed), c.Held())
 	}
 }
+
+// A watch is reset, and before another stands a server drains, one moves and one is new: the next watch goes
+// on from the last version told, and from its first word on nothing old holds. So it is where the reset comes
+// in the midst of that word.
+func TestResetBeforeADrain(t *testing.T) {
+	line := func(name, port, status string) string {
+		return fmt.Sprintf(`{"name":%q,"address":"127.0.0.1:%s","zone":"kita","type":"m2","group":1,`+
+			`"status":%q,"weight":1,"since_ms":0}`, name, port, status)
+	}
+	list := func(index int, whole bool, lines ...string) string {
+		return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, whole, strings.Join(lines, ","))
+	}
+	changes := list(12, false, line("drains", "1", "terminating"), line("moves", "22", "in_service"),
+		line("new", "4", "in_service"))
+	for _, cut := range []int{0, 1, len(changes) / 2, len(changes) - 1} {
+		c, s := follow(t, script(t, func(n int, target string, conn *ring.Conn) {
+			said, want := list(8, true, line("drains", "1", "in_service"), line("moves", "2", "in_service"),
+				line("stays", "3", "in_service")), "/registry/instances?watch=1&from=0"
+			switch n {
+			case 1:
+				said, want = changes[:cut], "/registry/instances?watch=1&from=8"
+			case 2:
+				said, want = changes, "/registry/instances?watch=1&from=8"
+			}
+			if target != want {
+				t.Errorf("call %d: %s", n, target)
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n"+said) // with no length: its end is a reset
+			if n < 2 {
+				conn.Conn.(*net.TCPConn).SetLinger(0)
+				conn.Close()
+			}
+		}), Limits{Silence: nettest.Patience})
+		for range 2 {
+			c.Follow()
+			<-s.failed
+		}
+		c.Follow()
+		if got := <-s.listed + ", " + <-s.listed; got != "true 3, false 3" {
+			t.Errorf("cut after %d: %s", cut, got)
+		}
+		got := map[string]string{}
+		for _, name := range []string{"drains", "moves", "stays", "new"} {
+			c.mu.Lock()
+			id := c.id(name)
+			c.mu.Unlock()
+			got[name], _ = c.Address(id)
+		}
+		want := map[string]string{"drains": "", "moves": "127.0.0.1:22", "stays": "127.0.0.1:3",
+			"new": "127.0.0.1:4"}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("cut after %d: %s", cut, diff)
+		}
+	}
+}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const patience = 20 * time.Second
@@ -107,6 +109,49 @@
 	wait(t, "gone", o.Gone())
 }
 
+// An old process that is killed anywhere in the midst of passing its socket leaves the new one with a plain
+// error at once; a new one that dies after its yes leaves the old one for the next.
+func TestKilledInTheMidst(t *testing.T) {
+	for _, sent := range []int{0, 2, 4, 9} { // of the size and the terms, the socket with the first byte
+		path := Path(t.TempDir(), "a")
+		o, err := Listen(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		socket := listen(t, "127.0.0.1:0")
+		go func() {
+			c, err := o.l.AcceptUnix()
+			if err != nil {
+				return
+			}
+			defer c.Close()
+			raw, _ := socket.SyscallConn()
+			raw.Control(func(fd uintptr) {
+				if text := append([]byte{0, 0, 0, 20}, `{"known":{"index":7}}`[:20]...); sent > 0 {
+					c.WriteMsgUnix(text[:sent], unix.UnixRights(int(fd)), nil)
+				}
+			})
+		}()
+		began := time.Now()
+		if old, err := Join(path, patience); old != nil || err == nil || time.Since(began) > patience/2 {
+			t.Errorf("killed after %d bytes: %v, %v after %v", sent, old, err, time.Since(began))
+		}
+		o.Close()
+	}
+	path := Path(t.TempDir(), "b")
+	s := offer(t, path)
+	for range 2 {
+		o := join(t, path)
+		if err := o.Ready(); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, "it serves", s.serves)
+		o.Close()
+		wait(t, "it left", s.left)
+	}
+	join(t, path)
+}
+
 // What a killed process leaves behind is nobody, and the next one takes its place.
 func TestLeavings(t *testing.T) {
 	path := Path(t.TempDir(), "a")
--- /dev/null
+++ b/internal/ingress/crossings_test.go
@@ -0,0 +1,193 @@
+package ingress
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cresshub/balance"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// settled waits until nothing is held for anybody any more.
+func (r *rig) settled(t *testing.T) {
+	t.Helper()
+	nettest.Until(t, "nothing is held", func() bool {
+		r.Server.mu.Lock()
+		defer r.Server.mu.Unlock()
+		return len(r.clients) == 0 && len(r.open) == 0 && r.Bodies.Used() == 0 && len(r.away) == 0 &&
+			r.Count.InProgress.Load() == 0
+	})
+}
+
+// Whatever a bad client sends and however it goes, nothing stays held for it, at most its whole requests are
+// sent on, each once, and others are served.
+func TestBadClientsLeaveNothing(t *testing.T) {
+	much := ""
+	for i := range 300 {
+		much += get(fmt.Sprint("much-", i))
+	}
+	for name, text := range map[string]string{
+		"a connect and nothing": "",
+		"half a line":           "GET /api",
+		"half a body":           post("half", 9, "x"),
+		"half a large body":     post("half", 100_000, strings.Repeat("x", 50_000)),
+		"one and gone":          get("one"),
+		"pipelined and gone":    get("one") + get("two") + get("three"),
+		"much and gone":         much,
+		"noise":                 strings.Repeat("\x00\xff", 5000),
+		"a line without end":    strings.Repeat("x", 200_000),
+		"a head without end":    "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", 50_000),
+		"a length that is none": strings.Replace(post("bad", 1, "x"), "Length: 1", "Length: -1", 1),
+		"two lengths": strings.Replace(post("two", 1, "x"), "\r\n\r\n",
+			"\r\nContent-Length: 2\r\n\r\n", 1),
+		"a chunk without end": strings.Replace(post("chunk", 1, ""), "Content-Length: 1",
+			"Transfer-Encoding: chunked", 1) + "fffffffffff\r\nx",
+	} {
+		for way, leave := range leaves {
+			t.Run(name+", "+way, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, nil)
+				zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("") })
+				r.list(zone.Address)
+				c := nettest.Dial(t, r.address)
+				io.WriteString(c, text) // as much as is taken before it is answered and closed
+				leave(c.Conn.(*net.TCPConn))
+				if way == "ends sending" {
+					io.Copy(io.Discard, c)
+					c.Close()
+				}
+				if a := nettest.Ask(t, nettest.Dial(t, r.address), strings.Replace(get("other"), "\r\n\r\n",
+					"\r\nConnection: close\r\n\r\n", 1)); a.Status != 200 {
+					t.Errorf("another client gets %d", a.Status)
+				}
+				r.settled(t)
+				came := map[string]int{}
+				for _, q := range zone.Got("") {
+					came[q.Header.Get(idField)]++
+				}
+				for id, n := range came {
+					if n > 1 || id == "half" || id == "bad" || id == "chunk" {
+						t.Errorf("%s came %d times", id, n)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Of two copies the answer that is there first is passed on, once; the other one, cancelled or not, is
+// nobody's.
+func TestSecondCopyAnswersFirst(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		t.Run(fmt.Sprint("cancel ", may), func(t *testing.T) {
+			r := newRig(t, func(s *balance.Settings) {
+				s.MayCancel, s.Classes[0].Aim = may, time.Second // an unusual time is a part of it
+			})
+			slow, answer := make(chan bool, 1), make(chan bool)
+			zone := func(name string) *nettest.Party {
+				return nettest.Serve(t, func(q *http1.Request) *http1.Response {
+					if q.Header.Get(idField) == "twice" {
+						select {
+						case slow <- true: // the first copy
+							<-answer
+							return nettest.OK("late")
+						default:
+						}
+					}
+					return nettest.OK("first")
+				})
+			}
+			a, b := zone("a"), zone("b")
+			r.list(a.Address, b.Address)
+			c := nettest.Dial(t, r.address)
+			for i := range 9 { // what a usual answer takes is known then
+				nettest.Ask(t, c, get(fmt.Sprint("before-", i)))
+			}
+			if got := nettest.Ask(t, c, get("twice")); got.Status != 200 || string(got.Body) != "first" {
+				t.Errorf("%d %s", got.Status, got.Body)
+			}
+			if n := len(a.Got("")) + len(b.Got("")); n != 11 {
+				t.Errorf("%d came, want nine and two copies", n)
+			}
+			close(answer)
+			for i := range 9 { // the late one is no answer to any of these
+				if got := nettest.Ask(t, c, get(fmt.Sprint("after-", i))); string(got.Body) != "first" {
+					t.Errorf("after it: %d %s", got.Status, got.Body)
+				}
+			}
+			c.Close()
+			r.settled(t)
+		})
+	}
+}
+
+// Where all that may be tried has turned a request away it is refused at once, for it never ran; where the
+// last one broke off, what must not run twice has failed.
+func TestNothingLeftToTry(t *testing.T) {
+	away := &http1.Response{Status: 503, Header: http1.Header{{Name: "X-Not-Processed", Value: "1"}}}
+	for name, c := range map[string]struct {
+		answers []*http1.Response
+		want    string
+	}{
+		"turned away":           {[]*http1.Response{away, away, away}, "503 refused"},
+		"broken off":            {[]*http1.Response{nettest.Break}, "502 failed"},
+		"away, then broken off": {[]*http1.Response{away, nettest.Break}, "502 failed"},
+		"away, then an error":   {[]*http1.Response{away, away, {Status: 500}}, "502 failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			next := make(chan *http1.Response, 9)
+			for _, a := range c.answers {
+				next <- a
+			}
+			zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return <-next })
+			r.list(zone.Address, zone.Address)
+			far := nettest.Dial(t, r.address)
+			began := time.Now()
+			io.WriteString(far, post("id", 1, "x"))
+			if got := outcome(far); got != c.want {
+				t.Error(got)
+			}
+			if took := time.Since(began); took > 5*time.Second { // of 30 s that it has
+				t.Errorf("after %v", took)
+			}
+			if n := len(zone.Got("")); n != len(c.answers) || len(next) > 0 {
+				t.Errorf("%d attempts came, want %d", n, len(c.answers))
+			}
+			far.Close()
+			r.settled(t)
+		})
+	}
+}
+
+// A server that answers before the request is whole, and closes, has its answer passed on or its attempt
+// failed: it is not sent again, and nothing stays held.
+func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
+	for _, status := range []int{200, 500} {
+		r := newRig(t, nil)
+		heads := make(chan bool, 9)
+		zone := nettest.Listen(t, func(c *ring.Conn) {
+			if _, _, err := http1.ReadRequestHead(c.In); err == nil {
+				heads <- true
+				fmt.Fprintf(c, "HTTP/1.1 %d x\r\nContent-Length: 5\r\n\r\nearly", status)
+			}
+		})
+		r.list(zone, zone)
+		c := nettest.Dial(t, r.address)
+		go io.WriteString(c, post("id", 1<<20, strings.Repeat("x", 1<<20)))
+		if got := outcome(c); got == "nothing" || got == "200 early" && status == 500 {
+			t.Errorf("%d: %s", status, got)
+		}
+		if len(heads) != 1 {
+			t.Errorf("%d: %d attempts", status, len(heads))
+		}
+		c.Close()
+		r.settled(t)
+	}
+}
--- /dev/null
+++ b/internal/upstream/cancel_test.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"io"
+	"testing"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+const head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+
+// parts is a server that writes an answer piece by piece: after each it waits for a token.
+func parts(t *testing.T, on chan bool, pieces ...string) (address string, wrote, ended chan bool) {
+	wrote, ended = make(chan bool, 9), make(chan bool, 9)
+	address = nettest.Listen(t, func(c *ring.Conn) {
+		for {
+			if _, err := http1.ReadRequest(c.In); err != nil {
+				ended <- true
+				return
+			}
+			for _, p := range pieces {
+				io.WriteString(c, p)
+				wrote <- true
+				<-on
+			}
+		}
+	})
+	return address, wrote, ended
+}
+
+// A cancel after the first byte of an answer ends the attempt and its connection; one after the last changes
+// nothing, and the connection takes the next.
+func TestCancelMeetsTheAnswer(t *testing.T) {
+	on := make(chan bool)
+	address, wrote, ended := parts(t, on, head[:3], head[3:]+"bo", "dy")
+	for begun := range 2 {
+		p := pool(&place{address: address}, nettest.Patience)
+		a, done := attempt(p, ever())
+		for range begun {
+			<-wrote
+			on <- true
+		}
+		<-wrote
+		a.Cancel()
+		if out := <-done; out.Result != decide.Withdrawn || out.Answer != nil || p.bodies.Used() != 0 {
+			t.Errorf("after %d pieces: %s, %d bytes kept", begun+1, decide.ResultNames[out.Result], p.bodies.Used())
+		}
+		for range 2 - begun {
+			on <- true
+			<-wrote
+		}
+		on <- true
+		<-ended
+	}
+	p := pool(&place{address: address}, nettest.Patience)
+	for range 2 {
+		a, done := attempt(p, ever())
+		for range 3 {
+			<-wrote
+			on <- true
+		}
+		out := <-done
+		a.Cancel()
+		if out.Result != decide.Served || string(out.Answer.Body) != "body" {
+			t.Errorf("after the last byte: %s", decide.ResultNames[out.Result])
+		}
+		p.Release(&out)
+	}
+	if n := p.count.Opened.Load(); n != 1 || p.count.Reused.Load() != 1 {
+		t.Errorf("%d connections for two", n)
+	}
+}
+
+// What stands behind an answer that ends its connection is no answer to anybody, and the next attempt has a
+// connection of its own.
+func TestCloseWithMoreBehind(t *testing.T) {
+	for _, more := range []string{"", head + "late", "noise"} {
+		address := nettest.Listen(t, func(c *ring.Conn) {
+			if _, err := http1.ReadRequest(c.In); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nown"+more)
+			io.Copy(io.Discard, c) // it is the other side that ends it
+		})
+		p := pool(&place{address: address}, nettest.Patience)
+		for range 2 {
+			_, done := attempt(p, ever())
+			if out := <-done; out.Result != decide.Served || string(out.Answer.Body) != "own" {
+				t.Errorf("more %q: %s", more, decide.ResultNames[out.Result])
+			}
+		}
+		if n := p.count.Opened.Load(); n != 2 {
+			t.Errorf("more %q: %d connections", more, n)
+		}
+	}
+}
+
+// At hand-over the server may have moved, or begun to drain: nothing is written at its old address.
+func TestMovedAtHandOver(t *testing.T) {
+	for name, move := range map[string]func(w *place, to string){
+		"moved":  func(w *place, to string) { w.address = to },
+		"drains": func(w *place, _ string) { w.out.Store(true) },
+	} {
+		old := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("old") })
+		fresh := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("new") })
+		where := &place{address: old.Address}
+		p := pool(where, nettest.Patience)
+		_, done := attempt(p, ever())
+		<-done
+		looks := 0
+		where.asked = func() { // the second look is right before the first byte
+			if looks++; looks == 2 {
+				move(where, fresh.Address)
+			}
+		}
+		_, done = attempt(p, ever())
+		if out := <-done; out.Result != decide.TurnedAway {
+			t.Errorf("%s: %s", name, decide.ResultNames[out.Result])
+		}
+		if len(old.Got("")) != 1 || len(fresh.Got("")) != 0 {
+			t.Errorf("%s: %d came to the old address, %d to the new", name, len(old.Got("")), len(fresh.Got("")))
+		}
+	}
+}
