A body in chunks has the time of its next piece; a call after a silence is made again if it fails

Two faults, each with its test.

Checked: an answer in chunks, on loopback, that goes on beyond the time of its request: cut off with i/o timeout at that time to the millisecond; one with a length or none: not. At fault: upstream Stream.Read and ingress client.read set the deadline for the next piece only where nothing is buffered; behind the data of a chunk its end is. Changed: it is set each time (for a request's body where that comes in chunks). On the clients' side the same lines gave a slow body 408 after the time for its head.

Read: after a silence the follower makes one call by itself; where that fails the decisions wait by the settings' time for asking (half to one and a half times a tenth of it, a fifth from the second on), while what the watch missed binds 6 s after it fell silent whatever the settings say. At the platform's 10 s it holds (TestSilenceEndsBeforeItBinds); at 30 s it would not. Changed: the follower makes the call after a failed one too, and a call without an answer counts as a silence.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -126,6 +126,55 @@
 	}
 }
 
+// What a silent watch misses binds soon, however long the decisions may go without asking: a first call
+// after it that is refused, reset or not answered either is made again without a word to them.
+func TestSilenceAndARefusal(t *testing.T) {
+	for name, refuse := range map[string]func(conn *ring.Conn){
+		"refused": func(conn *ring.Conn) {
+			io.WriteString(conn, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+		},
+		"reset":        func(conn *ring.Conn) { conn.Conn.(*net.TCPConn).SetLinger(0); conn.Close() },
+		"not answered": func(*ring.Conn) {},
+	} {
+		for _, opened := range []bool{true, false} { // whether the watch that fell silent had said anything
+			t.Run(fmt.Sprint(name, ", opened ", opened), func(t *testing.T) {
+				t.Parallel()
+				calls, over := make(chan int, 99), make(chan bool)
+				defer close(over)
+				c, s := follow(t, script(t, func(n int, _ string, conn *ring.Conn) {
+					calls <- n
+					switch {
+					case n == 0 && opened:
+						io.WriteString(conn, chunked+chunk(entry(8, true, "a", "in_service")))
+					case n == 1:
+						refuse(conn)
+					case n >= 2:
+						io.WriteString(conn, chunked+chunk(entry(9, true, "b", "in_service")))
+						<-over
+					}
+				}), Limits{Silence: 300 * time.Millisecond})
+				c.Follow()
+				lists := 1
+				if opened {
+					lists = 2
+				}
+				for range lists {
+					select {
+					case <-s.listed:
+					case <-s.failed:
+						t.Fatalf("told as failed after %d calls", len(calls))
+					case <-time.After(nettest.Patience):
+						t.Fatalf("nothing more after %d calls", len(calls))
+					}
+				}
+				if len(calls) < 3 {
+					t.Errorf("%d calls", len(calls))
+				}
+			})
+		}
+	}
+}
+
 // Discovery that is back with a lower count tells changes to a list that is not ours: it is asked for afresh.
 // The change is taken in at once, for a drain binds.
 func TestDiscoveryCountsAnew(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -75,7 +75,7 @@
 	now     *watch // the one followed, nil while there is none
 	before  *watch // at the address left; it stands until the one followed has told the list
 	moving  bool   // nothing was told at address yet
-	again   bool   // the watch fell silent, and is opened anew without being asked for
+	again   int    // times that one was opened anew without being asked for, since one fell silent
 	retries int    // since the move, or since a watch told something last
 	feed    Feed
 	watches int64 // begun
@@ -224,7 +224,7 @@
 				c.log.Error("list kept, the new one cannot be used", logging.Err, err)
 			}
 		case <-retry.C:
-			if c.now == nil && (c.moving || c.again || c.unasked()) && !c.feed.Held {
+			if c.now == nil && (c.moving || c.again > 0 || c.unasked()) && !c.feed.Held {
 				c.now = c.start(ctx, c.address, c.moving)
 			}
 		case w := <-c.told:
@@ -290,13 +290,18 @@
 	c.log.Warn("watch ended", logging.Address, w.address, logging.Err, w.err)
 	limits := c.limits.Load()
 	if w.said {
-		c.retries = 0
+		c.retries, c.again = 0, 0
 	}
 	if errors.Is(w.err, errFell) {
 		c.moving = true
 	}
-	if c.again = errors.Is(w.err, errSilent); c.again {
-		return 1 + time.Duration(rand.Float64()*float64(limits.Reopen()))
+	// What a silent watch misses, be it one that never said a word, binds at a time of its own, whatever the
+	// settings let pass before discovery is asked again: one call after it that fails is made again, too.
+	if c.again > 0 || errors.Is(w.err, errSilent) || errors.Is(w.err, os.ErrDeadlineExceeded) {
+		if c.again++; c.again <= 2 {
+			return 1 + time.Duration(rand.Float64()*float64(limits.Reopen()))
+		}
+		c.again = 0
 	}
 	if c.moving || c.unasked() {
 		c.retries++
--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -35,7 +35,7 @@
 	for name, text := range map[string]string{
 		"a connect and nothing": "",
 		"half a line":           "GET /api",
-		"half a body":           post("half", 9, "x"),
+		"half a body":           post("half", 90, "x"),
 		"half a large body":     post("half", 100_000, strings.Repeat("x", 50_000)),
 		"one and gone":          get("one"),
 		"pipelined and gone":    get("one") + get("two") + get("three"),
@@ -191,3 +191,38 @@
 		r.settled(t)
 	}
 }
+
+// A body may come as slowly as each piece of it comes within a stall, whatever of its form is already here; the
+// time for the head does not run on.
+func TestPieceOfABodyHasItsTime(t *testing.T) {
+	for _, size := range []int{1000, 100_000} { // kept, and streamed
+		r := newRig(t, nil)
+		limits := *r.limits.Load()
+		limits.Request = 200 * time.Millisecond
+		r.SetLimits(limits)
+		zone := nettest.Serve(t, func(q *http1.Request) *http1.Response {
+			return nettest.OK(fmt.Sprint(len(q.Body)))
+		})
+		if size > http1.MaxBody {
+			zone.Address = nettest.Listen(t, func(c *ring.Conn) {
+				_, body, err := http1.ReadRequestHead(c.In)
+				if err == nil {
+					n, _ := io.Copy(io.Discard, body)
+					nettest.OK(fmt.Sprint(n)).Write(c.Out)
+					c.Flush()
+				}
+			})
+		}
+		r.list(zone.Address)
+		c := nettest.Dial(t, r.address)
+		text := strings.Replace(post("id", 1, ""), "Content-Length: 1", "Transfer-Encoding: chunked", 1)
+		io.WriteString(c, text+fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)))
+		time.Sleep(300 * time.Millisecond) // longer than a head may take
+		io.WriteString(c, "1\r\nx\r\n")
+		time.Sleep(300 * time.Millisecond)
+		io.WriteString(c, "0\r\n\r\n")
+		if got, want := outcome(c), fmt.Sprint("200 ", size+1); got != want {
+			t.Errorf("%d bytes: %s", size, got)
+		}
+	}
+}
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -60,9 +60,10 @@
 	}
 }
 
-// read reads of a body, which may make no progress for so long.
+// read reads of a body, which may make no progress for so long. Of one in chunks what is here already may be the
+// end of a chunk alone.
 func (c *client) read(body *http1.Body, p []byte, stall time.Duration) (int, error) {
-	if c.In.Buffered() == 0 {
+	if c.In.Buffered() == 0 || body.Length() < 0 {
 		c.SetReadDeadline(time.Now().Add(stall))
 	}
 	return body.Read(p)
--- a/internal/serve/silence_test.go
+++ b/internal/serve/silence_test.go
@@ -59,8 +59,12 @@
 		longest = max(longest, acts[0].Wait)
 	}
 	heard := limits.Silence + limits.Reopen() + dial
-	if sum := heard + answer + longest + dial + answer; sum > binds {
-		t.Errorf("refused once: %v", sum)
+	// The follower makes that other call by itself; where it leaves it to the decisions the sum has to hold too,
+	// at the platform's settings.
+	for by, pause := range map[string]time.Duration{"follower": limits.Reopen(), "decisions": longest} {
+		if sum := heard + answer + pause + dial + answer; sum > binds {
+			t.Errorf("refused once, asked again by the %s: %v", by, sum)
+		}
 	}
 	if sum := heard + limits.Silence; sum > binds {
 		t.Errorf("slow: %v", sum)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -212,11 +212,10 @@
 	once sync.Once
 }
 
-// Read reads of the rest; io.EOF comes only where the answer is whole.
+// Read reads of the rest; io.EOF comes only where the answer is whole. Its deadline is set anew each time: what
+// is here already may be the end of a chunk alone.
 func (s *Stream) Read(p []byte) (int, error) {
-	if s.conn.nc.In.Buffered() == 0 {
-		s.conn.nc.SetReadDeadline(time.Now().Add(s.conn.pool.limits.Load().Stall))
-	}
+	s.conn.nc.SetReadDeadline(time.Now().Add(s.conn.pool.limits.Load().Stall))
 	return s.body.Read(p)
 }
 
--- /dev/null
+++ b/internal/upstream/rest_test.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"cresshub/internal/decide"
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// What is left of an answer has all the time that a stall may last from its last piece on, whatever of its form
+// is already here, and no longer the time of its request.
+func TestRestOutlastsTheRequest(t *testing.T) {
+	piece := strings.Repeat("x", 1000)
+	for name, form := range map[string]struct{ head, piece, end string }{
+		"chunks":        {"Transfer-Encoding: chunked", "3e8\r\n" + piece + "\r\n", "0\r\n\r\n"},
+		"an open chunk": {"Transfer-Encoding: chunked", "\r\n3e8\r\n" + piece, "\r\n0\r\n\r\n"},
+		"a length": {"Content-Length: 100000", strings.Repeat("x", 5000),
+			strings.Repeat("x", 85_000)},
+		"the end of it":    {"A: b", piece, ""},
+		"half a last line": {"Transfer-Encoding: chunked", "3e8\r\n" + piece + "\r\n0\r\nA: b", "\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun, late := make(chan bool), make(chan bool)
+			address := nettest.Listen(t, func(c *ring.Conn) {
+				if _, err := http1.ReadRequest(c.In); err != nil {
+					return
+				}
+				if name == "half a last line" {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n3e8\r\n%s\r\n", form.head, piece)
+					<-begun
+					io.WriteString(c, form.piece)
+				} else {
+					first := strings.TrimPrefix(form.piece, "\r\n")
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n%s", form.head, first+form.piece)
+					<-begun
+					io.WriteString(c, form.piece)
+				}
+				<-late
+				io.WriteString(c, form.end)
+			})
+			p := pool(&place{address: address}, time.Hour)
+			until := time.Now().Add(2 * time.Second)
+			_, done := attempt(p, until)
+			out := <-done
+			if out.Result != decide.Served || out.Rest == nil {
+				t.Fatalf("%s, %+v", decide.ResultNames[out.Result], out)
+			}
+			close(begun)
+			go func() {
+				time.Sleep(time.Until(until.Add(100 * time.Millisecond))) // the time of the request is over
+				close(late)
+			}()
+			if n, err := io.Copy(io.Discard, out.Rest); err != nil {
+				t.Errorf("%v after %d bytes", err, n+int64(len(out.Answer.Body)))
+			}
+			p.Release(&out)
+		})
+	}
+}
