Two copies of a request whose body streams: the first to begin reads it, the other is not sent

Read, and proven by a test: a second copy (settings that allow two attempts, a class that may run again) is decided after four usual service times, also where the first attempt still waits for its connection. Spent, which ends further attempts, comes only with the first byte of the rest of the body. Both attempts then called upload.Read.

Ruled out: attempts one after the other (Spent comes before the first byte that only one can have), classes that must not run twice (they have no copies), copies of bodies that are kept.

Changed: Begins tells whether this attempt has the body, by an atomic exchange; another one ends as not sent with its connection closed, its request not whole. Whole names its attempt, so that the time of the right one counts.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -211,13 +211,12 @@
 	d.b.Spent(c.id)
 }
 
-// Whole says that the last byte of a request that is not held is sent, by the latest attempt. It returns
-// until when that attempt is waited for.
-func (d *Decider) Whole(c *Call, deadline time.Time) time.Time {
+// Whole says that the last byte of a request that is not held is sent, by that attempt. It returns until when
+// that attempt is waited for.
+func (d *Decider) Whole(c *Call, attempt int, deadline time.Time) time.Time {
 	now := d.enter()
 	defer d.leave()
 	c.deadline = deadline
-	attempt := len(c.sent) - 1
 	c.sent[attempt] = now
 	d.b.Whole(now, c.id, d.at(deadline))
 	return d.until(c, now, c.waits[attempt])
--- a/internal/ingress/answer.go
+++ b/internal/ingress/answer.go
@@ -103,7 +103,7 @@
 			t := &try{Attempt: upstream.Attempt{Server: step.Server, Request: message, By: step.By,
 				Until: step.Until}}
 			if u != nil {
-				t.Upload = u
+				t.Upload = uploading{u, step.Attempt}
 			}
 			t.Done = func(out upstream.Outcome) {
 				t.out = out
--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -192,8 +192,8 @@
 	}
 }
 
-// A body may come as slowly as each piece of it comes within a stall, whatever of its form is already here; the
-// time for the head does not run on.
+// A body may come as slowly as each piece of it comes within a stall, whatever of its form is already here;
+// the time for the head does not run on.
 func TestPieceOfABodyHasItsTime(t *testing.T) {
 	for _, size := range []int{1000, 100_000} { // kept, and streamed
 		r := newRig(t, nil)
@@ -226,3 +226,74 @@
 		}
 	}
 }
+
+// A second copy of a large request may be decided while the first waits for its connection. Its body is there
+// once: one of the two has it, whole, and the other was never sent.
+func TestTwoCopiesOfAnUpload(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 100000", "Transfer-Encoding: chunked"} {
+		t.Run(framing, func(t *testing.T) { twoCopies(t, framing) })
+	}
+}
+
+func twoCopies(t *testing.T, framing string) {
+	r := newRig(t, func(s *balance.Settings) { s.Classes[0].Aim = time.Second })
+	bodies := make(chan string, 9)
+	zone := nettest.Listen(t, func(c *ring.Conn) {
+		for {
+			q, body, err := http1.ReadRequestHead(c.In)
+			if err != nil {
+				return
+			}
+			text, err := io.ReadAll(body)
+			if q.Header.Get(idField) == "twice" {
+				bodies <- fmt.Sprint(len(text), strings.Count(string(text), "x"), err)
+			}
+			if err != nil {
+				return
+			}
+			nettest.OK("own").Write(c.Out)
+			c.Flush()
+		}
+	})
+	r.list(zone, zone)
+	c := nettest.Dial(t, r.address)
+	for i := range 9 {
+		nettest.Ask(t, c, get(fmt.Sprint("before-", i)))
+	}
+	r.mu.Lock()
+	from, both := r.looks, make(chan bool)
+	r.looked = func(n int) {
+		switch n - from { // 1 and 3 as the copies are decided, 2 and 4 right before their first bytes
+		case 2:
+			<-both
+		case 4:
+			close(both)
+		}
+	}
+	r.mu.Unlock()
+	text := strings.Replace(post("twice", 1, ""), "assign", "lookup", 1)
+	text = strings.Replace(text, "Content-Length: 1", framing, 1)
+	if body := strings.Repeat("x", 100_000); framing[0] == 'C' {
+		text += body
+	} else {
+		text += fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}
+	go io.WriteString(c, text)
+	if got := outcome(c); got != "200 own" {
+		t.Error(got)
+	}
+	c.Close()
+	r.settled(t)
+	whole := 0
+	for len(bodies) > 0 {
+		switch got := <-bodies; {
+		case got == "100000 100000 <nil>":
+			whole++
+		case strings.HasSuffix(got, "<nil>"):
+			t.Errorf("taken for whole: %s", got)
+		}
+	}
+	if whole != 1 {
+		t.Errorf("%d whole ones came", whole)
+	}
+}
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/decide"
@@ -60,8 +61,8 @@
 	}
 }
 
-// read reads of a body, which may make no progress for so long. Of one in chunks what is here already may be the
-// end of a chunk alone.
+// read reads of a body, which may make no progress for so long. Of one in chunks what is here already may be
+// the end of a chunk alone.
 func (c *client) read(body *http1.Body, p []byte, stall time.Duration) (int, error) {
 	if c.In.Buffered() == 0 || body.Length() < 0 {
 		c.SetReadDeadline(time.Now().Add(stall))
@@ -78,12 +79,25 @@
 	call   *decide.Call
 	wait   time.Duration // the client waits for an answer so long from its last byte on
 
-	over chan struct{} // closed when the body has ended
-	err  error         // why it ended, io.EOF where it is whole; set before over closes
+	begun atomic.Bool   // an attempt reads it
+	over  chan struct{} // closed when the body has ended
+	err   error         // why it ended, io.EOF where it is whole; set before over closes
 }
 
-// Begins says that from here on there can be no other attempt.
-func (u *upload) Begins() { u.server.Decider.Spent(u.call) }
+// uploading is an upload as one attempt has it. Of two that are out at once the first to begin reads it.
+type uploading struct {
+	*upload
+	attempt int
+}
+
+// Begins says that from here on there can be no other attempt; false where another one has begun.
+func (u uploading) Begins() bool {
+	if !u.begun.CompareAndSwap(false, true) {
+		return false
+	}
+	u.server.Decider.Spent(u.call)
+	return true
+}
 
 func (u *upload) Read(p []byte) (int, error) {
 	if u.err != nil {
@@ -98,10 +112,10 @@
 }
 
 // Sent says that the server has the last byte; the request's time begins.
-func (u *upload) Sent() time.Time {
+func (u uploading) Sent() time.Time {
 	u.client.taken = true // the attempt's report orders this before its reading
 	u.server.Count.InProgress.Add(1)
-	return u.server.Decider.Whole(u.call, time.Now().Add(u.wait))
+	return u.server.Decider.Whole(u.call, u.attempt, time.Now().Add(u.wait))
 }
 
 // malformed is the error of a body that made no sense; nil where it did, or was not read.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -106,11 +106,15 @@
 	return decide.Served
 }
 
+var errTaken = errors.New("another attempt has the body")
+
 // upload writes the part of a body that is not kept, at the pace of both sides.
 func (c *conn) upload(a *Attempt, w http1.BodyWriter) error {
 	room, give := c.pool.bodies.Buffer()
 	defer give()
-	a.Upload.Begins()
+	if !a.Upload.Begins() {
+		return errTaken
+	}
 	stall := c.pool.limits.Load().Stall
 	for {
 		n, left := a.Upload.Read(room)
@@ -212,8 +216,8 @@
 	once sync.Once
 }
 
-// Read reads of the rest; io.EOF comes only where the answer is whole. Its deadline is set anew each time: what
-// is here already may be the end of a chunk alone.
+// Read reads of the rest; io.EOF comes only where the answer is whole. Its deadline is set anew each time:
+// what is here already may be the end of a chunk alone.
 func (s *Stream) Read(p []byte) (int, error) {
 	s.conn.nc.SetReadDeadline(time.Now().Add(s.conn.pool.limits.Load().Stall))
 	return s.body.Read(p)
--- a/internal/upstream/rest_test.go
+++ b/internal/upstream/rest_test.go
@@ -13,8 +13,8 @@
 	"cresshub/internal/ring"
 )
 
-// What is left of an answer has all the time that a stall may last from its last piece on, whatever of its form
-// is already here, and no longer the time of its request.
+// What is left of an answer has all the time that a stall may last from its last piece on, whatever of its
+// form is already here, and no longer the time of its request.
 func TestRestOutlastsTheRequest(t *testing.T) {
 	piece := strings.Repeat("x", 1000)
 	for name, form := range map[string]struct{ head, piece, end string }{
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -86,8 +86,8 @@
 
 // Upload is the part of a request's body that is not kept: whoever reads it has it.
 type Upload interface {
-	// Begins says that it is about to be read.
-	Begins()
+	// Begins says that it is about to be read; false where another attempt reads it.
+	Begins() bool
 	// Read reads of it; io.EOF ends it, any other error is the client's.
 	Read(p []byte) (int, error)
 	// Sent says that the last byte was written, and returns until when the answer is waited for.
