The end of a rest does not close over a request that is already there

Read, and proven by a test: the goroutine of a client on a shared core may have its turn after the time of rest (or for a first request) is over. The read deadline then ends its wait before it looks at what has come, and it closed a connection with a whole request in the system: a reset for the client, and for a new connection one that was closed with no answer. In the test the request is there before the goroutine starts, and the time is over: "end" each time.

Ruled out: the time for a head and the end of a drain for half requests (both answer 408 or 503, nothing is sent on); answers of servers (20 ms are kept before the deadline).

Changed: ring.Conn.Await looks once more where its deadline is over; the time for the head begins before the first read.

--- a/internal/ingress/drain_test.go
+++ b/internal/ingress/drain_test.go
@@ -14,6 +14,7 @@
 	"cresshub/internal/http1"
 	"cresshub/internal/nettest"
 	"cresshub/internal/ring"
+	"cresshub/internal/sockets"
 )
 
 // held is a zone server whose answers wait until release is closed.
@@ -286,3 +287,26 @@
 		})
 	}
 }
+
+// A request that is there when the time of rest is over is read all the same: the goroutine may have its turn
+// later than both.
+func TestRequestIsThereAsTheRestEnds(t *testing.T) {
+	r := newRig(t, nil)
+	limits := *r.limits.Load()
+	limits.First = time.Nanosecond
+	r.SetLimits(limits)
+	for range 20 {
+		far, near := tcpPair(t)
+		io.WriteString(far, "GET "+readyPath+" HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		c := &client{Conn: ring.NewConn(near), woken: make(chan struct{}, 1), idle: true, fresh: true}
+		nettest.Until(t, "it is there", func() bool { return !c.Still() })
+		if !r.Budget.Take(sockets.Clients) {
+			t.Fatal("no place")
+		}
+		r.serve(c)
+		far.SetDeadline(time.Now().Add(nettest.Patience))
+		if got := outcome(ring.NewConn(far)); got != "200 ready" {
+			t.Fatal(got)
+		}
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -33,6 +33,7 @@
 	err := c.Await()
 	if err == nil {
 		s.starts(c)
+		c.SetReadDeadline(time.Now().Add(limits.Request))
 		_, err = c.In.Peek(1)
 	}
 	silent := err != nil
@@ -40,7 +41,6 @@
 	var body *http1.Body
 	held := 0
 	if !silent {
-		c.SetReadDeadline(time.Now().Add(limits.Request))
 		if q, body, err = http1.ReadRequestHead(c.In); err == nil {
 			held, err = s.keep(c, q, body)
 		}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -199,7 +199,8 @@
 func (c *Conn) Quiet() bool { return !c.Waits() && c.Still() }
 
 // Await returns once there is something to read, be it an end, and takes nothing of it out of the system:
-// until Read is called Still sees it. It heeds the read deadline.
+// until Read is called Still sees it. It heeds the read deadline, but what is there when that is over counts:
+// this goroutine may have its turn later than both.
 func (c *Conn) Await() error {
 	if c.Waits() {
 		return nil
@@ -208,7 +209,10 @@
 	if l == nil {
 		return err // of a connection that has no descriptor Read itself has to wait
 	}
-	return l.raw.Read(l.ready)
+	if err = l.raw.Read(l.ready); errors.Is(err, os.ErrDeadlineExceeded) && !c.Still() {
+		return nil
+	}
+	return err
 }
 
 // Still tells whether nothing waits in the system. It does not touch what was read, so another goroutine may
