Where nothing gets through to discovery after a silence it is tried until something does

Each new call then ends at the dial limit, and after the second one the decisions wait half to one and a half times 1 s, then 2 s. A cut of 6 s ends in one of these pauses, and what was missed binds by then (6 s after the silence, and the settings' grace, 0.7 s on one of our variants). In a test with nine calls whose connections never come up: told as failed after 3 tries.

Ruled out: discovery that is down refuses connections or resets them, and one that has too many callers answers; both go the old way, two calls and then the decisions' pauses.

Changed: a call whose connection does not come up in time (errCut) does not count as one of the two; it is made again within a quarter of the silence limit. Client.connect is a seam for the test.

With the old lines TestSilenceOfACut fails; with the new ones it passes 100 times, also under the race detector, both at once.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -175,6 +176,50 @@
 	}
 }
 
+// While nothing gets through to discovery, as where a watch fell silent because a zone is cut off, it is
+// tried for as long as that takes: it costs discovery nothing, and what was missed binds soon after the cut.
+func TestSilenceOfACut(t *testing.T) {
+	const cut = 9 // calls whose connections never come up
+	tries := make(chan bool, 99)
+	address := script(t, func(n int, _ string, conn *ring.Conn) {
+		if n == 0 {
+			io.WriteString(conn, chunked+chunk(entry(8, true, "a", "in_service")))
+			return
+		}
+		io.WriteString(conn, chunked+chunk(entry(9, false, "a", "terminating")))
+	})
+	s := &sink{make(chan string, 9), make(chan bool, 9)}
+	c := client(address)
+	c.SetLimits(Limits{MaxList: 1 << 16, Silence: 200 * time.Millisecond})
+	dial := c.connect
+	c.connect = func(ctx context.Context, address string) (net.Conn, error) {
+		if tries <- true; len(tries) > 1 && len(tries) <= 1+cut {
+			return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+		}
+		return dial(ctx, address)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan bool)
+	go func() { c.Run(ctx, s, func() {}); close(over) }()
+	defer func() { cancel(); <-over }()
+	c.Follow()
+	for _, want := range []string{"true 1", "false 1"} {
+		select {
+		case got := <-s.listed:
+			if got != want {
+				t.Errorf("listed %s, want %s", got, want)
+			}
+		case <-s.failed:
+			t.Fatalf("told as failed after %d tries", len(tries))
+		case <-time.After(nettest.Patience):
+			t.Fatalf("nothing more after %d tries", len(tries))
+		}
+	}
+	if c.InService() != 0 {
+		t.Error("what drains is in service")
+	}
+}
+
 // Discovery that is back with a lower count tells changes to a list that is not ours: it is asked for afresh.
 // The change is taken in at once, for a drain binds.
 func TestDiscoveryCountsAnew(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -53,7 +53,7 @@
 
 // Client follows discovery, at one address at a time.
 type Client struct {
-	dial    time.Duration
+	connect func(ctx context.Context, address string) (net.Conn, error)
 	limits  atomic.Pointer[Limits]
 	sink    Sink
 	changed func() // called after each list
@@ -107,7 +107,10 @@
 func New(address string, dial time.Duration, limits Limits, names Names, budget *sockets.Budget,
 	count *counters.Set, log *slog.Logger) *Client {
 	c := &Client{
-		address: address, dial: dial, budget: budget, count: count, log: log,
+		address: address, budget: budget, count: count, log: log,
+		connect: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: dial, KeepAlive: -1}).DialContext(ctx, "tcp", address)
+		},
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), fixed: make(chan []byte, 1),
 		begun: time.Now(), feeds: make(chan Feed, 1), refused: func(uint64, string) {}, told: make(chan *watch),
 		ended:  make(chan *watch),
@@ -271,6 +274,7 @@
 
 var (
 	errSilent = errors.New("it said nothing for too long")
+	errCut    = errors.New("no connection came up in time")
 	errFell   = errors.New("discovery counts anew from below, the list is asked for afresh")
 )
 
@@ -296,9 +300,13 @@
 		c.moving = true
 	}
 	// What a silent watch misses, be it one that never said a word, binds at a time of its own, whatever the
-	// settings let pass before discovery is asked again: one call after it that fails is made again, too.
+	// settings let pass before discovery is asked again: one call after it that fails is made again, too. So are
+	// all that do not get through, as from a zone that is cut off, for they cost discovery nothing.
 	if c.again > 0 || errors.Is(w.err, errSilent) || errors.Is(w.err, os.ErrDeadlineExceeded) {
-		if c.again++; c.again <= 2 {
+		if c.again == 0 || w.err != errCut {
+			c.again++
+		}
+		if c.again <= 2 {
 			return 1 + time.Duration(rand.Float64()*float64(limits.Reopen()))
 		}
 		c.again = 0
@@ -344,9 +352,10 @@
 		return errors.New("no socket left")
 	}
 	defer c.budget.Give(sockets.Servers)
-	d := net.Dialer{Timeout: c.dial, KeepAlive: -1}
-	raw, err := d.DialContext(ctx, "tcp", w.address)
-	if err != nil {
+	raw, err := c.connect(ctx, w.address)
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		return errCut
+	} else if err != nil {
 		return err
 	}
 	defer raw.Close()
