An answer that breaks off while it is passed on ends with a reset, whatever else its client sent

Read, and proven by a test: pass sets the connection to end with a reset where a server breaks its answer off, because to a client of HTTP/1.0 an answer of unknown length is whole where the connection ends. Then request looks at whether the answer was the connection's last and more waits to be read, and lingers, which first ends the sending in order.

Ruled out: answers with a length or in chunks (their client sees the end missing), and a client with nothing behind its request (no linger; the same test).

Changed: nothing lingers after an answer that was not passed on whole.

--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -297,3 +297,34 @@
 		t.Errorf("%d whole ones came", whole)
 	}
 }
+
+// An answer that its server breaks off while it is passed on ends so that the client can tell, also where
+// only the end of the connection tells its length and more of the client's bytes wait behind the request.
+func TestBrokenStreamIsNoEnd(t *testing.T) {
+	for _, behind := range []string{"", "GET /api HTTP/1.0\r\n"} {
+		r := newRig(t, nil)
+		passed := make(chan bool)
+		zone := nettest.Listen(t, func(c *ring.Conn) {
+			if _, err := http1.ReadRequest(c.In); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 100_000))
+			<-passed
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		})
+		r.list(zone)
+		c := nettest.Dial(t, r.address)
+		io.WriteString(c, strings.Replace(get("id"), "HTTP/1.1", "HTTP/1.0", 1)+behind)
+		a, body, err := http1.ReadResponseHead(c.In, "GET")
+		if err != nil || a.Status != 200 {
+			t.Fatalf("%+v, %v", a, err)
+		}
+		if _, err := io.ReadFull(body, make([]byte, 70_000)); err != nil {
+			t.Fatal(err)
+		}
+		close(passed)
+		if n, err := io.Copy(io.Discard, body); err == nil {
+			t.Errorf("behind %q: it ends after %d bytes as if it were whole", behind, 70_000+n)
+		}
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -87,10 +87,13 @@
 		if c.use != nil {
 			c.use.In = body.Taken()
 		}
-		again = s.pass(c, q, &f) && !f.answer.Close
-		if !body.Whole() {
+		passed := s.pass(c, q, &f)
+		again = passed && !f.answer.Close
+		switch {
+		case !passed: // to end the sending in order would say that this was all
+		case !body.Whole():
 			s.linger(c, limits.Discard)
-		} else if f.answer.Close && !c.Quiet() {
+		case f.answer.Close && !c.Quiet():
 			s.linger(c, limits.Linger)
 		}
 	}
