A client that leaves as the last byte of its upload is out is counted out again

Read, and proven by a test: upload.Sent sets client.taken and counts the request as in progress, from the attempt's goroutine. The request's own goroutine may have missed the client by then (the body's end is noted before the last bytes are flushed), found taken unset, and returned: in_progress stays one too high for good, and both goroutines write the field.

Ruled out: requests whose body is kept (one goroutine counts them both ways).

Changed: one atomic state an upload, counted or over, whichever comes first. atSent is a hook for the test.

With the old lines TestLeavesAsItsUploadIsWhole fails; with the new ones it passes 100 times, also under the race detector.

--- a/internal/ingress/crossings_test.go
+++ b/internal/ingress/crossings_test.go
@@ -328,3 +328,44 @@
 		}
 	}
 }
+
+// A client that leaves just as the last byte of its large body is out is counted out again, whichever of the
+// two is noted first.
+func TestLeavesAsItsUploadIsWhole(t *testing.T) {
+	for _, leavesFirst := range []bool{true, false} {
+		r := newRig(t, nil)
+		sent, left := make(chan bool, 1), make(chan bool)
+		r.atSent = func() {
+			if leavesFirst {
+				sent <- true
+				<-left
+			}
+		}
+		got := make(chan bool, 1)
+		zone := nettest.Listen(t, func(c *ring.Conn) {
+			if _, body, err := http1.ReadRequestHead(c.In); err == nil {
+				io.Copy(io.Discard, body)
+				got <- true
+				io.Copy(io.Discard, c) // and no answer
+			}
+		})
+		r.list(zone)
+		c := nettest.Dial(t, r.address)
+		io.WriteString(c, post("id", 100_000, strings.Repeat("x", 100_000)))
+		<-got
+		if leavesFirst {
+			<-sent
+		} else {
+			nettest.Until(t, "it counts", func() bool { return r.Count.InProgress.Load() == 1 })
+		}
+		c.Close()
+		nettest.Until(t, "it is missed", func() bool { return r.Count.Gone.Load() == 1 })
+		nettest.Until(t, "its connection is closed", func() bool {
+			r.Server.mu.Lock()
+			defer r.Server.mu.Unlock()
+			return len(r.clients) == 0
+		})
+		close(left)
+		r.settled(t)
+	}
+}
--- a/internal/ingress/exchange.go
+++ b/internal/ingress/exchange.go
@@ -71,6 +71,7 @@
 		u = &upload{server: s, client: c, body: body, over: make(chan struct{})}
 		c.upload.Store(u)
 		defer c.upload.Store(nil)
+		defer u.ended()
 	} else if !begins(c.In) {
 		// The length told does not fit: what was read as a whole request is a part of one.
 		s.reject(c, &http1.Malformed{Status: 400, Reason: "more than one request"})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -34,6 +34,7 @@
 	requests atomic.Pointer[logging.Requests]
 	drain    atomic.Pointer[drain.State] // written under mu
 	away     chan struct{}               // a token for each client being turned away
+	atSent   func()                      // for tests: called as an upload's last byte is out; nil in the program
 
 	mu       sync.Mutex
 	sweeping bool // a goroutine closes what a lame duck has come to close
--- a/internal/ingress/upload.go
+++ b/internal/ingress/upload.go
@@ -80,10 +80,17 @@
 	wait   time.Duration // the client waits for an answer so long from its last byte on
 
 	begun atomic.Bool   // an attempt reads it
+	count atomic.Int32  // whether it counts as in progress; the last byte and the end may come in either order
 	over  chan struct{} // closed when the body has ended
 	err   error         // why it ended, io.EOF where it is whole; set before over closes
 }
 
+const (
+	notYet = iota
+	counted
+	over
+)
+
 // uploading is an upload as one attempt has it. Of two that are out at once the first to begin reads it.
 type uploading struct {
 	*upload
@@ -113,11 +120,22 @@
 
 // Sent says that the server has the last byte; the request's time begins.
 func (u uploading) Sent() time.Time {
-	u.client.taken = true // the attempt's report orders this before its reading
-	u.server.Count.InProgress.Add(1)
+	if u.server.atSent != nil {
+		u.server.atSent()
+	}
+	if u.count.CompareAndSwap(notYet, counted) {
+		u.server.Count.InProgress.Add(1)
+	}
 	return u.server.Decider.Whole(u.call, u.attempt, time.Now().Add(u.wait))
 }
 
+// ended counts it out.
+func (u *upload) ended() {
+	if u.count.Swap(over) == counted {
+		u.server.Count.InProgress.Add(-1)
+	}
+}
+
 // malformed is the error of a body that made no sense; nil where it did, or was not read.
 func (u *upload) malformed() error {
 	select {
