A rested connection is found by search, not by a walk over all that have not rested

Changed: the idle ones stand in the order of their last use, so the last one that has rested is found by search; the last 16 are looked at for one that a probe used, which needs no rest.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"slices"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,22 +184,32 @@
 	defer p.mu.Unlock()
 	list := p.idle[a.Server]
 	now, limits := time.Now(), p.limits.Load()
-	for i := len(list) - 1; i >= 0; i-- {
-		c := list[i]
-		if c.address != address || now.Sub(c.since) > limits.Reuse {
-			return false // the rest is older still; each closes itself when its time comes
+	// They stand in the order in which they were used. One whose late second answer could be taken for the next
+	// request's has to rest; of those only the last few are looked at, for one that a probe used. There may be
+	// hundreds.
+	at := sort.Search(len(list), func(i int) bool { return now.Sub(list[i].since) < limits.Rest }) - 1
+	for i := len(list) - 1; i > max(at, len(list)-1-lookBack); i-- {
+		if list[i].probed {
+			at = i
+			break
 		}
-		if !c.probed && now.Sub(c.since) < limits.Rest {
-			continue // a late second answer would be taken for the next request's
-		}
-		p.idle[a.Server] = slices.Delete(list, i, i+1)
-		c.next = a
-		c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes its goroutine
-		return true
 	}
-	return false
+	if at < 0 {
+		return false
+	}
+	c := list[at]
+	if c.address != address || now.Sub(c.since) > limits.Reuse {
+		return false // the rest is older still; each closes itself when its time comes
+	}
+	p.idle[a.Server] = slices.Delete(list, at, at+1)
+	c.next = a
+	c.nc.SetReadDeadline(time.Unix(1, 0)) // wakes its goroutine
+	return true
 }
 
+// lookBack is how many of the connections used last are looked at each for itself.
+const lookBack = 16
+
 // park lists c as idle.
 func (p *Pool) park(c *conn) {
 	p.mu.Lock()
