Where lists are pushed a watch is opened anew after a silence as soon as after any other end

What discovery has binds there at once. Reopen heeds both now; where discovery is asked nothing changes.

With the old lines TestReopenIsSoonWhereListsBind fails (600 ms for 100); with the new ones it passes 100 times.

--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -176,6 +176,20 @@
 	}
 }
 
+// Where what discovery has binds at once, a watch is not opened anew later after a silence than after any
+// other end.
+func TestReopenIsSoonWhereListsBind(t *testing.T) {
+	for _, c := range []struct{ silence, again, want time.Duration }{
+		{2400 * time.Millisecond, 0, 600 * time.Millisecond},
+		{2400 * time.Millisecond, 150 * time.Millisecond, 100 * time.Millisecond},
+		{2400 * time.Millisecond, time.Hour, 600 * time.Millisecond},
+	} {
+		if got := (&Limits{Silence: c.silence, Again: c.again}).Reopen(); got != c.want {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
+
 // While nothing gets through to discovery, as where a watch fell silent because a zone is cut off, it is
 // tried for as long as that takes: it costs discovery nothing, and what was missed binds soon after the cut.
 func TestSilenceOfACut(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -40,7 +40,12 @@
 
 // Reopen is the longest pause before a watch that fell silent is opened anew: all watches may fall silent at
 // once, and what they miss binds soon.
-func (l *Limits) Reopen() time.Duration { return l.Silence / 4 }
+func (l *Limits) Reopen() time.Duration {
+	if l.Again > 0 {
+		return min(l.Silence/4, l.Again*2/3)
+	}
+	return l.Silence / 4
+}
 
 // Sink takes in what discovery says.
 type Sink interface {
