--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -73,22 +73,27 @@
 	}
 }
 
-// Quiet looks at the system's bytes also where a deadline has passed.
-func TestQuiet(t *testing.T) {
+// connected are the two ends of a connection over loopback.
+func connected(t *testing.T) (near, far net.Conn) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer l.Close()
-	near, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
+	if near, err = net.Dial("tcp", l.Addr().String()); err == nil {
+		far, err = l.Accept()
 	}
-	defer near.Close()
-	far, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { near.Close(); far.Close() })
+	return near, far
+}
+
+// Quiet looks at the system's bytes also where a deadline has passed.
+func TestQuiet(t *testing.T) {
+	near, far := connected(t)
 	c := NewConn(near)
 	c.SetReadDeadline(time.Unix(1, 0))
 	if !c.Quiet() {
@@ -111,21 +116,8 @@
 // The system tells of a reset once, and from then on of an end: whoever reads again must not take that for
 // one.
 func TestResetStaysOne(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	for _, soon := range []bool{false, true} { // whether a look at the system meets it first
-		near, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer near.Close()
-		far, err := l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
+		near, far := connected(t)
 		far.Write([]byte("ab"))
 		far.(*net.TCPConn).SetLinger(0)
 		far.Close()
