Whoever knows the view seeks out those who may not; orphans are asked first

Cause: after a loss of all processes, machines without a disk knew only their seeds. Where the seeds had turned over to machines without a disk, nobody told them the view that the disks had kept, so two fleets stood beside each other: members without the proxies that servers called, and proxies without a configuration. 5 s later the members marked every server "its watcher is gone". Ruled out: disks (the members had view and configuration at once), the founding (first_start false), the servers (they called all along).

Change: - introductions: members introduce themselves to seeds and to all proxies that were known before and do not call; the addresses are kept on disk (`proxies`).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -8,8 +8,15 @@
 	"cresshub/internal/catalog"
 )
 
-// EndedLife is how long the record of an ended process is kept, so that late news of it cannot revive it.
-const EndedLife = 2 * time.Minute
+const (
+	// EndedLife is how long the record of an ended process is kept, so that late news of it cannot revive it.
+	EndedLife = 2 * time.Minute
+	// LostLife is how long the record of a silent process is kept.
+	LostLife = 10 * time.Minute
+	// forgottenLife is how long it is kept in mind that a record was forgotten, so that another copy that
+	// still has it does not bring it back.
+	forgottenLife = 2 * time.Minute
+)
 
 // entry is a record with what this copy notes beside it.
 type entry struct {
@@ -20,14 +27,17 @@
 
 // Directory is one copy.
 type Directory struct {
-	entries map[string]*entry
-	number  uint64 // of the last change
-	digest  Digest
-	table   *catalog.Table // nil after a change of servers, until asked for
+	entries   map[string]*entry
+	forgotten map[string]time.Duration // when the record of an id was forgotten
+	number    uint64                   // of the last change
+	digest    Digest
+	table     *catalog.Table // nil after a change of servers, until asked for
 }
 
 // New returns an empty copy.
-func New() *Directory { return &Directory{entries: map[string]*entry{}} }
+func New() *Directory {
+	return &Directory{entries: map[string]*entry{}, forgotten: map[string]time.Duration{}}
+}
 
 // Number is the place of the last change in this copy's feed.
 func (d *Directory) Number() uint64 { return d.number }
@@ -38,6 +48,12 @@
 	if known != nil && !record.supersedes(known.record) {
 		return false
 	}
+	if _, forgotten := d.forgotten[record.ID]; forgotten {
+		if !record.Live() {
+			return false
+		}
+		delete(d.forgotten, record.ID)
+	}
 	d.number++
 	if known != nil {
 		d.digest.toggle(known.record)
@@ -50,13 +66,40 @@
 	return true
 }
 
-// Expire forgets processes that ended long ago.
+// Expire forgets processes that ended or fell silent long ago, so that a copy is bounded by what runs and
+// what went within LostLife.
 func (d *Directory) Expire(now time.Duration) {
 	for id, e := range d.entries {
-		if e.record.State == Ended && now-e.changed > EndedLife {
-			delete(d.entries, id)
+		if d.expired(now, e) {
+			d.forget(now, id, e)
 		}
 	}
+	for id, at := range d.forgotten {
+		if now-at > forgottenLife {
+			delete(d.forgotten, id)
+		}
+	}
+}
+
+// expired tells whether a record may be forgotten. That of an order stays as long as its server is known,
+// because the next order to it counts on from there.
+func (d *Directory) expired(now time.Duration, e *entry) bool {
+	age := now - e.changed
+	switch {
+	case e.record.State == Ended:
+		return age > EndedLife
+	case e.record.State != Lost || age <= LostLife:
+		return false
+	case e.record.Kind == KindOrder:
+		return d.entries[orderedServer(e.record.ID)] == nil
+	}
+	return true
+}
+
+func (d *Directory) forget(now time.Duration, id string, e *entry) {
+	d.digest.toggle(e.record)
+	delete(d.entries, id)
+	d.forgotten[id] = now
 }
 
 // Get returns the record of an id, nil where there is none.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -126,3 +126,22 @@
 	d.Merge(0, writer)
 	qt.Assert(t, d.Servers().Service("s"), qt.HasLen, 1, qt.Commentf("an order that is over binds nobody"))
 }
+
+// TestLostAreForgottenByAllCopies: a copy that forgets a record a little earlier than another one does not
+// take it back, unless the process is heard of again.
+func TestLostAreForgottenByAllCopies(t *testing.T) {
+	c := qt.New(t)
+	early, late := New(), New()
+	early.Merge(0, server("a", 1, Lost))
+	late.Merge(time.Second, server("a", 1, Lost))
+	early.Expire(LostLife + 500*time.Millisecond)
+	c.Assert(early.Get("a"), qt.IsNil)
+	c.Assert(early.Merge(LostLife+600*time.Millisecond, *late.Get("a")), qt.IsFalse)
+	late.Expire(LostLife + 2*time.Second)
+	c.Assert(late.Get("a"), qt.IsNil)
+	c.Assert(early.Digest(), qt.Equals, late.Digest())
+	c.Assert(early.Merge(LostLife+3*time.Second, server("a", 2, Ready)), qt.IsTrue)
+	early.Expire(2 * LostLife)
+	late.Expire(2 * LostLife)
+	c.Assert(late.forgotten, qt.HasLen, 0, qt.Commentf("what was forgotten is forgotten, too"))
+}
--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"strings"
 	"time"
 
 	"cresshub/internal/catalog"
@@ -70,6 +71,9 @@
 // OrderID returns the id of the record of an order to a server.
 func OrderID(server string) string { return "order/" + server }
 
+// orderedServer returns the id of the server that an order's record is about.
+func orderedServer(order string) string { return strings.TrimPrefix(order, OrderID("")) }
+
 // Live tells whether the process is believed to run.
 func (r *Record) Live() bool { return r.State == Ready || r.State == Draining }
 
--- a/internal/front/chooser_test.go
+++ b/internal/front/chooser_test.go
@@ -116,6 +116,8 @@
 
 func (f *fakeChooser) NoteNewPrompts([]pairing.NewPrompts) {}
 
+func (f *fakeChooser) AnsweredAt(string) (time.Duration, bool) { return 0, false }
+
 func (f *fakeChooser) KnownPrompts(int) []pairing.NewPrompts { return nil }
 
 func (f *fakeChooser) CaughtUp(time.Duration) {}
--- a/internal/front/decider.go
+++ b/internal/front/decider.go
@@ -15,6 +15,7 @@
 	Split(now time.Duration, r *pairing.Request) bool
 	Choose(now time.Duration, r *pairing.Request, role pairing.Role, reader *catalog.Server) *pairing.Call
 	Told(now time.Duration, server string, load pairing.Load)
+	AnsweredAt(server string) (time.Duration, bool)
 	FirstEvent(now time.Duration, call *pairing.Call)
 	Done(now time.Duration, call *pairing.Call, outcome pairing.Outcome)
 	Crowded(now time.Duration, r *pairing.Request) (wait time.Duration, free bool)
--- a/internal/front/sharing.go
+++ b/internal/front/sharing.go
@@ -1,6 +1,10 @@
 package front
 
-import "cresshub/internal/pairing"
+import (
+	"time"
+
+	"cresshub/internal/pairing"
+)
 
 // mostKnown bounds how many prompts and their holders are handed on.
 const mostKnown = 4096
@@ -41,6 +45,14 @@
 	f.decider.chooser.KnowHolders(now)
 }
 
+// SinceAnswer returns how long ago a server last answered a request of this proxy well, and whether it has.
+func (f *Front) SinceAnswer(server string) (time.Duration, bool) {
+	now, unlock := f.decider.lock()
+	defer unlock()
+	at, answered := f.decider.chooser.AnsweredAt(server)
+	return now - at, answered
+}
+
 // KnownPrompts returns what is known of which servers hold what.
 func (f *Front) KnownPrompts() []pairing.NewPrompts {
 	d := f.decider
--- a/internal/hollowfleet/workload.go
+++ b/internal/hollowfleet/workload.go
@@ -140,6 +140,9 @@
 // NewPrompts implements node.Workload; hollow prompts share nothing.
 func (w *workload) NewPrompts() []pairing.NewPrompts { return nil }
 
+// SinceAnswer implements node.Workload.
+func (w *workload) SinceAnswer(string) (time.Duration, bool) { return 0, false }
+
 // KnownPrompts implements node.Workload.
 func (w *workload) KnownPrompts() []pairing.NewPrompts { return nil }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -58,7 +58,7 @@
 		n.becomeHub(f)
 		return
 	}
-	if f.source != nil && now-f.heard < feedSilence && f.source.link.Up() && n.hubAt(f.source.ip) == f.source {
+	if f.source != nil && now-f.heard < feedSilence && n.mayStayWith(f.source) {
 		return
 	}
 	next := n.chooseSource(f.source)
@@ -71,6 +71,12 @@
 	n.announceSelf(func(self *directory.Record) { self.Watcher = id })
 }
 
+// mayStayWith tells whether a hub is still one to follow.
+func (n *Node) mayStayWith(source *hub) bool {
+	_, _, _, holds := source.snapshot()
+	return holds && source.link.Up() && n.hubAt(source.ip) == source
+}
+
 // becomeHub ends following where this process is a hub; followMu is held.
 func (n *Node) becomeHub(f *following) {
 	wasFollower := f.source != nil
--- /dev/null
+++ b/internal/node/hub_link.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"cresshub/internal/peerlink"
+	"cresshub/internal/peerwire"
+)
+
+const (
+	pingInterval = 400 * time.Millisecond
+	pingTimeout  = time.Second
+)
+
+// hub is the link to one hub.
+type hub struct {
+	ip   string
+	link *peerlink.Link
+	stop chan struct{}
+
+	mu     sync.Mutex
+	id     string        // of the process that answers there
+	pushed uint64        // the place up to which it has the records of this process
+	heard  time.Duration // when it last answered a ping, 0 since the connection opened
+	holds  bool          // it may be followed
+}
+
+func (h *hub) snapshot() (id string, pushed uint64, heard time.Duration, holds bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.id, h.pushed, h.heard, h.holds
+}
+
+func (n *Node) newHub(ip string) *hub {
+	h := &hub{ip: ip, stop: make(chan struct{})}
+	hello := func() []byte { return peerwire.Encode(&peerwire.Hello{ID: n.id}) }
+	other := func(frame peerwire.Frame) { n.takeFromHub(h, frame) }
+	up := make(chan struct{}, 1)
+	h.link = n.endpoint.NewLink(n.innerAddress(ip), hello, other, func(isUp bool) {
+		h.mu.Lock()
+		h.pushed, h.heard = 0, 0
+		h.mu.Unlock()
+		select {
+		case up <- struct{}{}:
+		default:
+		}
+	})
+	go n.pingHub(h, up)
+	go n.pushToHub(h)
+	return h
+}
+
+// pingHub keeps the link known to be alive and learns from the answers.
+func (n *Node) pingHub(h *hub, up <-chan struct{}) {
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for {
+		frame, err := h.link.Call(peerwire.KindPing, peerwire.Encode(n.demand.own()), pingTimeout)
+		switch err {
+		case nil:
+			n.takeStatus(h, frame)
+		case peerlink.ErrTimeout:
+			h.link.Reset()
+		}
+		select {
+		case <-h.stop:
+			return
+		case <-up:
+		case <-ticker.C:
+		}
+	}
+}
+
+func (n *Node) takeStatus(h *hub, frame peerwire.Frame) {
+	var status peerwire.Status
+	if peerwire.Decode(frame.Body, &status) != nil {
+		h.link.Reset()
+		return
+	}
+	now := n.now()
+	h.mu.Lock()
+	if h.id != "" && h.id != status.ID {
+		h.pushed = 0 // another process: it knows nothing yet
+	}
+	h.id, h.heard, h.holds = status.ID, now, status.HoldsSnapshot
+	h.mu.Unlock()
+	n.hubsMu.Lock()
+	n.reachedAt = now
+	n.hubsMu.Unlock()
+	n.learnStatusView(&status)
+	if !n.follows() {
+		n.checkSource() // need not wait for its turn
+	}
+	if status.Version > n.state.version() {
+		go n.fetchConfig(h)
+	}
+}
--- /dev/null
+++ b/internal/node/hub_push.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"time"
+
+	"cresshub/internal/directory"
+	"cresshub/internal/peerwire"
+)
+
+// pushTimeout bounds one call that hands records over.
+const pushTimeout = time.Second
+
+// pushToHub sends the records that this process answers for whenever they change, until the hub has them.
+func (n *Node) pushToHub(h *hub) {
+	for {
+		changed := n.state.next()
+		if n.pushOnce(h) {
+			select {
+			case <-h.stop:
+				return
+			case <-changed:
+			case <-time.After(pingInterval): // the connection may be a new one
+			}
+			continue
+		}
+		select {
+		case <-h.stop:
+			return
+		case <-time.After(pingInterval / 8):
+		}
+	}
+}
+
+// pushOnce tells whether the hub has all records of this process.
+func (n *Node) pushOnce(h *hub) bool {
+	_, pushed, _, _ := h.snapshot()
+	var records []directory.Record
+	var number uint64
+	n.state.read(func(d *directory.Directory) {
+		number = d.Number()
+		for _, r := range d.Since(pushed) {
+			if r.ID == n.id || r.Watcher == n.id {
+				records = append(records, *r)
+			}
+		}
+	})
+	if !h.link.Up() {
+		return false
+	}
+	if len(records) > 0 {
+		body := peerwire.Encode(&peerwire.Records{Records: records})
+		if _, err := h.link.Call(peerwire.KindUpsert, body, pushTimeout); err != nil {
+			return false
+		}
+	}
+	h.mu.Lock()
+	if h.pushed == pushed { // else the connection was opened anew meanwhile
+		h.pushed = max(number, 1)
+	}
+	complete := h.pushed >= number
+	h.mu.Unlock()
+	n.wakeWaiters()
+	return complete
+}
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -4,43 +4,16 @@
 	"net"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"cresshub/internal/directory"
-	"cresshub/internal/peerlink"
-	"cresshub/internal/peerwire"
 )
 
 // The hubs are the processes that all others report to and follow: those that keep the control state, and the
 // seeds until a view of the control state is known or while none of its members can be reached.
 
-const (
-	pingInterval = 400 * time.Millisecond
-	pingTimeout  = time.Second
-	pushTimeout  = time.Second
-	// lonelyAfter is how long no hub answers until any known process will do.
-	lonelyAfter = 1500 * time.Millisecond
-)
-
-// hub is the link to one hub.
-type hub struct {
-	ip   string
-	link *peerlink.Link
-	stop chan struct{}
-
-	mu     sync.Mutex
-	id     string        // of the process that answers there
-	pushed uint64        // the place up to which it has the records of this process
-	heard  time.Duration // when it last answered a ping, 0 since the connection opened
-	holds  bool          // it may be followed
-}
-
-func (h *hub) snapshot() (id string, pushed uint64, heard time.Duration, holds bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.id, h.pushed, h.heard, h.holds
-}
+// lonelyAfter is how long no hub answers until any known process will do.
+const lonelyAfter = 1500 * time.Millisecond
 
 // innerAddress returns where the process of a machine takes calls of others.
 func (n *Node) innerAddress(ip string) string {
@@ -80,14 +53,14 @@
 
 // isHub tells whether this process is one that others report to.
 func (n *Node) isHub() bool {
-	members := n.state.currentView().members
-	if len(members) == 0 {
+	view := n.state.currentView()
+	if view.epoch == 0 {
 		return slices.ContainsFunc(n.seeds(), func(seed string) bool {
 			ip, _, _ := net.SplitHostPort(seed)
 			return ip == n.settings.IP
 		})
 	}
-	return slices.ContainsFunc(members, func(m peerwire.MemberInfo) bool { return m.Address == n.settings.IP })
+	return view.hasMember(n.settings.IP)
 }
 
 // isLonely tells whether no hub has answered for long.
@@ -149,164 +122,3 @@
 		delete(n.hubs, ip)
 	}
 }
-
-func (n *Node) newHub(ip string) *hub {
-	h := &hub{ip: ip, stop: make(chan struct{})}
-	hello := func() []byte { return peerwire.Encode(&peerwire.Hello{ID: n.id}) }
-	other := func(frame peerwire.Frame) { n.takeFromHub(h, frame) }
-	up := make(chan struct{}, 1)
-	h.link = n.endpoint.NewLink(n.innerAddress(ip), hello, other, func(isUp bool) {
-		h.mu.Lock()
-		h.pushed, h.heard = 0, 0
-		h.mu.Unlock()
-		select {
-		case up <- struct{}{}:
-		default:
-		}
-	})
-	go n.pingHub(h, up)
-	go n.pushToHub(h)
-	return h
-}
-
-// pingHub keeps the link known to be alive and learns from the answers.
-func (n *Node) pingHub(h *hub, up <-chan struct{}) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
-	for {
-		frame, err := h.link.Call(peerwire.KindPing, peerwire.Encode(n.demand.own()), pingTimeout)
-		switch err {
-		case nil:
-			n.takeStatus(h, frame)
-		case peerlink.ErrTimeout:
-			h.link.Reset()
-		}
-		select {
-		case <-h.stop:
-			return
-		case <-up:
-		case <-ticker.C:
-		}
-	}
-}
-
-func (n *Node) takeStatus(h *hub, frame peerwire.Frame) {
-	var status peerwire.Status
-	if peerwire.Decode(frame.Body, &status) != nil {
-		h.link.Reset()
-		return
-	}
-	now := n.now()
-	h.mu.Lock()
-	if h.id != "" && h.id != status.ID {
-		h.pushed = 0 // another process: it knows nothing yet
-	}
-	h.id, h.heard, h.holds = status.ID, now, status.HoldsSnapshot
-	h.mu.Unlock()
-	n.hubsMu.Lock()
-	n.reachedAt = now
-	n.hubsMu.Unlock()
-	if n.state.learnView(status.Epoch, status.Members) {
-		n.updateHubs()
-	}
-	if !n.follows() {
-		n.checkSource() // need not wait for its turn
-	}
-	if status.Version > n.state.version() {
-		go n.fetchConfig(h)
-	}
-}
-
-// pushToHub sends the records that this process answers for whenever they change, until the hub has them.
-func (n *Node) pushToHub(h *hub) {
-	for {
-		changed := n.state.next()
-		if n.pushOnce(h) {
-			select {
-			case <-h.stop:
-				return
-			case <-changed:
-			case <-time.After(pingInterval): // the connection may be a new one
-			}
-			continue
-		}
-		select {
-		case <-h.stop:
-			return
-		case <-time.After(pingInterval / 8):
-		}
-	}
-}
-
-// pushOnce tells whether the hub has all records of this process.
-func (n *Node) pushOnce(h *hub) bool {
-	_, pushed, _, _ := h.snapshot()
-	var records []directory.Record
-	var number uint64
-	n.state.read(func(d *directory.Directory) {
-		number = d.Number()
-		for _, r := range d.Since(pushed) {
-			if r.ID == n.id || r.Watcher == n.id {
-				records = append(records, *r)
-			}
-		}
-	})
-	if !h.link.Up() {
-		return false
-	}
-	if len(records) > 0 {
-		body := peerwire.Encode(&peerwire.Records{Records: records})
-		if _, err := h.link.Call(peerwire.KindUpsert, body, pushTimeout); err != nil {
-			return false
-		}
-	}
-	h.mu.Lock()
-	if h.pushed == pushed { // else the connection was opened anew meanwhile
-		h.pushed = max(number, 1)
-	}
-	complete := h.pushed >= number
-	h.mu.Unlock()
-	n.wakeWaiters()
-	return complete
-}
-
-// awaitMajority waits until more than half of the hubs, this process among them where it is one, have all
-// that was changed here up to a place. It tells whether that came about in time.
-func (n *Node) awaitMajority(place uint64, timeout time.Duration) bool {
-	deadline := time.NewTimer(timeout)
-	defer deadline.Stop()
-	for {
-		progress := n.nextProgress()
-		have, all := 0, 0
-		if n.isHub() {
-			have, all = 1, 1
-		}
-		for _, h := range n.currentHubs() {
-			all++
-			if _, pushed, _, _ := h.snapshot(); pushed >= place {
-				have++
-			}
-		}
-		if 2*have > all {
-			return true
-		}
-		select {
-		case <-progress:
-		case <-deadline.C:
-			return false
-		}
-	}
-}
-
-func (n *Node) nextProgress() <-chan struct{} {
-	n.hubsMu.Lock()
-	defer n.hubsMu.Unlock()
-	return n.progress
-}
-
-func (n *Node) wakeWaiters() {
-	n.hubsMu.Lock()
-	defer n.hubsMu.Unlock()
-	close(n.progress)
-	n.progress = make(chan struct{})
-}
--- /dev/null
+++ b/internal/node/known_proxies.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// proxyLife is how long the address of a proxy is kept after it was last live.
+	proxyLife = 10 * time.Minute
+	// mostKnownProxies bounds the addresses that are kept; the ones that were live last stay.
+	mostKnownProxies = 2048
+)
+
+// knownProxies are the addresses of the proxies that were live lately. They outlive the process on the
+// machines with a disk, so that after a loss of all processes these find the others whatever the seeds are.
+type knownProxies struct {
+	mu       sync.Mutex
+	lastLive map[string]time.Duration // by IP
+	changed  bool                     // since the addresses were last taken to be saved
+}
+
+func newKnownProxies() *knownProxies { return &knownProxies{lastLive: map[string]time.Duration{}} }
+
+// note takes in which proxies are live now, and forgets those that have not been for long.
+func (k *knownProxies) note(now time.Duration, live []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, ip := range live {
+		if _, known := k.lastLive[ip]; !known {
+			k.changed = true
+		}
+		k.lastLive[ip] = now
+	}
+	for ip, last := range k.lastLive {
+		if now-last > proxyLife {
+			delete(k.lastLive, ip)
+			k.changed = true
+		}
+	}
+	k.bound()
+}
+
+// bound forgets the addresses beyond mostKnownProxies; the lock is held.
+func (k *knownProxies) bound() {
+	excess := len(k.lastLive) - mostKnownProxies
+	if excess <= 0 {
+		return
+	}
+	oldestFirst := slices.SortedFunc(maps.Keys(k.lastLive), func(a, b string) int {
+		return cmp.Or(cmp.Compare(k.lastLive[a], k.lastLive[b]), cmp.Compare(a, b))
+	})
+	for _, ip := range oldestFirst[:excess] {
+		delete(k.lastLive, ip)
+	}
+	k.changed = true
+}
+
+// addresses returns all of them, sorted.
+func (k *knownProxies) addresses() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return slices.Sorted(maps.Keys(k.lastLive))
+}
+
+// markChanged has the addresses saved once more.
+func (k *knownProxies) markChanged() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.changed = true
+}
+
+// takeChanged tells whether the addresses have changed since the last call.
+func (k *knownProxies) takeChanged() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed := k.changed
+	k.changed = false
+	return changed
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,7 +43,8 @@
 
 	packed packedConfig
 
-	seedList atomic.Pointer[[]string]
+	seedList     atomic.Pointer[[]string]
+	knownProxies *knownProxies
 
 	selfMu sync.Mutex
 	self   directory.Record
@@ -65,9 +66,13 @@
 	reports      int           // of lost servers since reportsSince; guarded by the directory's lock
 	reportsSince time.Duration // when their count began anew
 
-	heardMu    sync.Mutex
-	heard      map[string]time.Duration // when a process or server last called this one
-	trustSince time.Duration            // silence before it proves nothing; of the goroutine that watches
+	orphansMu    sync.Mutex
+	askedOrphans map[string]bool // servers that are asked just now whether they live
+
+	heardMu        sync.Mutex
+	heard          map[string]time.Duration // when a process or server last called this one
+	heardForgotten time.Duration            // when forgetHeard last ran; of the goroutine that watches
+	trustSince     time.Duration            // silence before it proves nothing; of the goroutine that watches
 }
 
 // New returns a process that does nothing yet.
@@ -76,7 +81,8 @@
 		settings: settings, log: log, network: peerlink.HostNetwork{}, workload: noWorkload{},
 		id: settings.IP + "-" + randomID(), started: time.Now(), state: newState(),
 		hubs: map[string]*hub{}, progress: make(chan struct{}), followers: map[*peerlink.Conn]chan struct{}{},
-		heard: map[string]time.Duration{},
+		heard: map[string]time.Duration{}, knownProxies: newKnownProxies(),
+		askedOrphans: map[string]bool{},
 	}
 	for _, option := range options {
 		option(n)
@@ -131,11 +137,13 @@
 		n.state.markSynced()
 	}
 	if n.settings.DataDir != "" {
+		n.loadProxies()
 		go n.saveServers(done)
 	}
 	n.announceSelf(func(*directory.Record) {})
 	go n.endpoint.Serve(listeners.inner, n)
 	go n.follow(done)
+	go newIntroducer(n).run(done)
 	go n.watch(done)
 	go n.compareCopies(done)
 	n.control.start(done)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,7 +13,8 @@
 	"cresshub/internal/peerwire"
 )
 
-// newTestNode returns a process without a disk that was not run: it listens to nobody and calls nobody.
+// newTestNode returns a process that was not run: it listens to nobody and calls nobody. It is the only
+// member of the view that it knows.
 func newTestNode(t *testing.T) *Node {
 	settings := &nodesettings.Settings{
 		Name: "n", IP: "127.0.0.1", Control: "127.0.0.1:1", InnerPorts: [2]int{2, 3}, Beat: time.Second,
@@ -21,6 +22,7 @@
 	}
 	n, err := New(settings, zerolog.Nop())
 	qt.Assert(t, err, qt.IsNil)
+	n.state.learnView(1, []peerwire.MemberInfo{{ID: "m0", Address: settings.IP}})
 	return n
 }
 
@@ -72,7 +74,7 @@
 func TestDrainWithoutHubsIsNotAcknowledged(t *testing.T) {
 	c := qt.New(t)
 	n := newTestNode(t)
-	n.state.learnView(1, []peerwire.MemberInfo{{ID: "m", Address: "127.0.0.9"}})
+	n.state.learnView(2, []peerwire.MemberInfo{{ID: "m", Address: "127.0.0.9"}})
 	n.hubs["127.0.0.9"] = &hub{ip: "127.0.0.9"}
 	c.Assert(n.awaitMajority(1, 0), qt.IsFalse)
 	n.hubs["127.0.0.9"].pushed = 1
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"time"
+
 	"cresshub/internal/front"
 	"cresshub/internal/pairing"
 	"cresshub/internal/peerlink"
@@ -21,6 +23,8 @@
 	KnownPrompts() []pairing.NewPrompts
 	// CatchUp takes in all that another process knows of which servers hold what.
 	CatchUp(known []pairing.NewPrompts)
+	// SinceAnswer returns how long ago a server last answered a request well, and whether it has.
+	SinceAnswer(server string) (time.Duration, bool)
 	// Demands returns what is under way at each service with model servers, as means.
 	Demands() []front.Demand
 }
@@ -37,6 +41,8 @@
 func (noWorkload) CatchUp([]pairing.NewPrompts)            {}
 func (noWorkload) Demands() []front.Demand                 { return nil }
 
+func (noWorkload) SinceAnswer(string) (time.Duration, bool) { return 0, false }
+
 func (noWorkload) ShareWork([]pairing.Contribution, bool, []pairing.NewPrompts) {}
 
 // Option changes a process before it runs.
--- /dev/null
+++ b/internal/node/orphans_test.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/directory"
+	"cresshub/internal/http1"
+)
+
+// healthNetwork reaches servers by their addresses. Each answers a health check with its id; one without an
+// id takes connections and says nothing.
+type healthNetwork map[string]string
+
+var errNothingThere = errors.New("nothing listens there")
+
+func (h healthNetwork) Listen(string) (net.Listener, error) { return nil, errNothingThere }
+
+func (h healthNetwork) Dial(address string, _ time.Duration) (net.Conn, error) {
+	id, found := h[address]
+	if !found {
+		return nil, errNothingThere
+	}
+	here, there := net.Pipe()
+	go answerHealth(there, id)
+	return here, nil
+}
+
+func answerHealth(conn net.Conn, id string) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	if _, err := in.ReadString('\n'); err != nil || id == "" {
+		in.ReadByte() // until the caller gives up
+		return
+	}
+	for line := "-"; line != "\r\n"; line, _ = in.ReadString('\n') {
+	}
+	out := bufio.NewWriter(conn)
+	answer := http1.Response{Status: 200, Header: http1.Header{{Name: serverIDHeader, Value: id}}}
+	answer.Write(out)
+	out.Flush()
+}
+
+// TestOrphansAreAskedBeforeTheyCountAsLost has the watcher of four servers vanish: one server answers, at the
+// address of one another answers, one is silent and one is gone.
+func TestOrphansAreAskedBeforeTheyCountAsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		n.network = healthNetwork{"10.0.0.1:80": "alive", "10.0.0.2:80": "another", "10.0.0.3:80": ""}
+		for id, address := range map[string]string{"alive": "10.0.0.1:80", "replaced": "10.0.0.2:80",
+			"silent": "10.0.0.3:80", "gone": "10.0.0.4:80"} {
+			n.state.merge(n.now(), []directory.Record{{Kind: directory.KindServer, ID: id, Sequence: 1,
+				State: directory.Ready, Service: "s", Address: address, Watcher: "vanished"}})
+		}
+		n.markSilent(n.now())
+		synctest.Wait()
+		c.Assert(n.state.Servers().Service("s"), qt.HasLen, 4, qt.Commentf("they may find another watcher"))
+
+		for range 3 {
+			time.Sleep((orphanHeartbeats + 1) * n.settings.Beat)
+			n.markSilent(n.now())
+		}
+		time.Sleep(orphanTries * orphanTimeout)
+		synctest.Wait()
+		servers := n.state.Servers().Service("s")
+		c.Assert(servers, qt.HasLen, 1)
+		c.Assert(servers[0].ID, qt.Equals, "alive")
+	})
+}
+
+// TestOnlyAMajorityLosesOrphans: a hub that reaches no majority is likely to be the one in trouble.
+func TestOnlyAMajorityLosesOrphans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		n.state.learnView(2, membersAt(n.settings.IP, "10.9.0.1", "10.9.0.2"))
+		n.network = healthNetwork{}
+		n.state.merge(n.now(), []directory.Record{{Kind: directory.KindServer, ID: "a", Sequence: 1,
+			State: directory.Ready, Service: "s", Address: "10.0.0.1:80", Watcher: "vanished"}})
+		time.Sleep((orphanHeartbeats + 1) * n.settings.Beat)
+		n.markSilent(n.now())
+		synctest.Wait()
+		c.Assert(n.state.Servers().Service("s"), qt.HasLen, 1)
+	})
+}
+
+// answeringWorkload is the workload of a process whose requests servers have just answered.
+type answeringWorkload struct{ noWorkload }
+
+func (answeringWorkload) SinceAnswer(string) (time.Duration, bool) { return 0, true }
+
+// TestServersThatAnswerLive: a server whose heartbeats stay away is not lost while it answers requests.
+func TestServersThatAnswerLive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		n.handleCall(heartbeat("ready", "1"))
+		n.workload = answeringWorkload{}
+		time.Sleep(4 * n.settings.Beat)
+		n.markSilent(n.now())
+		c.Assert(n.state.Servers().Service("s"), qt.HasLen, 1)
+		n.workload = noWorkload{}
+		n.markSilent(n.now())
+		c.Assert(n.state.Servers().Service("s"), qt.HasLen, 0)
+	})
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"time"
 
 	"cresshub/internal/directory"
@@ -8,6 +9,9 @@
 	"cresshub/internal/peerwire"
 )
 
+// heardLife is how long it is remembered that a process called whose record has not come.
+const heardLife = 10 * time.Second
+
 // Handle takes a frame of another process.
 func (n *Node) Handle(c *peerlink.Conn, frame peerwire.Frame) {
 	n.noteHeard(c.Peer())
@@ -15,6 +19,8 @@
 	case peerwire.KindPing:
 		n.demand.take(c.Peer(), n.now(), frame.Body)
 		c.Answer(frame, peerwire.KindPong, peerwire.Encode(n.status()))
+	case peerwire.KindIntroduce:
+		n.takeIntroduction(c, frame)
 	case peerwire.KindUpsert:
 		n.takeUpsert(c, frame)
 	case peerwire.KindFollow:
@@ -48,7 +54,24 @@
 func (n *Node) status() *peerwire.Status {
 	v := n.state.currentView()
 	return &peerwire.Status{ID: n.id, Version: n.state.version(), Epoch: v.epoch, Members: v.members,
-		HoldsSnapshot: n.state.isSynced()}
+		HoldsSnapshot: n.mayBeFollowed(&v)}
+}
+
+// mayBeFollowed tells whether this process's copy of the directory is one to follow. A member that does not
+// reach a majority may miss what was acknowledged meanwhile.
+func (n *Node) mayBeFollowed(v *view) bool {
+	return n.state.isSynced() && (!v.hasMember(n.settings.IP) || n.reachesMajority())
+}
+
+// takeIntroduction learns the view of a process that sought this one out.
+func (n *Node) takeIntroduction(c *peerlink.Conn, frame peerwire.Frame) {
+	var status peerwire.Status
+	if peerwire.Decode(frame.Body, &status) != nil {
+		c.Close()
+		return
+	}
+	n.learnStatusView(&status)
+	c.Answer(frame, peerwire.KindPong, peerwire.Encode(n.status()))
 }
 
 func (n *Node) takeUpsert(c *peerlink.Conn, frame peerwire.Frame) {
@@ -113,6 +136,24 @@
 	n.heardMu.Unlock()
 }
 
+// forgetHeard forgets when processes called whose records the directory does not hold any more.
+func (n *Node) forgetHeard() {
+	n.heardMu.Lock()
+	heard := maps.Clone(n.heard)
+	n.heardMu.Unlock()
+	now := n.now()
+	n.state.read(func(d *directory.Directory) {
+		maps.DeleteFunc(heard, func(id string, at time.Duration) bool {
+			return d.Get(id) != nil || now-at <= heardLife
+		})
+	})
+	n.heardMu.Lock()
+	defer n.heardMu.Unlock()
+	for id := range heard {
+		delete(n.heard, id)
+	}
+}
+
 func (n *Node) heardAt(id string) (time.Duration, bool) {
 	n.heardMu.Lock()
 	defer n.heardMu.Unlock()
--- a/internal/node/registration.go
+++ b/internal/node/registration.go
@@ -64,7 +64,7 @@
 // takeHeartbeat merges what a server tells of itself and acknowledges it. A drain is acknowledged only once
 // most hubs know it, because no proxy may send there much longer.
 func (n *Node) takeHeartbeat(record *directory.Record) *http1.Response {
-	if n.leaving() {
+	if n.leaving() || !n.mayAnswerServers() {
 		return busy()
 	}
 	now := n.now()
@@ -84,6 +84,12 @@
 	return callserver.JSON(200, answer)
 }
 
+// mayAnswerServers tells whether what a server tells here reaches the rest of the fleet. Before the first
+// view of the fleet is agreed on, the seeds take its place; a process that starts later has to learn it.
+func (n *Node) mayAnswerServers() bool {
+	return n.settings.FirstStart || n.state.currentView().epoch > 0
+}
+
 // mergeHeartbeat returns the place that hubs must reach to know of the heartbeat, and whether a later one
 // of the same server has been heard before.
 func (n *Node) mergeHeartbeat(now time.Duration, record *directory.Record) (place uint64, late bool) {
--- a/internal/node/saved_directory.go
+++ b/internal/node/saved_directory.go
@@ -21,6 +21,7 @@
 
 const (
 	savedName    = "servers"
+	savedProxies = "proxies"
 	savedPrompts = "prompts"
 	// saveInterval is the least time between two savings.
 	saveInterval = time.Second
@@ -48,6 +49,51 @@
 	return len(records) > 0
 }
 
+// loadProxies takes in which proxies were known before the process started.
+func (n *Node) loadProxies() {
+	records, err := readRecords(filepath.Join(n.settings.DataDir, savedProxies))
+	if err != nil {
+		if !errors.Is(err, fs.ErrNotExist) {
+			n.log.Warn().Err(err).Msg("proxies: not loaded")
+		}
+		return
+	}
+	var addresses []string
+	for _, record := range records {
+		addresses = append(addresses, record.Address)
+	}
+	n.knownProxies.note(n.now(), addresses)
+	n.state.expectProxies(n.now(), len(addresses))
+	n.log.Info().Int("proxies", len(addresses)).Msg("proxies: loaded")
+}
+
+// saveProxies saves the addresses of the proxies that were live lately, where they have changed.
+func (n *Node) saveProxies() {
+	n.noteLiveProxies()
+	if !n.knownProxies.takeChanged() {
+		return
+	}
+	var records []directory.Record
+	for _, address := range n.knownProxies.addresses() {
+		records = append(records, directory.Record{Kind: directory.KindProxy, Address: address})
+	}
+	if err := writeSaved(n.settings.DataDir, savedProxies, encodeRecords(records)); err != nil {
+		n.knownProxies.markChanged()
+		n.log.Debug().Err(err).Msg("proxies: not saved; tried again")
+	}
+}
+
+// noteLiveProxies remembers the proxies that are live now.
+func (n *Node) noteLiveProxies() {
+	var live []string
+	n.state.read(func(d *directory.Directory) {
+		for _, proxy := range d.Proxies() {
+			live = append(live, proxy.Address)
+		}
+	})
+	n.knownProxies.note(n.now(), live)
+}
+
 // saveServers saves the records of live servers whenever they change, until done closes.
 func (n *Node) saveServers(done <-chan struct{}) {
 	saved := n.state.Servers()
@@ -58,6 +104,7 @@
 		case <-time.After(saveInterval):
 		}
 		n.savePrompts()
+		n.saveProxies()
 		table := n.state.Servers()
 		if table == saved {
 			continue
@@ -114,7 +161,11 @@
 }
 
 func writeRecords(dir string, records []directory.Record) error {
-	return writeSaved(dir, savedName, peerwire.Encode(&peerwire.Records{Records: records}))
+	return writeSaved(dir, savedName, encodeRecords(records))
+}
+
+func encodeRecords(records []directory.Record) []byte {
+	return peerwire.Encode(&peerwire.Records{Records: records})
 }
 
 func readSaved(path string) ([]byte, error) {
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,11 @@
 	members []peerwire.MemberInfo
 }
 
+// hasMember tells whether the machine with an IP keeps the control state.
+func (v *view) hasMember(ip string) bool {
+	return slices.ContainsFunc(v.members, func(m peerwire.MemberInfo) bool { return m.Address == ip })
+}
+
 // state is what a process knows of the fleet. Readers of requests get immutable snapshots without a lock.
 type state struct {
 	config atomic.Pointer[fleetconfig.Config]
@@ -91,6 +97,16 @@
 	}
 }
 
+// expectProxies takes it that so many proxies were live until just now.
+func (s *state) expectProxies(now time.Duration, count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if int32(count) > s.count.Load() {
+		s.count.Store(int32(count))
+		s.countAt = now
+	}
+}
+
 // read runs a function that looks at the directory.
 func (s *state) read(f func(*directory.Directory)) {
 	s.mu.Lock()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -16,8 +16,6 @@
 	hubSilence   = 2500 * time.Millisecond
 	// heartbeatsMissed is how many heartbeats of a server go missing until it counts as lost.
 	heartbeatsMissed = 1.9
-	// orphanHeartbeats is the same for a server whose watching proxy is gone.
-	orphanHeartbeats = 4
 )
 
 // watch notes silent processes until stopped.
@@ -51,11 +49,17 @@
 		}
 		if isHub {
 			n.markOldOrders(now, d)
-			n.markOrphans(now, d)
 			n.markSilentHubs(now, d)
 		}
 		d.Expire(now)
 	})
+	if isHub && n.reachesMajority() {
+		n.handleOrphans(now)
+	}
+	if now-n.heardForgotten > heardLife {
+		n.heardForgotten = now
+		n.forgetHeard()
+	}
 }
 
 // lastSign is when a watched process was last known to live.
@@ -64,9 +68,21 @@
 	if heard, ok := n.heardAt(record.ID); ok {
 		sign = max(sign, heard)
 	}
+	if record.Kind == directory.KindServer {
+		sign = max(sign, n.answeredAt(record.ID))
+	}
 	return sign
 }
 
+// answeredAt is when a server last answered a request that this process had sent, 0 for never.
+func (n *Node) answeredAt(server string) time.Duration {
+	age, answered := n.workload.SinceAnswer(server)
+	if !answered {
+		return 0
+	}
+	return max(n.now()-age, 0)
+}
+
 func (n *Node) patience(record *directory.Record) time.Duration {
 	if record.Kind == directory.KindProxy {
 		return proxySilence
@@ -74,27 +90,6 @@
 	return time.Duration(heartbeatsMissed * float64(n.settings.Beat))
 }
 
-// markOrphans marks servers and proxies whose watching proxy is gone and that have not found another one.
-func (n *Node) markOrphans(now time.Duration, d *directory.Directory) {
-	limit := orphanHeartbeats * n.settings.Beat
-	for _, record := range append(d.LiveServers(), d.Proxies()...) {
-		if record.ID == n.id || record.Watcher == "" {
-			continue
-		}
-		watcher := d.Get(record.Watcher)
-		if watcher != nil && watcher.Live() {
-			continue
-		}
-		since := max(n.trustSince, d.ChangedAt(record.ID))
-		if watcher != nil {
-			since = max(since, d.ChangedAt(watcher.ID))
-		}
-		if now-since > limit {
-			n.markLost(now, d, record, "its watcher is gone")
-		}
-	}
-}
-
 // markOldOrders ends orders that should have been carried out or refused long ago, so that their servers get
 // requests again.
 func (n *Node) markOldOrders(now time.Duration, d *directory.Directory) {
--- a/internal/pairing/chooser.go
+++ b/internal/pairing/chooser.go
@@ -124,6 +124,15 @@
 	}
 }
 
+// AnsweredAt returns when a server last answered a call well, and whether it has.
+func (c *Chooser) AnsweredAt(server string) (time.Duration, bool) {
+	s := c.servers[server]
+	if s == nil || s.trust.answered == 0 {
+		return 0, false
+	}
+	return s.trust.answered, true
+}
+
 // FirstEvent notes that the server of a call has begun to answer.
 func (c *Chooser) FirstEvent(now time.Duration, call *Call) {
 	if call.answered {
--- a/internal/peerwire/kind_names.go
+++ b/internal/peerwire/kind_names.go
@@ -5,7 +5,7 @@
 	KindHello: "hello", KindPing: "ping", KindPong: "pong", KindUpsert: "upsert", KindFollow: "follow",
 	KindFeed: "feed", KindCompare: "compare", KindComparison: "comparison", KindPropose: "propose",
 	KindRead: "read", KindResult: "result", KindChain: "chain", KindDone: "done", KindConfigFetch: "fetch",
-	KindWork: "work", KindHubWork: "hub work",
+	KindWork: "work", KindHubWork: "hub work", KindIntroduce: "introduce",
 }
 
 // String implements fmt.Stringer.
--- a/internal/peerwire/messages.go
+++ b/internal/peerwire/messages.go
@@ -29,8 +29,9 @@
 	KindConfigFetch Kind = 14 // no body: the newest configuration in force, packed; answered by KindResult
 	KindWork        Kind = 15 // Work: what the sender has under way, to a hub; or what all others have, from it
 	KindHubWork     Kind = 16 // Work: what a hub and its followers have under way, to another hub
+	KindIntroduce   Kind = 17 // Status of the caller, to a process that may not know the view; answered by KindPong
 
-	Kinds = 17 // how many there are, 0 included
+	Kinds = 18 // how many there are, 0 included
 )
 
 // Records is a list of records of the directory.
@@ -43,7 +44,7 @@
 	ID string `avro:"id"` // of the caller's record in the directory
 }
 
-// Status is what a process tells with each answer to a ping.
+// Status is what a process tells of itself with each answer to a ping, and in an introduction.
 type Status struct {
 	ID            string       `avro:"id"`
 	Version       int64        `avro:"version"` // of the configuration in force there
