Stage orders go through the process's network; a caller may bring its own dialer

Cause: orders to servers opened connections by net.Dialer beside the Network option, and callclient knew the machine's network only, so that neither could be tried over a network in memory. Ruled out: a second client for tests. No change of behaviour in the program.

--- a/internal/callclient/callclient.go
+++ b/internal/callclient/callclient.go
@@ -43,11 +43,25 @@
 
 func (e *Failed) Unwrap() error { return e.Cause }
 
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// dialHost opens connections over the network of the machine.
+func dialHost(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp4", address)
+}
+
 // Do makes a call to an address and returns the answer whole, after at most two redirections by 307. The
 // error is *Failed.
 func Do(ctx context.Context, address string, call Call) (*http1.Response, error) {
+	return DoOver(ctx, dialHost, address, call)
+}
+
+// DoOver is Do over connections that another dialer opens.
+func DoOver(ctx context.Context, dial Dialer, address string, call Call) (*http1.Response, error) {
 	for redirects := 0; ; redirects++ {
-		answer, err := once(ctx, address, call)
+		answer, err := once(ctx, dial, address, call)
 		if err != nil {
 			return nil, &Failed{address, err}
 		}
@@ -62,9 +76,8 @@
 	}
 }
 
-func once(ctx context.Context, address string, call Call) (*http1.Response, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp4", address)
+func once(ctx context.Context, dial Dialer, address string, call Call) (*http1.Response, error) {
+	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,10 +36,12 @@
 	control  controlState
 	front    *front.Front // nil where the role does not serve clients
 	workload Workload     // the front where there is one
-	demand   *demandBook
-	work     *workBook
-	ending   atomic.Bool
-	fetching atomic.Bool // a configuration is being fetched from a hub
+	// ordersStages tells that model servers get their stages from this process while it has that duty.
+	ordersStages bool
+	demand       *demandBook
+	work         *workBook
+	ending       atomic.Bool
+	fetching     atomic.Bool // a configuration is being fetched from a hub
 
 	packed packedConfig
 
@@ -99,7 +101,7 @@
 		if settings.FirstStart {
 			n.front.AloneAtStart()
 		}
-		n.workload = n.front
+		n.workload, n.ordersStages = n.front, true
 	}
 	return n, nil
 }
@@ -141,7 +143,7 @@
 	n.control.start(done)
 	go n.demand.measure(done)
 	go n.work.report(done)
-	if member, ok := n.control.(*chainMember); ok && n.front != nil {
+	if member, ok := n.control.(*chainMember); ok && n.ordersStages {
 		go (&stageDuty{node: n, member: member}).run(done)
 	}
 	n.serveCalls(listeners)
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -47,3 +47,6 @@
 
 // WithWorkload gives a process without a front the workload of one.
 func WithWorkload(workload Workload) Option { return func(n *Node) { n.workload = workload } }
+
+// WithStageOrders lets a process without a front give model servers their stages.
+func WithStageOrders() Option { return func(n *Node) { n.ordersStages = true } }
--- a/internal/node/stages.go
+++ b/internal/node/stages.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"net"
 	"sync"
 	"time"
 
@@ -161,15 +160,14 @@
 	if err != nil || n.now()-confirmed > confirmLife {
 		return
 	}
-	status, err := post(address, "/api/order", body, orderTimeout)
+	status, err := n.post(address, "/api/order", body, orderTimeout)
 	n.log.Info().Err(err).Str("server", order.Server).Str("stage", string(order.Stage)).Int("status", status).
 		Uint64("fence", s.fence).Msg("stages: order sent")
 }
 
 // post sends a JSON document in a connection of its own and returns the status of the answer.
-func post(address, path string, body []byte, timeout time.Duration) (int, error) {
-	dialer := net.Dialer{Timeout: timeout}
-	conn, err := dialer.Dial("tcp4", address)
+func (n *Node) post(address, path string, body []byte, timeout time.Duration) (int, error) {
+	conn, err := n.network.Dial(address, timeout)
 	if err != nil {
 		return 0, err
 	}
