Fleets of whole processes run in virtual time over a network in memory

Cause: a fault of the whole fleet (discovery after the loss of all processes) was found in service only; rigs held the chain alone, or real processes on real clocks. Change: internal/simnet is a network in memory with silent, one-way, refusing and resetting directions, delays, hosts without power and dead processes; internal/nodesim runs node.Node on it in a bubble of testing/synctest, with disks that outlive kills, settings that differ from run to run, servers, operators and a check of their history (a register changed by compare-and-set, with changes sent again). Taken out to see simnet's tests fail: the end of a connection whose data is not acknowledged (TestSilenceHoldsUpAndThenEnds), the reset once a dead peer's host is back (TestLostPowerIsNoticed).

--- /dev/null
+++ b/internal/nodesim/eventlog.go
@@ -0,0 +1,81 @@
+package nodesim
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+// mostLines bounds the log; the oldest lines go first.
+const mostLines = 600
+
+// eventLog keeps the last lines that the processes and the test wrote, and who marked servers as lost.
+type eventLog struct {
+	fleet *Fleet
+
+	mu    sync.Mutex
+	lines []string
+	lost  []lostMark // bounded by the length of a test
+}
+
+// lostMark tells that a machine marked a server as lost that was calling.
+type lostMark struct {
+	at                      time.Duration
+	machine, server, reason string
+}
+
+func (l *eventLog) add(line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, fmt.Sprintf("%9.3f %s", l.fleet.Now().Seconds(), line))
+	l.lines = l.lines[max(0, len(l.lines)-mostLines):]
+}
+
+// String returns all lines.
+func (l *eventLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.lines, "\n")
+}
+
+// take takes a line of a machine's log.
+func (l *eventLog) take(machine *Machine, line []byte) {
+	l.add(machine.Name + ": " + strings.TrimSpace(string(line)))
+	var event struct{ ID, Message, Reason string }
+	if json.Unmarshal(line, &event) != nil || event.Message != "watch: lost" {
+		return
+	}
+	if server := l.fleet.serverByID(event.ID); server != nil && server.Calls() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lost = append(l.lost, lostMark{l.fleet.Now(), machine.Name, event.ID, event.Reason})
+	}
+}
+
+func (l *eventLog) lostSince(since time.Duration) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lost []string
+	for _, mark := range l.lost {
+		if mark.at >= since {
+			lost = append(lost, fmt.Sprintf("%v: %s marked %s: %s", mark.at, mark.machine, mark.server, mark.reason))
+		}
+	}
+	return lost
+}
+
+// machineLog is the log of one process.
+type machineLog struct {
+	machine *Machine
+	process *process
+}
+
+// Write implements io.Writer. What a killed process still writes is dropped.
+func (w *machineLog) Write(line []byte) (int, error) {
+	if !w.process.dead.Load() {
+		w.machine.fleet.log.take(w.machine, line)
+	}
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/nodesim/fleet.go
@@ -0,0 +1,218 @@
+package nodesim
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cresshub/internal/simnet"
+)
+
+// The ports of all machines.
+const (
+	controlPort = 8080
+	readyPort   = 8081
+	innerPort   = 9000
+)
+
+const (
+	// Beat is the time between two heartbeats of a server.
+	Beat = time.Second
+	// startSpread is within what time the machines start together.
+	startSpread = 300 * time.Millisecond
+	// seedCount is how many seeds a settings file names.
+	seedCount = 3
+	// lookInterval is how often an Await looks.
+	lookInterval = 20 * time.Millisecond
+	zoneCount    = 3
+	// endTime is within what time all goroutines of a process have ended after it.
+	endTime = 5 * time.Second
+)
+
+// Options describe a fleet.
+type Options struct {
+	Disks   int   // machines with a disk
+	Others  int   // machines without one
+	Servers int   // that call from the start
+	Seed    int64 // of whatever is drawn at random
+	Stages  bool  // servers take orders, and all read at first
+	Fenced  bool  // servers check fences
+}
+
+// Fleet is a fleet and the parties around it.
+type Fleet struct {
+	TB       testing.TB
+	Options  Options
+	Network  *simnet.Network
+	Machines []*Machine // those with a disk first
+	Servers  []*Server
+	Random   *rand.Rand // of the goroutine of the test
+
+	began  time.Time
+	folder string // of all disks
+	log    *eventLog
+	over   chan struct{}  // closed when servers and operators are to end
+	others sync.WaitGroup // servers
+	// processes are those of machines, ended ones included until their goroutines have ended.
+	processes sync.WaitGroup
+}
+
+// New starts a fleet for the first time, with servers, and waits until all machines know them and the view.
+// It is called in a bubble of synctest.Test with that bubble's t, whose cleanup ends the fleet.
+func New(tb testing.TB, options Options) *Fleet {
+	f := &Fleet{TB: tb, Options: options, Network: simnet.New(), Random: rand.New(rand.NewSource(options.Seed)),
+		began: time.Now(), over: make(chan struct{}), folder: tb.TempDir()}
+	f.log = &eventLog{fleet: f}
+	tb.Cleanup(f.Close)
+	for i := range options.Disks + options.Others {
+		f.addMachine(i, i < options.Disks)
+	}
+	for i := range options.Servers {
+		f.AddServer(fmt.Sprintf("server-%02d", i))
+	}
+	f.StartTogether(f.Machines, true)
+	f.Await("the fleet is whole at first", 6*time.Second, f.Whole)
+	return f
+}
+
+// Close ends all parties, and shows the log where the test has failed.
+func (f *Fleet) Close() {
+	close(f.over)
+	f.others.Wait()
+	f.kill(f.Machines...)
+	f.processes.Wait()
+	time.Sleep(endTime) // goroutines of the processes look at the clock before they end
+	if f.TB.Failed() {
+		f.TB.Log(f.log.String())
+	}
+}
+
+// Now returns the time since the fleet began.
+func (f *Fleet) Now() time.Duration { return time.Since(f.began) }
+
+// Note adds a line to the log.
+func (f *Fleet) Note(format string, values ...any) {
+	f.log.add("test: " + fmt.Sprintf(format, values...))
+}
+
+// Await looks until a condition holds, which returns "" then and else what is missing. The test ends where it
+// does not hold in time. It returns how long that took.
+func (f *Fleet) Await(what string, within time.Duration, condition func() string) time.Duration {
+	f.TB.Helper()
+	began := time.Now()
+	for {
+		missing := condition()
+		if missing == "" {
+			return time.Since(began)
+		}
+		if time.Since(began) >= within {
+			f.TB.Errorf("at %v, %s: not within %v: %s", f.Now(), what, within, missing)
+			return time.Since(began)
+		}
+		time.Sleep(lookInterval)
+	}
+}
+
+// StartTogether starts machines in any order within a short while.
+func (f *Fleet) StartTogether(machines []*Machine, first bool) {
+	offsets := make([]time.Duration, len(machines))
+	for i := range offsets {
+		offsets[i] = time.Duration(f.Random.Int63n(int64(startSpread)))
+	}
+	order := make([]int, len(machines))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return int(offsets[a] - offsets[b]) })
+	began := time.Now()
+	for _, i := range order {
+		time.Sleep(offsets[i] - time.Since(began))
+		machines[i].Start(first)
+	}
+}
+
+// WithDisk returns the machines that have a disk, or those without.
+func (f *Fleet) WithDisk(disk bool) []*Machine {
+	if disk {
+		return f.Machines[:f.Options.Disks]
+	}
+	return f.Machines[f.Options.Disks:]
+}
+
+// Running returns the machines whose processes run.
+func (f *Fleet) Running() []*Machine {
+	return slices.DeleteFunc(slices.Clone(f.Machines), func(m *Machine) bool { return !m.Runs() })
+}
+
+// Whole returns "" where all running machines agree on the view, know the newest configuration that any of
+// them knows, and know all servers that call, and no others, as ready.
+func (f *Fleet) Whole() string { return f.Agree(f.Running()) }
+
+// Agree is Whole for some machines.
+func (f *Fleet) Agree(machines []*Machine) string {
+	epoch, version := int64(0), int64(0)
+	for _, m := range machines {
+		epoch, version = max(epoch, m.process.node.Epoch()), max(version, m.process.node.ConfigVersion())
+	}
+	if epoch == 0 {
+		return "no machine knows a view"
+	}
+	wanted := f.callingServers()
+	for _, m := range machines {
+		n := m.process.node
+		if n.Epoch() != epoch || n.ConfigVersion() != version {
+			return fmt.Sprintf("%s knows epoch %d and version %d, others %d and %d", m.Name, n.Epoch(),
+				n.ConfigVersion(), epoch, version)
+		}
+		if known := m.KnownServers(); !slices.Equal(known, wanted) {
+			return fmt.Sprintf("%s knows %v and not %v", m.Name, without(known, wanted), without(wanted, known))
+		}
+	}
+	return ""
+}
+
+func without(all, left []string) []string {
+	return slices.DeleteFunc(slices.Clone(all), func(one string) bool { return slices.Contains(left, one) })
+}
+
+// IPs returns the addresses of machines.
+func IPs(machines ...*Machine) []string {
+	ips := make([]string, len(machines))
+	for i, m := range machines {
+		ips[i] = m.IP
+	}
+	return ips
+}
+
+// Except returns the machines of the fleet but for some.
+func (f *Fleet) Except(left ...*Machine) []*Machine {
+	return slices.DeleteFunc(slices.Clone(f.Machines), func(m *Machine) bool { return slices.Contains(left, m) })
+}
+
+// Cut cuts hosts off from others, both ways.
+func (f *Fleet) Cut(from, to []string, fault simnet.Fault) {
+	f.Note("cut %v from %v: %d", from, to, fault)
+	f.Network.SetFault(from, to, fault)
+	f.Network.SetFault(to, from, fault)
+}
+
+// Heal ends all cuts.
+func (f *Fleet) Heal() {
+	f.Note("heal")
+	f.Network.Heal()
+}
+
+// MarkedLost returns who marked live servers as lost since a time, a line each.
+func (f *Fleet) MarkedLost(since time.Duration) []string { return f.log.lostSince(since) }
+
+// CheckNoneLost fails the test where a server that calls was marked as lost since a time.
+func (f *Fleet) CheckNoneLost(since time.Duration) {
+	f.TB.Helper()
+	if lost := f.MarkedLost(since); len(lost) > 0 {
+		f.TB.Errorf("%d live servers were marked as lost:\n%s", len(lost), strings.Join(lost, "\n"))
+	}
+}
--- /dev/null
+++ b/internal/nodesim/history.go
@@ -0,0 +1,189 @@
+package nodesim
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// History is what operators asked and were told, as their calls began and ended. It is as long as its test.
+type History struct {
+	mu        sync.Mutex
+	operators int
+	puts      []*putCall
+	gets      []*getCall
+}
+
+// span is when a call began and ended; ended is 0 while it runs.
+type span struct {
+	machine      string
+	began, ended time.Duration
+	status       int // 0 where no answer came
+}
+
+type putCall struct {
+	span
+	change Change
+}
+
+type getCall struct {
+	span
+	version, mark int64
+}
+
+func (h *History) beginPut(now time.Duration, machine string, c Change) *putCall {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call := &putCall{span{machine: machine, began: now}, c}
+	h.puts = append(h.puts, call)
+	return call
+}
+
+func (h *History) endPut(call *putCall, now time.Duration, status int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call.ended, call.status = now, status
+}
+
+func (h *History) beginGet(now time.Duration, machine string) *getCall {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call := &getCall{span: span{machine: machine, began: now}}
+	h.gets = append(h.gets, call)
+	return call
+}
+
+func (h *History) endGet(call *getCall, now time.Duration, status int, version, mark int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	call.ended, call.status, call.version, call.mark = now, status, version, mark
+}
+
+// Acknowledged returns the newest version that was acknowledged.
+func (h *History) Acknowledged() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	newest := int64(0)
+	for _, call := range h.puts {
+		if call.status == 200 {
+			newest = max(newest, call.change.Version)
+		}
+	}
+	return newest
+}
+
+// Check returns what contradicts the rules, a line each: of one register that changes by compare-and-set,
+// whose changes may be sent again. The last reads must have come after all changes.
+func (h *History) Check() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	taken, breaks := h.taken()
+	breaks = append(breaks, h.checkReads(taken)...)
+	return append(breaks, h.checkRefusals(taken)...)
+}
+
+// taken returns the changes that were in force at some time, by version: those acknowledged or read.
+func (h *History) taken() (map[int64]Change, []string) {
+	var breaks []string
+	taken := map[int64]Change{}
+	sent := map[[2]int64]Change{}
+	note := func(c Change, how string) {
+		if known, ok := taken[c.Version]; ok && known != c {
+			breaks = append(breaks, fmt.Sprintf("%+v was %s, and %+v had been taken", c, how, known))
+		}
+		taken[c.Version] = c
+	}
+	for _, call := range h.puts {
+		sent[[2]int64{call.change.Version, call.change.Mark}] = call.change
+		if call.status == 200 {
+			note(call.change, "acknowledged")
+		}
+	}
+	for _, call := range h.gets {
+		if call.status != 200 {
+			continue
+		}
+		c, ok := sent[[2]int64{call.version, call.mark}]
+		if !ok {
+			breaks = append(breaks, fmt.Sprintf("%s read version %d, which nobody sent", call.machine, call.version))
+			continue
+		}
+		note(c, "read at "+call.machine)
+	}
+	return taken, append(breaks, h.checkLine(taken)...)
+}
+
+// checkLine checks that no acknowledged change was passed over by a later one.
+func (h *History) checkLine(taken map[int64]Change) []string {
+	var breaks []string
+	var versions []int64
+	for version := range taken {
+		versions = append(versions, version)
+	}
+	slices.Sort(versions)
+	for i, version := range versions[:max(len(versions)-1, 0)] {
+		if next := taken[versions[i+1]]; next.Base < version {
+			breaks = append(breaks, fmt.Sprintf("%+v is lost: %+v does not build on it", taken[version], next))
+		}
+	}
+	return breaks
+}
+
+// checkReads checks that no read gave an older version than one acknowledged or read before it began.
+func (h *History) checkReads(map[int64]Change) []string {
+	var breaks []string
+	for _, call := range h.gets {
+		if call.status != 200 {
+			continue
+		}
+		floor := int64(0)
+		for _, put := range h.puts {
+			if put.status == 200 && put.ended <= call.began {
+				floor = max(floor, put.change.Version)
+			}
+		}
+		for _, earlier := range h.gets {
+			if earlier.status == 200 && earlier.ended <= call.began {
+				floor = max(floor, earlier.version)
+			}
+		}
+		if call.version < floor {
+			breaks = append(breaks, fmt.Sprintf("%v: %s read version %d, and %d was in force", call.began,
+				call.machine, call.version, floor))
+		}
+	}
+	return breaks
+}
+
+// checkRefusals checks that no change was refused that was taken, whenever that was, or that built on the
+// newest one that anybody may have sent by then.
+func (h *History) checkRefusals(taken map[int64]Change) []string {
+	var breaks []string
+	for _, call := range h.puts {
+		if call.status != 412 {
+			continue
+		}
+		if taken[call.change.Version] == call.change {
+			breaks = append(breaks, fmt.Sprintf("%v: %s refused %+v, which was taken", call.began, call.machine,
+				call.change))
+			continue
+		}
+		if !h.rivalled(call) {
+			breaks = append(breaks, fmt.Sprintf("%v: %s refused %+v, which built on the newest", call.began,
+				call.machine, call.change))
+		}
+	}
+	return breaks
+}
+
+// rivalled tells whether another change above the refused one's base was sent before the refusal.
+func (h *History) rivalled(refused *putCall) bool {
+	for _, other := range h.puts {
+		if other.change != refused.change && other.change.Version > refused.change.Base &&
+			other.began < refused.ended {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/nodesim/operator.go
@@ -0,0 +1,145 @@
+package nodesim
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"cresshub/internal/callclient"
+	"cresshub/internal/fleetstandin"
+	"cresshub/internal/http1"
+	"cresshub/internal/simnet"
+)
+
+const (
+	serviceName = "model"
+	// firstTimeout is the timeout of the one route, to which a change's mark is added.
+	firstTimeout = 5000
+)
+
+// Change is a change of the configuration. Two of one version differ by their marks.
+type Change struct {
+	Base, Version int64
+	Mark          int64
+}
+
+// document returns the configuration after a change.
+func (f *Fleet) document(c Change) []byte {
+	service := fleetstandin.ServiceDoc{Name: serviceName, HealthPath: "/health", Lines: 100, Protocol: "h1"}
+	if f.Options.Stages {
+		service.Engine = &fleetstandin.EngineSection{Slots: serverSlots, CacheTokens: 1 << 20, TokenBytes: 1024,
+			LinkMbps: 1000, Stride: 2, HandleLife: 5, StageSwitch: stageSwitch.Seconds(),
+			Models: []map[string]string{{"name": serviceName}}}
+	}
+	d := &fleetstandin.Document{Version: c.Version, Services: []fleetstandin.ServiceDoc{service},
+		Routes: []fleetstandin.RouteDoc{{Name: "r", Host: "a.example", Prefix: "/", Class: "safe",
+			TimeoutMs: firstTimeout + c.Mark, TargetMs: 500, Service: serviceName, Tries: 2}}}
+	body, err := json.Marshal(d)
+	if err != nil {
+		f.TB.Error(err)
+	}
+	return body
+}
+
+// markOf returns the mark of the change that a document is of.
+func markOf(body []byte) (version, mark int64, err error) {
+	var d fleetstandin.Document
+	if err := json.Unmarshal(body, &d); err != nil {
+		return 0, 0, err
+	}
+	return d.Version, d.Routes[0].TimeoutMs - firstTimeout, nil
+}
+
+// Operator is a simulated operator. Its methods may be called by several goroutines.
+type Operator struct {
+	IP      string
+	fleet   *Fleet
+	network *simnet.Process
+	history *History
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// AddOperator adds an operator that notes its calls in a history.
+func (f *Fleet) AddOperator(history *History) *Operator {
+	history.operators++
+	ip := fmt.Sprintf("10.2.0.%d", history.operators)
+	return &Operator{IP: ip, fleet: f, network: f.Network.Host(ip).NewProcess(), history: history,
+		random: rand.New(rand.NewSource(f.Random.Int63()))}
+}
+
+// Put sends a change to one machine, once, and returns the status, 0 for none.
+func (o *Operator) Put(m *Machine, c Change) int {
+	header := http1.Header{{Name: "If-Match", Value: strconv.FormatInt(c.Base, 10)},
+		{Name: "Content-Type", Value: "application/json"}}
+	call := o.history.beginPut(o.fleet.Now(), m.Name, c)
+	answer, err := callFrom(o.network, m.Control(),
+		callclient.Call{Method: "PUT", Target: "/api/config", Header: header, Body: o.fleet.document(c)})
+	status := 0
+	if err == nil {
+		status = answer.Status
+	}
+	o.history.endPut(call, o.fleet.Now(), status)
+	o.fleet.Note("operator %s: change %+v at %s: %d", o.IP, c, m.Name, status)
+	return status
+}
+
+// PutUntil sends a change to machine after machine until one gives a clear answer, 200 or 412, which it
+// returns, or so much time has passed, in which case it returns 0. Each answer may be lost on its way by a
+// chance; the change is then sent again.
+func (o *Operator) PutUntil(machines []*Machine, c Change, within time.Duration, loss float64) int {
+	until := o.fleet.Now() + within
+	pause := 50 * time.Millisecond
+	for o.fleet.Now() < until {
+		for _, m := range o.shuffled(machines) {
+			status := o.Put(m, c)
+			if (status == 200 || status == 412) && !o.chance(loss) {
+				return status
+			}
+			time.Sleep(pause)
+			pause = min(pause*2, 400*time.Millisecond)
+			if o.fleet.Now() >= until {
+				return 0
+			}
+		}
+	}
+	return 0
+}
+
+// Get reads the configuration at a machine once.
+func (o *Operator) Get(m *Machine) (version int64, status int) {
+	call := o.history.beginGet(o.fleet.Now(), m.Name)
+	answer, err := callFrom(o.network, m.Control(), callclient.Call{Method: "GET", Target: "/api/config"})
+	if err != nil || answer.Status != 200 {
+		if err == nil {
+			status = answer.Status
+		}
+		o.history.endGet(call, o.fleet.Now(), status, 0, 0)
+		return 0, status
+	}
+	version, mark, err := markOf(answer.Body)
+	if err != nil {
+		o.fleet.TB.Error(err)
+	}
+	o.history.endGet(call, o.fleet.Now(), 200, version, mark)
+	return version, 200
+}
+
+func (o *Operator) shuffled(machines []*Machine) []*Machine {
+	shuffled := slices.Clone(machines)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+	return shuffled
+}
+
+func (o *Operator) chance(p float64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.random.Float64() < p
+}
--- /dev/null
+++ b/internal/simnet/conn.go
@@ -0,0 +1,276 @@
+package simnet
+
+import (
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+)
+
+// Errors that end a connection.
+var (
+	errReset    = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	errTimedOut = &net.OpError{Op: "write", Net: "tcp", Err: syscall.ETIMEDOUT}
+)
+
+// chunk is what one write sent; without bytes it is the end of the stream.
+type chunk struct {
+	bytes []byte
+	due   time.Time // when it arrives, as far as no fault holds it up
+}
+
+// conn is one end of a connection. All its fields but the first ones are guarded by the network's lock.
+type conn struct {
+	network  *Network
+	process  *Process
+	peer     *conn
+	local    *net.TCPAddr
+	from, to string // IPs of this end's host and the other's
+
+	arriving      []chunk
+	arrivingBytes int
+	closed        bool
+	broken        error         // what ended the connection from outside
+	changed       chan struct{} // closed at the next change of anything here
+	readDeadline  time.Time
+	writeDeadline time.Time
+	stalled       *time.Timer // ends the connection unless what was sent is acknowledged before
+}
+
+// wake wakes all who wait on this end; the lock is held.
+func (c *conn) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// gone tells whether the end holds no connection any more; the lock is held.
+func (c *conn) gone() bool { return c.closed || c.broken != nil }
+
+// reaches tells whether what is sent here is acknowledged; the lock is held.
+func (c *conn) reaches() bool {
+	return c.network.passes(c.from, c.to) && c.network.passes(c.to, c.from)
+}
+
+// fail ends this end with an error; the lock is held.
+func (c *conn) fail(err error) {
+	if c.gone() {
+		return
+	}
+	c.broken = err
+	c.release()
+}
+
+// abort ends this end without a word of its process, and resets the other one as far as it hears of that;
+// the lock is held.
+func (c *conn) abort() {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	c.release()
+	if c.network.passes(c.from, c.to) {
+		c.peer.fail(errReset)
+	}
+}
+
+// release wakes all who wait here and forgets the connection once both ends are gone; the lock is held.
+func (c *conn) release() {
+	if c.stalled != nil {
+		c.stalled.Stop()
+		c.stalled = nil
+	}
+	c.wake()
+	if c.peer.gone() {
+		delete(c.network.conns, c)
+		delete(c.network.conns, c.peer)
+	}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		c.network.mu.Lock()
+		count, wait, done, err := c.take(p)
+		changed := c.changed
+		c.network.mu.Unlock()
+		if done {
+			return count, err
+		}
+		await(changed, wait)
+	}
+}
+
+// take reads what has arrived, or returns how long to wait for more, 0 for ever; the lock is held.
+func (c *conn) take(p []byte) (count int, wait time.Duration, done bool, err error) {
+	now := time.Now()
+	switch {
+	case c.closed:
+		return 0, 0, true, net.ErrClosed
+	case c.broken != nil:
+		return 0, 0, true, c.broken
+	case passed(c.readDeadline, now):
+		return 0, 0, true, os.ErrDeadlineExceeded
+	}
+	wait = until(c.readDeadline, now)
+	if len(c.arriving) == 0 || !c.network.passes(c.to, c.from) {
+		return 0, wait, false, nil
+	}
+	first := &c.arriving[0]
+	if first.due.After(now) {
+		return 0, sooner(wait, first.due.Sub(now)), false, nil
+	}
+	if first.bytes == nil {
+		return 0, 0, true, io.EOF
+	}
+	count = copy(p, first.bytes)
+	if first.bytes = first.bytes[count:]; len(first.bytes) == 0 {
+		c.arriving = c.arriving[1:]
+	}
+	c.arrivingBytes -= count
+	c.peer.wake()
+	return count, 0, true, nil
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	for {
+		c.network.mu.Lock()
+		wait, done, err := c.send(p)
+		changed := c.changed
+		c.network.mu.Unlock()
+		if err != nil {
+			return 0, err
+		}
+		if done {
+			return len(p), nil
+		}
+		await(changed, wait)
+	}
+}
+
+// send sends all of p, or returns how long to wait for room, 0 for ever; the lock is held.
+func (c *conn) send(p []byte) (wait time.Duration, done bool, err error) {
+	now := time.Now()
+	switch {
+	case c.closed:
+		return 0, false, net.ErrClosed
+	case c.broken != nil:
+		return 0, false, c.broken
+	case passed(c.writeDeadline, now):
+		return 0, false, os.ErrDeadlineExceeded
+	case c.network.faulty(c.from, c.to, Refuse) || c.network.faulty(c.from, c.to, Reset):
+		c.peer.fail(errReset)
+		c.fail(errReset)
+		return 0, false, errReset
+	case c.peer.gone() && c.reaches():
+		c.fail(errReset)
+		return 0, false, errReset
+	}
+	c.watchAcknowledgement()
+	if c.peer.arrivingBytes > 0 && c.peer.arrivingBytes+len(p) > window {
+		return until(c.writeDeadline, now), false, nil
+	}
+	c.peer.arrive(append([]byte{}, p...), now.Add(c.network.delay(c.from, c.to)))
+	return 0, true, nil
+}
+
+// arrive queues bytes, nil for the end of the stream, behind those that were sent before; the lock is held.
+func (c *conn) arrive(bytes []byte, due time.Time) {
+	c.arriving = append(c.arriving, chunk{bytes, due})
+	c.arrivingBytes += len(bytes)
+	c.wake()
+}
+
+// watchAcknowledgement ends the connection after a while in which nothing that it sends is acknowledged; the
+// lock is held.
+func (c *conn) watchAcknowledgement() {
+	if c.stalled != nil || c.reaches() {
+		return
+	}
+	c.stalled = time.AfterFunc(userTimeout, func() {
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		c.stalled = nil
+		if !c.reaches() {
+			c.fail(errTimedOut)
+		}
+	})
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	if c.broken == nil {
+		c.peer.arrive(nil, time.Now().Add(c.network.delay(c.from, c.to)))
+	}
+	c.closed = true
+	c.release()
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return c.local }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return c.peer.local }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(at time.Time) error {
+	c.SetReadDeadline(at)
+	return c.SetWriteDeadline(at)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	c.readDeadline = at
+	c.wake()
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(at time.Time) error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	c.writeDeadline = at
+	c.wake()
+	return nil
+}
+
+func passed(deadline, now time.Time) bool { return !deadline.IsZero() && !deadline.After(now) }
+
+// until returns the time to a deadline, 0 without one.
+func until(deadline, now time.Time) time.Duration {
+	if deadline.IsZero() {
+		return 0
+	}
+	return deadline.Sub(now)
+}
+
+// sooner returns the shorter of two waits, of which 0 is for ever.
+func sooner(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// await waits for a change, and for so long at most unless that is 0.
+func await(changed <-chan struct{}, most time.Duration) {
+	if most == 0 {
+		<-changed
+		return
+	}
+	timer := time.NewTimer(most)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/simnet/network.go
@@ -0,0 +1,156 @@
+// Package simnet is a network in memory for processes that run in a bubble of testing/synctest: its delays,
+// deadlines and time-outs use the bubble's clock. Hosts have addresses, processes run on hosts, and each
+// direction between two hosts can have a fault.
+package simnet
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what goes wrong on the way from one host to another.
+type Fault int
+
+// The faults of a direction.
+const (
+	None   Fault = iota
+	Silent       // nothing arrives; TCP sends it again, so that it arrives if the fault ends in time
+	Refuse       // new connections are refused, and old ones end with a reset when they are used
+	Reset        // connections open, and end with a reset when they are used
+)
+
+const (
+	// defaultDelay is how long what is sent takes to the other host.
+	defaultDelay = 400 * time.Microsecond
+	// retransmission is the time between two attempts to open a connection.
+	retransmission = time.Second
+	// userTimeout ends a connection whose other host acknowledges nothing.
+	userTimeout = 2 * time.Second
+	// window bounds the bytes on their way in one direction of a connection.
+	window = 256 << 10
+	// backlog bounds the connections that wait to be accepted.
+	backlog       = 128
+	firstFreePort = 32768
+)
+
+// direction is a way from one host to another, by their IPs.
+type direction struct{ from, to string }
+
+// Network joins hosts. Its zero value is not usable; see New.
+type Network struct {
+	mu       sync.Mutex
+	hosts    map[string]*Host
+	faults   map[direction]Fault
+	delays   map[direction]time.Duration
+	conns    map[*conn]struct{} // that are open at either end
+	lastPort int
+}
+
+// New returns a network without hosts.
+func New() *Network {
+	return &Network{hosts: map[string]*Host{}, faults: map[direction]Fault{},
+		delays: map[direction]time.Duration{}, conns: map[*conn]struct{}{}, lastPort: firstFreePort}
+}
+
+// Host is a machine of the network.
+type Host struct {
+	network   *Network
+	ip        string
+	down      bool
+	listeners map[int]*listener // by port
+}
+
+// Host returns the host with an IP, and adds it where there is none.
+func (n *Network) Host(ip string) *Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h := n.hosts[ip]
+	if h == nil {
+		h = &Host{network: n, ip: ip, listeners: map[int]*listener{}}
+		n.hosts[ip] = h
+	}
+	return h
+}
+
+// SetDown cuts the power of a host or gives it back. What is sent to a host without power is lost silently.
+func (h *Host) SetDown(down bool) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.down = down
+	h.network.settle()
+}
+
+// SetFault sets the fault of each direction from one of some hosts to one of others.
+func (n *Network) SetFault(from, to []string, fault Fault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			if a != b {
+				n.faults[direction{a, b}] = fault
+			}
+		}
+	}
+	n.settle()
+}
+
+// SetDelay sets how long what is sent takes from one of some hosts to one of others.
+func (n *Network) SetDelay(from, to []string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range from {
+		for _, b := range to {
+			n.delays[direction{a, b}] = delay
+		}
+	}
+}
+
+// Heal ends all faults of directions.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.faults)
+	n.settle()
+}
+
+// passes tells whether what is sent in a direction arrives; the lock is held.
+func (n *Network) passes(from, to string) bool {
+	source, target := n.hosts[from], n.hosts[to]
+	return source != nil && target != nil && !source.down && !target.down &&
+		n.faults[direction{from, to}] != Silent
+}
+
+// faulty tells whether either direction between two hosts has a fault; the lock is held.
+func (n *Network) faulty(a, b string, fault Fault) bool {
+	return n.faults[direction{a, b}] == fault || n.faults[direction{b, a}] == fault
+}
+
+// delay returns how long what is sent takes; the lock is held.
+func (n *Network) delay(from, to string) time.Duration {
+	if delay, set := n.delays[direction{from, to}]; set {
+		return delay
+	}
+	return defaultDelay
+}
+
+// settle wakes all who wait for data, and ends the connections whose lost data is answered by a reset now
+// that it arrives; the lock is held.
+func (n *Network) settle() {
+	for c := range n.conns {
+		if c.stalled != nil && c.peer.gone() && c.reaches() {
+			c.fail(errReset)
+		}
+		c.wake()
+	}
+}
+
+// address returns the address of a port of a host.
+func address(ip string, port int) *net.TCPAddr { return &net.TCPAddr{IP: net.ParseIP(ip), Port: port} }
+
+// Reaches tells whether two hosts reach each other.
+func (n *Network) Reaches(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.passes(a, b) && n.passes(b, a)
+}
--- /dev/null
+++ b/internal/simnet/process.go
@@ -0,0 +1,165 @@
+package simnet
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"syscall"
+	"time"
+)
+
+// Process is what opens and accepts connections on a host. It implements peerlink.Network.
+type Process struct {
+	host *Host
+	dead bool // guarded by the network's lock
+}
+
+// NewProcess starts a process on a host.
+func (h *Host) NewProcess() *Process { return &Process{host: h} }
+
+// Kill ends a process at once: its connections are reset, as far as the other ends hear of it, and whatever
+// its goroutines still do over the network fails.
+func (p *Process) Kill() {
+	n := p.host.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p.dead = true
+	for _, l := range p.host.listeners {
+		if l.process == p {
+			l.shut()
+		}
+	}
+	for c := range n.conns {
+		if c.process == p {
+			c.abort()
+		}
+	}
+}
+
+// Dial opens a connection.
+func (p *Process) Dial(target string, timeout time.Duration) (net.Conn, error) {
+	ip, text, err := net.SplitHostPort(target)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, err
+	}
+	for left := timeout; left > 0; left -= retransmission {
+		c, answered, err := p.connect(ip, port)
+		if answered {
+			time.Sleep(p.host.network.roundTrip(p.host.ip, ip))
+			return c, err
+		}
+		time.Sleep(min(left, retransmission))
+	}
+	return nil, &net.OpError{Op: "dial", Net: "tcp", Addr: address(ip, port), Err: os.ErrDeadlineExceeded}
+}
+
+func (n *Network) roundTrip(a, b string) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.delay(a, b) + n.delay(b, a)
+}
+
+// connect sends one attempt and tells whether it is answered. The connection is a nil interface if it fails.
+func (p *Process) connect(ip string, port int) (c net.Conn, answered bool, err error) {
+	n := p.host.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	refused := &net.OpError{Op: "dial", Net: "tcp", Addr: address(ip, port), Err: syscall.ECONNREFUSED}
+	switch {
+	case p.dead:
+		return nil, true, net.ErrClosed
+	case n.faulty(p.host.ip, ip, Refuse):
+		return nil, true, refused
+	case !n.passes(p.host.ip, ip) || !n.passes(ip, p.host.ip):
+		return nil, false, nil
+	}
+	l := n.hosts[ip].listeners[port]
+	if l == nil || len(l.waiting) == backlog {
+		return nil, true, refused
+	}
+	n.lastPort++
+	near := &conn{network: n, process: p, local: address(p.host.ip, n.lastPort), from: p.host.ip, to: ip}
+	far := &conn{network: n, process: l.process, local: address(ip, port), from: ip, to: p.host.ip}
+	near.peer, far.peer = far, near
+	near.changed, far.changed = make(chan struct{}), make(chan struct{})
+	n.conns[near], n.conns[far] = struct{}{}, struct{}{}
+	l.waiting <- far
+	return near, true, nil
+}
+
+// Listen accepts connections at a port of the process's host.
+func (p *Process) Listen(at string) (net.Listener, error) {
+	_, text, err := net.SplitHostPort(at)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, err
+	}
+	n := p.host.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p.dead {
+		return nil, net.ErrClosed
+	}
+	if p.host.listeners[port] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Addr: address(p.host.ip, port), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{process: p, port: port, waiting: make(chan *conn, backlog), closed: make(chan struct{})}
+	p.host.listeners[port] = l
+	return l, nil
+}
+
+// listener takes the connections to one port.
+type listener struct {
+	process *Process
+	port    int
+	waiting chan *conn
+	closed  chan struct{}
+	shutOff bool // guarded by the network's lock
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.waiting:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	n := l.process.host.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.shut()
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.process.host.ip, l.port) }
+
+// shut ends the listener and resets what nobody has accepted; the lock is held.
+func (l *listener) shut() {
+	if l.shutOff {
+		return
+	}
+	l.shutOff = true
+	close(l.closed)
+	delete(l.process.host.listeners, l.port)
+	for {
+		select {
+		case c := <-l.waiting:
+			c.abort()
+		default:
+			return
+		}
+	}
+}
