Calls to servers that fail end with a reset; enough members for what is tolerated

Cause, from review: an order to a server whose link was cut lay in the kernel after its caller had given it up, and could arrive whenever the link healed, under a fence that had passed. The chain's target of three members was the same whatever the settings tolerate: where fewer machines with a disk were heard of at the founding than there are, two losses could leave no majority.

Change: one call for orders and questions to servers (server_call.go), which resets its connection where it fails; the target is 2 x tolerated losses + 1 members, at least 3.

--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -25,6 +25,9 @@
 	// start, and since the last new one was heard of.
 	foundAfter = 1500 * time.Millisecond
 	foundCalm  = 800 * time.Millisecond
+	// leastMembers is how many machines keep the control state at least, where there are as many with a disk.
+	// A majority has to be left when as many are lost as the settings tolerate.
+	leastMembers = 3
 	// closeTimeout bounds how long the end of the process waits for the disk.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -81,7 +84,8 @@
 	config := chain.Config{
 		Self:    chain.Member{ID: chain.MemberID(randomID()), Address: n.settings.IP},
 		HasDisk: hasDisk, FirstStart: n.settings.FirstStart, RequiredCopies: n.settings.TolerateMachines + 1,
-		Random: rand.New(rand.NewSource(rand.Int63())), HeartbeatInterval: chainHeartbeat,
+		TargetMembers: max(leastMembers, 2*n.settings.TolerateMachines+1),
+		Random:        rand.New(rand.NewSource(rand.Int63())), HeartbeatInterval: chainHeartbeat,
 	}
 	machine, effects, err := chain.Open(config, n.now(), records)
 	if err != nil {
--- a/internal/node/orphans.go
+++ b/internal/node/orphans.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"slices"
 	"time"
 
@@ -116,24 +115,7 @@
 	if config := n.state.Config(); config != nil && config.Services[record.Service] != nil {
 		path = config.Services[record.Service].HealthPath
 	}
-	conn, err := n.network.Dial(record.Address, orphanTimeout)
-	if err != nil {
-		return "", err
-	}
-	defer conn.Close()
-	if err := conn.SetDeadline(time.Now().Add(orphanTimeout)); err != nil {
-		return "", err
-	}
-	request := &http1.Request{Method: "GET", Target: path, Close: true,
-		Header: http1.Header{{Name: "Host", Value: record.Address}}}
-	out := bufio.NewWriter(conn)
-	if err := request.Write(out); err != nil {
-		return "", err
-	}
-	if err := out.Flush(); err != nil {
-		return "", err
-	}
-	answer, err := http1.ReadResponse(bufio.NewReader(conn))
+	answer, err := n.callServer(record.Address, &http1.Request{Method: "GET", Target: path}, orphanTimeout)
 	if err != nil {
 		return "", err
 	}
--- /dev/null
+++ b/internal/node/server_call.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"bufio"
+	"net"
+	"time"
+
+	"cresshub/internal/http1"
+)
+
+// callServer makes one call to a server in a connection of its own. A call that fails ends with a reset, so
+// that the kernel does not deliver what it still holds once a cut link is back: an order that was given up
+// must not arrive later.
+func (n *Node) callServer(address string, request *http1.Request, timeout time.Duration) (*http1.Response, error) {
+	deadline := time.Now().Add(timeout)
+	conn, err := n.network.Dial(address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(deadline); err != nil {
+		return nil, err
+	}
+	answer, err := exchange(conn, address, request)
+	if err != nil {
+		resetOnClose(conn)
+	}
+	return answer, err
+}
+
+func exchange(conn net.Conn, address string, request *http1.Request) (*http1.Response, error) {
+	request.Close = true
+	request.Header = append(http1.Header{{Name: "Host", Value: address}}, request.Header...)
+	out := bufio.NewWriter(conn)
+	if err := request.Write(out); err != nil {
+		return nil, err
+	}
+	if err := out.Flush(); err != nil {
+		return nil, err
+	}
+	return http1.ReadResponse(bufio.NewReader(conn))
+}
+
+// lingerer is a connection that can be told what to do with unsent bytes when it closes, as TCP's can.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// resetOnClose has a connection drop what was not delivered when it closes.
+func resetOnClose(conn net.Conn) {
+	if tcp, ok := conn.(lingerer); ok {
+		_ = tcp.SetLinger(0) // it fails only where the connection has ended already
+	}
+}
--- a/internal/node/stages.go
+++ b/internal/node/stages.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bufio"
 	"encoding/json"
 	"sync"
 	"time"
@@ -21,6 +20,7 @@
 	confirmTimeout = 300 * time.Millisecond
 	confirmLife    = 500 * time.Millisecond
 	orderTimeout   = 700 * time.Millisecond
+	orderPath      = "/api/order"
 	// orderLife is how long an order may be under way; later its server counts as one without.
 	orderLife = 9 * time.Second
 	// leaseMargin is added to the time in which an earlier holder's orders may still arrive.
@@ -160,31 +160,12 @@
 	if err != nil || n.now()-confirmed > confirmLife {
 		return
 	}
-	status, err := n.post(address, "/api/order", body, orderTimeout)
+	status := 0
+	answer, err := n.callServer(address, &http1.Request{Method: "POST", Target: orderPath, Body: body,
+		Header: http1.Header{{Name: "Content-Type", Value: "application/json"}}}, orderTimeout)
+	if err == nil {
+		status = answer.Status
+	}
 	n.log.Info().Err(err).Str("server", order.Server).Str("stage", string(order.Stage)).Int("status", status).
 		Uint64("fence", s.fence).Msg("stages: order sent")
 }
-
-// post sends a JSON document in a connection of its own and returns the status of the answer.
-func (n *Node) post(address, path string, body []byte, timeout time.Duration) (int, error) {
-	conn, err := n.network.Dial(address, timeout)
-	if err != nil {
-		return 0, err
-	}
-	defer conn.Close()
-	conn.SetDeadline(time.Now().Add(timeout))
-	out := bufio.NewWriter(conn)
-	request := &http1.Request{Method: "POST", Target: path, Body: body, Close: true, Header: http1.Header{
-		{Name: "Host", Value: address}, {Name: "Content-Type", Value: "application/json"}}}
-	if err := request.Write(out); err != nil {
-		return 0, err
-	}
-	if err := out.Flush(); err != nil {
-		return 0, err
-	}
-	answer, err := http1.ReadResponse(bufio.NewReader(conn))
-	if err != nil {
-		return 0, err
-	}
-	return answer.Status, nil
-}
