A process serves while its disk can't be opened, and takes its part later

Cause, from review: a process opened its disk before it listened. A disk that hangs, refuses writes (a torn end can't be cut off then) or holds what can't be read kept the whole process from starting, though it carries clients' traffic for which no disk is needed.

Change: the disk is opened beside everything else and tried again; until then the process serves as one without a disk.

Test: a file in the place of the log's folder; with the lines before, New fails.

--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -62,12 +62,21 @@
 
 // newControlState returns this process's part in the control state: none without a disk, unless it is the one
 // that founds it.
-func newControlState(n *Node) (controlState, error) {
-	founder := n.settings.FirstStart && len(n.settings.Seeds) > 0 && hostOf(n.settings.Seeds[0]) == n.settings.IP
-	hasDisk := n.settings.DataDir != ""
-	if !hasDisk && !founder {
-		return noControlState{}, nil
+func newControlState(n *Node) controlState {
+	if n.settings.DataDir == "" && !n.founds() {
+		return noControlState{}
 	}
+	return &diskMember{node: n}
+}
+
+// founds tells whether this process is the one that has the first view agreed on.
+func (n *Node) founds() bool {
+	return n.settings.FirstStart && len(n.settings.Seeds) > 0 && hostOf(n.settings.Seeds[0]) == n.settings.IP
+}
+
+// openChainMember opens the disk, where there is one, and the state machine with what the disk holds.
+func openChainMember(n *Node) (*chainMember, error) {
+	founder, hasDisk := n.founds(), n.settings.DataDir != ""
 	m := &chainMember{node: n, founder: founder, links: map[string]*peerlink.Link{},
 		events: make(chan func(time.Duration) chain.Effects, chainQueue), ended: make(chan struct{}),
 		waiters: map[uint64]chan chain.Reply{}, committed: make(chan []byte, 1),
@@ -95,9 +104,6 @@
 	if err := m.persist(effects.Persist); err != nil {
 		return nil, fmt.Errorf("control state: %w", err)
 	}
-	if hasDisk {
-		n.self.Member = string(machine.Self().ID)
-	}
 	m.perform(effects)
 	return m, nil
 }
@@ -112,6 +118,9 @@
 func (m *chainMember) start(done <-chan struct{}) {
 	go m.run(done)
 	go m.adoptCommitted(done)
+	if m.node.ordersStages {
+		go (&stageDuty{node: m.node, member: m}).run(done)
+	}
 }
 
 func (m *chainMember) leave() { m.post(m.machine.Leave) }
--- /dev/null
+++ b/internal/node/disk_member_test.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestAProcessServesWhileItsDiskCanNotBeOpened: the process runs like one without a disk, and takes its part
+// once the disk can be opened.
+func TestAProcessServesWhileItsDiskCanNotBeOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		n.settings.DataDir = t.TempDir()
+		blocking := filepath.Join(n.settings.DataDir, "chain")
+		c.Assert(os.WriteFile(blocking, nil, 0o600), qt.IsNil)
+		control := newControlState(n)
+		done := make(chan struct{})
+		control.start(done)
+		time.Sleep(10 * openAgainAfter)
+		c.Check(control.member(), qt.IsFalse)
+		c.Check(n.self.Member, qt.Equals, "")
+		c.Check(control.read(0).Reason, qt.Matches, ".*no disk.*")
+
+		c.Assert(os.Remove(blocking), qt.IsNil)
+		time.Sleep(2 * openAgainAfter)
+		synctest.Wait()
+		c.Check(n.self.Member, qt.Not(qt.Equals), "")
+		close(done)
+		synctest.Wait()
+		control.close()
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,11 +95,7 @@
 		Kind: directory.KindProxy, ID: n.id, State: directory.Ready, Address: settings.IP, Zone: settings.Zone,
 		Name: settings.Name, Control: settings.Control,
 	}
-	control, err := newControlState(n)
-	if err != nil {
-		return nil, err
-	}
-	n.control = control
+	n.control = newControlState(n)
 	n.demand = newDemandBook(n)
 	n.work = newWorkBook(n)
 	if settings.Front != "" {
@@ -135,12 +131,8 @@
 		return err
 	}
 	done := make(chan struct{})
-	if n.loadServers() {
-		n.state.markSynced()
-	}
 	if n.settings.DataDir != "" {
-		n.loadProxies()
-		go n.saveServers(done)
+		go n.keepSaved(done)
 	}
 	n.announceSelf(func(*directory.Record) {})
 	go n.endpoint.Serve(listeners.inner, n)
@@ -151,9 +143,6 @@
 	n.control.start(done)
 	go n.demand.measure(done)
 	go n.work.report(done)
-	if member, ok := n.control.(*chainMember); ok && n.ordersStages {
-		go (&stageDuty{node: n, member: member}).run(done)
-	}
 	n.serveCalls(listeners)
 	if listeners.front != nil {
 		go n.front.Serve(listeners.front)
--- a/internal/node/saved_directory.go
+++ b/internal/node/saved_directory.go
@@ -31,11 +31,18 @@
 // errSavedDamaged tells that the saved records can't be used; the servers' heartbeats replace them.
 var errSavedDamaged = errors.New("the saved servers are damaged; they are learned anew from heartbeats")
 
-// loadServers takes in what was saved before the process started, and tells whether there was anything.
+// keepSaved takes in what was saved before the process started, and then saves what changes until done
+// closes. It runs beside everything else, because the disk may hang.
+func (n *Node) keepSaved(done <-chan struct{}) {
+	if n.loadServers() {
+		n.state.markSynced()
+	}
+	n.loadProxies()
+	n.saveServers(done)
+}
+
+// loadServers takes in which servers were live, and tells whether there were any.
 func (n *Node) loadServers() bool {
-	if n.settings.DataDir == "" {
-		return false
-	}
 	records, err := readRecords(filepath.Join(n.settings.DataDir, savedName))
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
