A member that hangs delays a call on the configuration by 250 ms, not to its end

Cause, from review: a call went to one member at a time, in the order of addresses, with all the time that was left, and a member's own call to itself alone. While the first member's disk hung, every other proxy answered 503 after 0.9 s, whichever the operator chose; only the other members answered.

Change: the next member is asked beside the first after 250 ms, or at once after an unclear answer, and the first clear one counts; a change that runs at several members is taken once.

Test: hanging, disagreeing and answering members in virtual time; with one member after the other, "the first hangs" ends unavailable after 0.9 s.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -64,9 +64,8 @@
 		return callserver.Text(400, "edition: is not above If-Match; count on from the current version")
 	}
 	proposal := &peerwire.Proposal{Expected: expected, Version: config.Version, Body: call.Body}
-	result := n.onControlState(peerwire.KindPropose, peerwire.Encode(proposal), func() *peerwire.Result {
-		return n.control.propose(proposal, controlTimeout)
-	})
+	result := n.onControlState(controlCall{kind: peerwire.KindPropose, body: peerwire.Encode(proposal),
+		here: func() *peerwire.Result { return n.control.propose(proposal, controlTimeout) }})
 	switch result.Outcome {
 	case peerwire.OutcomeTaken:
 		return callserver.JSON(200, []byte("{}"))
@@ -79,9 +78,8 @@
 }
 
 func (n *Node) getConfig() *http1.Response {
-	result := n.onControlState(peerwire.KindRead, nil, func() *peerwire.Result {
-		return n.control.read(controlTimeout)
-	})
+	result := n.onControlState(controlCall{kind: peerwire.KindRead,
+		here: func() *peerwire.Result { return n.control.read(controlTimeout) }})
 	switch {
 	case result.Outcome != peerwire.OutcomeTaken:
 		return busy()
@@ -91,36 +89,6 @@
 	return callserver.JSON(200, result.Body)
 }
 
-// onControlState runs a call here where this process keeps the control state, or has hubs run it, one after
-// the other until one gives a clear answer.
-func (n *Node) onControlState(kind peerwire.Kind, body []byte,
-	here func() *peerwire.Result) *peerwire.Result {
-	if n.control.member() {
-		return here()
-	}
-	deadline := n.now() + controlTimeout
-	result := unavailable("no machine that keeps the configuration is reached")
-	for _, h := range n.currentHubs() {
-		left := deadline - n.now()
-		if _, _, heard, _ := h.snapshot(); left <= 0 || heard == 0 || n.now()-heard > 3*pingInterval {
-			continue
-		}
-		frame, err := h.link.Call(kind, body, left)
-		if err != nil {
-			result.Reason = err.Error()
-			continue
-		}
-		var answer peerwire.Result
-		if peerwire.Decode(frame.Body, &answer) != nil {
-			continue
-		}
-		if result = &answer; answer.Outcome != peerwire.OutcomeUnavailable {
-			break
-		}
-	}
-	return result
-}
-
 // answerControl runs another process's call on the configuration.
 func (n *Node) answerControl(c *peerlink.Conn, frame peerwire.Frame) {
 	result := unavailable("this machine does not keep the configuration")
