Who answers as a hub is not introduced to; one method tells whether a hub answers

Cause: at a first start every process would have opened a connection of its own to each seed, though the seeds are members that answer its pings.

--- a/internal/node/control_call.go
+++ b/internal/node/control_call.go
@@ -67,7 +67,7 @@
 	}
 	now := n.now()
 	for _, h := range n.currentHubs() {
-		if _, _, heard, _ := h.snapshot(); heard > 0 && now-heard <= contactLife {
+		if h.answers(now) {
 			tries = append(tries, func() *peerwire.Result { return askMember(h, call) })
 		}
 	}
--- a/internal/node/hub_link.go
+++ b/internal/node/hub_link.go
@@ -32,6 +32,13 @@
 	return h.id, h.pushed, h.heard, h.holds
 }
 
+// answers tells whether the hub has answered lately.
+func (h *hub) answers(now time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.heard > 0 && now-h.heard <= contactLife
+}
+
 func (n *Node) newHub(ip string) *hub {
 	h := &hub{ip: ip, stop: make(chan struct{})}
 	hello := func() []byte { return peerwire.Encode(&peerwire.Hello{ID: n.id}) }
--- a/internal/node/introductions.go
+++ b/internal/node/introductions.go
@@ -136,7 +136,8 @@
 	for _, seed := range n.seeds() {
 		ip, _, err := net.SplitHostPort(seed)
 		known := i.to[ip]
-		if err == nil && (isHub || known == nil || !known.answered) {
+		unsure := isHub || known == nil || !known.answered
+		if err == nil && unsure && !n.hubAnswers(ip) {
 			add(ip)
 		}
 	}
@@ -149,6 +150,12 @@
 	return ips
 }
 
+// hubAnswers tells whether a machine is a hub that has answered this process lately.
+func (n *Node) hubAnswers(ip string) bool {
+	h := n.hubAt(ip)
+	return h != nil && h.answers(n.now())
+}
+
 // callingAddresses returns the machines whose processes have called this one lately.
 func (n *Node) callingAddresses() map[string]bool {
 	now := n.now()
--- a/internal/node/majority.go
+++ b/internal/node/majority.go
@@ -39,10 +39,7 @@
 // does not reach them may hold old records, and must not hand them out.
 func (n *Node) reachesMajority() bool {
 	now := n.now()
-	return n.majorityOf(n.state.currentView().members, func(h *hub) bool {
-		_, _, heard, _ := h.snapshot()
-		return heard > 0 && now-heard <= contactLife
-	})
+	return n.majorityOf(n.state.currentView().members, func(h *hub) bool { return h.answers(now) })
 }
 
 // awaitMajority waits until more than half of the members of the view have all that was changed here up to
--- a/internal/node/orphans.go
+++ b/internal/node/orphans.go
@@ -71,8 +71,7 @@
 	now := n.now()
 	own := orphanRank(id, n.settings.IP)
 	return !n.anyMember(func(member peerwire.MemberInfo, h *hub) bool {
-		_, _, heard, _ := h.snapshot()
-		return heard > 0 && now-heard <= contactLife && orphanRank(id, member.Address) > own
+		return h.answers(now) && orphanRank(id, member.Address) > own
 	})
 }
 
