A proxy that is cut off sends servers elsewhere, and doubts itself meanwhile

A server that started or moved there stayed with it for the whole cut, and the rest of the fleet never heard of it. Ruled out: drains, which were not acknowledged there before either.

Change: such a proxy keeps what it hears for its own side, names no watcher, and answers 503. It marks nobody lost for silence meanwhile, since it sends all servers elsewhere. Of two records of one heartbeat the one with a watcher counts, and a server that nobody watches is asked like an orphan.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -145,3 +145,16 @@
 	late.Expire(2 * LostLife)
 	c.Assert(late.forgotten, qt.HasLen, 0, qt.Commentf("what was forgotten is forgotten, too"))
 }
+
+// TestAWatchedServerSupersedesTheSameUnwatched: of two proxies that heard the same heartbeat, the one that
+// acknowledged it counts.
+func TestAWatchedServerSupersedesTheSameUnwatched(t *testing.T) {
+	c := qt.New(t)
+	unwatched, watched := server("a", 1, Ready), server("a", 1, Ready)
+	unwatched.Watcher, watched.Watcher = "", "proxy"
+	d := New()
+	c.Assert(d.Merge(0, unwatched), qt.IsTrue)
+	c.Assert(d.Merge(0, watched), qt.IsTrue)
+	c.Assert(d.Merge(0, unwatched), qt.IsFalse)
+	c.Assert(d.Get("a").Watcher, qt.Equals, "proxy")
+}
--- a/internal/directory/record.go
+++ b/internal/directory/record.go
@@ -65,7 +65,10 @@
 	if r.Sequence != known.Sequence {
 		return r.Sequence > known.Sequence
 	}
-	return r.State > known.State
+	if r.State != known.State {
+		return r.State > known.State
+	}
+	return known.Watcher == "" && r.Watcher != "" && r.Kind == KindServer
 }
 
 // OrderID returns the id of the record of an order to a server.
--- a/internal/node/introductions_test.go
+++ b/internal/node/introductions_test.go
@@ -65,6 +65,18 @@
 	c.Check(n.awaitMajority(0, 0), qt.IsFalse, qt.Commentf("no view, no majority of it"))
 }
 
+// TestServersAreSentElsewhereByWhoIsCutOff: what they tell is kept here, but a server that was acknowledged
+// would stay with a proxy of which the others hear nothing.
+func TestServersAreSentElsewhereByWhoIsCutOff(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(t)
+	n.state.learnView(2, membersAt("10.9.0.1", "10.9.0.2", "10.9.0.3"))
+	c.Check(n.handleCall(heartbeat("ready", "1")).Status, qt.Equals, 503)
+	c.Check(n.state.Servers().Service("s"), qt.HasLen, 1, qt.Commentf("it is known here all the same"))
+	n.hubs["10.9.0.1"], n.hubs["10.9.0.2"] = &hub{heard: 1}, &hub{heard: 1}
+	c.Check(n.handleCall(heartbeat("ready", "2")).Status, qt.Equals, 200)
+}
+
 func TestKnownProxiesAreBounded(t *testing.T) {
 	c := qt.New(t)
 	k := newKnownProxies()
--- a/internal/node/orphans.go
+++ b/internal/node/orphans.go
@@ -51,7 +51,8 @@
 // isOrphan tells whether a process has lost its watcher and has been silent here for so long that it should
 // have found another one.
 func (n *Node) isOrphan(now time.Duration, d *directory.Directory, record *directory.Record) bool {
-	if record.ID == n.id || record.Watcher == "" {
+	isHub := record.Kind == directory.KindProxy && record.Watcher == ""
+	if record.ID == n.id || isHub {
 		return false
 	}
 	watcher := d.Get(record.Watcher)
--- a/internal/node/registration.go
+++ b/internal/node/registration.go
@@ -61,14 +61,19 @@
 	return record, document.Err()
 }
 
-// takeHeartbeat merges what a server tells of itself and acknowledges it. A drain is acknowledged only once
-// most hubs know it, because no proxy may send there much longer.
+// takeHeartbeat merges what a server tells of itself and acknowledges it where the rest of the fleet hears of
+// it; the server calls another proxy else. A drain is acknowledged only once most hubs know it, because no
+// proxy may send there much longer.
 func (n *Node) takeHeartbeat(record *directory.Record) *http1.Response {
-	if n.leaving() || !n.mayAnswerServers() {
+	if n.leaving() || !n.knowsFleet() {
 		return busy()
 	}
 	now := n.now()
 	n.noteHeard(record.ID)
+	if !n.reachesFleet() {
+		n.mergeHeartbeat(now, record) // for this side; the server finds its watcher on the other one
+		return busy()
+	}
 	record.Watcher = n.id
 	place, late := n.mergeHeartbeat(now, record)
 	if record.State == directory.Draining && !n.awaitMajority(place, drainAckTimeout) {
@@ -84,10 +89,14 @@
 	return callserver.JSON(200, answer)
 }
 
-// mayAnswerServers tells whether what a server tells here reaches the rest of the fleet. Before the first
-// view of the fleet is agreed on, the seeds take its place; a process that starts later has to learn it.
-func (n *Node) mayAnswerServers() bool {
-	return n.settings.FirstStart || n.state.currentView().epoch > 0
+// knowsFleet tells whether this process knows whom to tell of servers. Before the first view of the fleet is
+// agreed on, the seeds take its place; a process that starts later has to learn it.
+func (n *Node) knowsFleet() bool { return n.settings.FirstStart || n.state.currentView().epoch > 0 }
+
+// reachesFleet tells whether what a server tells here reaches the rest of the fleet: where a view is known, a
+// majority of its members has to answer.
+func (n *Node) reachesFleet() bool {
+	return n.state.currentView().epoch == 0 || n.reachesMajority()
 }
 
 // mergeHeartbeat returns the place that hubs must reach to know of the heartbeat, and whether a later one
@@ -96,6 +105,9 @@
 	n.state.change(now, func(d *directory.Directory) {
 		known := d.Get(record.ID)
 		late = known != nil && known.Sequence > record.Sequence
+		if known != nil && record.Watcher == "" {
+			record.Watcher = known.Watcher
+		}
 		if known == nil || !known.SameTerms(record) {
 			d.Merge(now, *record)
 		}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -30,8 +30,8 @@
 		case <-ticker.C:
 		}
 		now := n.now()
-		if now-last > frozenGap {
-			n.trustSince = now
+		if now-last > frozenGap || !n.reachesFleet() {
+			n.trustSince = now // a process that was frozen, or that sends servers elsewhere, hears of nobody
 		}
 		last = now
 		n.markSilent(now)
