Front: an answer that its connection's orderly end completes is passed on

Cause: found by reading. An answer without a length was thrown away, although its server had run the request: an unsafe request got 502, a safe one was repeated. Ruled out: taking a reset for the end; the system tells of it as an error on the read. One case remains where it doesn't: the error is told once, and a write that broke off has used it up.

Change: such an answer passes where its connection ends in order. It doesn't count where the request was not sent whole (call.answerTraits), and an event in two pieces at the end of such a stream counts as broken off (relay.endStream), so that another server goes on from the last whole event.

Tests: TestFaultAtEveryByteOfAnAnswer breaks answers by length, by chunks and by the end of the connection at each byte (close, reset, silence; routes safe, unsafe, stream, firm), each followed by a request on the same client connection.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -29,6 +29,7 @@
 	tainted  bool // the connection must not be used again
 	spoilt   bool // the connection's messages are out of step, so that it ends with this one
 	begun    bool // the head of an answer has come
+	unsent   bool // not all of the request was sent; the system may have told of a reset already
 	alive    time.Duration
 	started  time.Time
 	headAt   time.Duration // after started, when the head of the answer came
@@ -86,7 +87,7 @@
 	case unsent.fate == notSent:
 		return nil, nil, unsent
 	default: // a server that rejects a request need not read all of it
-		c.spoilt = true
+		c.spoilt, c.unsent = true, true
 		c.conn.SetReadDeadline(earlier(c.delivery.request.end, time.Now().Add(earlyAnswer)))
 	}
 	c.delivery.front.stats.calls.Add(1)
--- /dev/null
+++ b/internal/front/faults_test.go
@@ -0,0 +1,274 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/http1"
+)
+
+// fault is what a server does instead of going on with its answer.
+type fault string
+
+const (
+	closes fault = "closes"
+	resets fault = "resets"
+	stalls fault = "falls silent"
+)
+
+// framing is how an answer tells where it ends.
+type framing string
+
+const (
+	byLength framing = "by length"
+	byChunks framing = "by chunks"
+	byEnd    framing = "by the end of the connection"
+)
+
+// lay returns the answer to q with that body, and the length of its head.
+func (f framing) lay(q *http1.Request, kind string, parts ...string) (text string, headLength int) {
+	fields := []string{stamp, "Content-Type: " + kind}
+	body := strings.Join(parts, "")
+	switch f {
+	case byLength:
+		fields = append(fields, fmt.Sprintf("Content-Length: %d", len(body)))
+	case byChunks:
+		fields = append(fields, "Transfer-Encoding: chunked")
+		body = ""
+		for _, part := range parts {
+			body += chunk(part)
+		}
+		body += "0\r\n\r\n"
+	}
+	top := head(q, 200, fields...) + "\r\n"
+	return top + body, len(top)
+}
+
+// faultyTry is one try of a client and what its first server does with it.
+type faultyTry struct {
+	id, route string
+	framing   framing
+	fault     fault
+	point     int // bytes of the answer before the fault
+
+	arrivals int
+}
+
+func (f *faultyTry) streams() bool { return f.route == "stream" || f.route == "firm" }
+
+// answer lays out the whole answer to a request of the try.
+func (f *faultyTry) answer(q *http1.Request) (text string, headLength int) {
+	if !f.streams() {
+		return f.framing.lay(q, "text/plain", "body ", "of "+f.id)
+	}
+	var events []string
+	for piece := wholeNumber(q.Header.Get(lastEventHeader)) + 1; piece <= 3; piece++ {
+		events = append(events, pieceOf(f.id, piece))
+	}
+	return f.framing.lay(q, eventStreamType, events...)
+}
+
+// body is what the client has to get.
+func (f *faultyTry) body() string {
+	if !f.streams() {
+		return "body of " + f.id
+	}
+	return pieceOf(f.id, 1) + pieceOf(f.id, 2) + pieceOf(f.id, 3)
+}
+
+// faultyServers break off the first answer of each try that is registered, and answer all others whole.
+type faultyServers struct {
+	mu    sync.Mutex
+	tries map[string]*faultyTry
+}
+
+func (s *faultyServers) serve(q *http1.Request, w io.Writer) bool {
+	id := q.Header.Get(tryIDHeader)
+	s.mu.Lock()
+	try := s.tries[id]
+	if try != nil {
+		try.arrivals++
+	}
+	first := try != nil && try.arrivals == 1
+	s.mu.Unlock()
+	if try == nil {
+		return ok("body of "+id)(q, w)
+	}
+	text, _ := try.answer(q)
+	if !first {
+		io.WriteString(w, text)
+		return try.framing != byEnd
+	}
+	io.WriteString(w, text[:try.point])
+	switch try.fault {
+	case resets:
+		w.(*net.TCPConn).SetLinger(0)
+	case stalls:
+		io.Copy(io.Discard, w.(net.Conn))
+	}
+	return false
+}
+
+// seenWhole tells whether nobody can tell the answer from a whole one, as it was broken off.
+func (f *faultyTry) seenWhole(text string, headLength int) bool {
+	if f.framing != byEnd {
+		return f.point == len(text)
+	}
+	betweenEvents := f.point == headLength || strings.HasSuffix(text[:f.point], "\n\n")
+	return f.fault == closes && f.point >= headLength && (!f.streams() || betweenEvents)
+}
+
+// judge tells what is wrong with what the client of the try got, "" where all is well.
+func (f *faultyTry) judge(got result, text string, headLength int) string {
+	once := f.route == "unsafe" || f.route == "firm"
+	switch {
+	case once && f.arrivals > 1:
+		return "it ran twice"
+	case f.arrivals == 0 && got.status == 503:
+		return "" // no time was left to send it
+	case f.arrivals > 0 && got.status == 503:
+		return "it was refused though it may have run"
+	case f.seenWhole(text, headLength):
+		if got.cut || got.status != 200 || !strings.HasPrefix(f.body(), got.body) || f.arrivals != 1 {
+			return "the whole answer did not come"
+		}
+		if f.point == len(text) && got.body != f.body() {
+			return "a part of the answer came"
+		}
+	case !once && f.fault != stalls:
+		if got != (result{200, f.body(), false}) || f.arrivals != 2 {
+			return "another server did not make the answer"
+		}
+	case got.status == 200 && !(f.streams() && got.cut && strings.HasPrefix(f.body(), got.body)):
+		return "a part of the answer looks whole"
+	case got.status != 200 && (got.cut || got.status != 502 && got.status != 504):
+		return "the answer is none of the possible ones"
+	}
+	return ""
+}
+
+// A server that closes, resets or falls silent after any number of bytes of its answer, however the answer is
+// framed: a part is not taken for the whole, what may run once is not sent twice, what may be repeated is
+// answered by another server, and the next request on the client's connection gets its own answer.
+func TestFaultAtEveryByteOfAnAnswer(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream", "firm"} {
+		for _, framing := range []framing{byLength, byChunks, byEnd} {
+			for _, fault := range []fault{closes, resets, stalls} {
+				t.Run(fmt.Sprintf("%s ends %s and its server %s", route, framing, fault), func(t *testing.T) {
+					t.Parallel()
+					faultAtEveryByte(t, faultyTry{route: route, framing: framing, fault: fault})
+				})
+			}
+		}
+	}
+}
+
+// faultClients is how many clients try at a time.
+const faultClients = 8
+
+func faultAtEveryByte(t *testing.T, kind faultyTry) {
+	servers := &faultyServers{tries: map[string]*faultyTry{}}
+	r := newRig(t, slack(1e6), lookups(t, servers.serve)...)
+	points := make(chan int)
+	var under sync.WaitGroup
+	for range faultClients {
+		under.Go(func() {
+			p := &person{C: r.C}
+			for point := range points {
+				p.tryFault(r, servers, kind, point)
+			}
+		})
+	}
+	kind.id = "000"
+	text, _ := kind.answer(requestOf(kind.id))
+	for point := range len(text) + 1 {
+		points <- point
+	}
+	close(points)
+	under.Wait()
+	r.settled()
+}
+
+func requestOf(id string) *http1.Request {
+	return &http1.Request{Header: http1.Header{{Name: tryIDHeader, Value: id}}}
+}
+
+// tryFault makes one try that breaks off at a point, and a request behind it.
+func (p *person) tryFault(r *rig, servers *faultyServers, kind faultyTry, point int) {
+	try := kind
+	try.id, try.point = fmt.Sprintf("%03d", point), point
+	servers.mu.Lock()
+	servers.tries[try.id] = &try
+	servers.mu.Unlock()
+	p.again(r)
+	deadline := ""
+	if try.fault == stalls {
+		deadline = "60"
+	}
+	got := p.post1(try.route, try.id, deadline)
+	text, headLength := try.answer(requestOf(try.id))
+	servers.mu.Lock()
+	wrong := try.judge(got, text, headLength)
+	servers.mu.Unlock()
+	if wrong != "" {
+		r.Errorf("broken off after %d of %d bytes: %s: %+v with %d calls", point, len(text), wrong, got,
+			try.arrivals)
+	}
+	p.again(r)
+	next := "n" + try.id
+	if got := p.post1("safe", next, ""); got != (result{200, "body of " + next, false}) {
+		r.Errorf("behind a break after %d bytes: %+v", point, got)
+	}
+}
+
+// again connects where the client has no connection that is still good.
+func (p *person) again(r *rig) {
+	if p.Conn == nil && !p.connect(r.address) {
+		r.Error("nobody listens")
+	}
+}
+
+// post1 posts a request and reads its answer; a connection that ends with it is closed.
+func (p *person) post1(route, id, deadline string) result {
+	var fields string
+	if deadline != "" {
+		fields = deadlineHeader + ": " + deadline + "\r\n"
+	}
+	fmt.Fprintf(p, "POST /%s/ HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: %s\r\n%s%s", route, id, fields, length(""))
+	answer, err := p.read()
+	got := result{cut: err != nil}
+	if answer != nil {
+		got.status, got.body = answer.Status, string(answer.Body)
+		if got.status != 200 {
+			got.body = ""
+		}
+	}
+	if err != nil || answer.Close {
+		p.Close()
+		p.Conn = nil
+	}
+	return got
+}
+
+// A reset that came while the request was being sent is told once, by the write; what is read after it ends
+// as if in order. So an answer that only the end of its connection ends does not count then.
+func TestEndAfterABrokenSendIsNotTrusted(t *testing.T) {
+	c := qt.New(t)
+	q := requestOf("a")
+	text, _ := byEnd.lay(q, "text/plain", "body")
+	head, body, err := http1.ReadResponseHead(bufio.NewReader(strings.NewReader(text)), "GET")
+	c.Assert(err, qt.IsNil)
+	c.Assert(judge((&call{}).answerTraits(head, body)), qt.Equals, pass)
+	c.Assert(judge((&call{unsent: true}).answerTraits(head, body)), qt.Equals, unusable)
+	text, _ = byChunks.lay(q, "text/plain", "body")
+	head, body, err = http1.ReadResponseHead(bufio.NewReader(strings.NewReader(text)), "GET")
+	c.Assert(err, qt.IsNil)
+	c.Assert(judge((&call{unsent: true}).answerTraits(head, body)), qt.Equals, pass)
+}
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -54,7 +54,7 @@
 
 // answer passes on what a server answers. It returns nil where the client has it whole.
 func (r *relay) answer(c *call, head *http1.Response, body *http1.Body) *failure {
-	t := answerTraits(head, body)
+	t := c.answerTraits(head, body)
 	v := judge(t)
 	switch {
 	case v == pass && t.status/100 == 2 && r.isStream(head):
--- a/internal/front/split.go
+++ b/internal/front/split.go
@@ -63,7 +63,7 @@
 
 func (c *call) takeTicket(head *http1.Response, body *http1.Body) *failure {
 	d := c.delivery
-	v := judge(answerTraits(head, body))
+	v := judge(c.answerTraits(head, body))
 	kept, rest, err := keep(c, head, body)
 	if err == nil && !rest {
 		c.whole()
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -39,7 +39,7 @@
 			return f
 		}
 		if body.Whole() {
-			return r.endStream(c, head)
+			return r.endStream(c, head, body)
 		}
 		if err == nil && body.Ready() && len(r.events.rest()) <= largestEvent {
 			continue
@@ -105,16 +105,19 @@
 }
 
 // endStream ends the answer, as its server did.
-func (r *relay) endStream(c *call, head *http1.Response) *failure {
+func (r *relay) endStream(c *call, head *http1.Response, body *http1.Body) *failure {
 	c.whole()
-	if r.begin(c, head) != nil {
-		return r.clientGone(c)
-	}
 	if rest := r.events.rest(); len(rest) > 0 {
+		if endsWithConnection(head, body) { // an event in two pieces shows that its server broke off
+			return c.brokenOff()
+		}
 		if f := r.forwardOne(c, head, rest); f != nil {
 			return f
 		}
 	}
+	if r.begin(c, head) != nil {
+		return r.clientGone(c)
+	}
 	r.finish(r.close(r.out) && r.goesOn)
 	return nil
 }
--- a/internal/front/verdict.go
+++ b/internal/front/verdict.go
@@ -47,7 +47,7 @@
 	notRun  bool // it carries Cresshub-Not-Run
 	stamped bool // it carries Cresshub-Server-Stamp
 	encoded bool // it carries Content-Encoding, so the body is not the server's
-	endless bool // only the end of the connection tells its length, so a cut one looks whole
+	unsure  bool // the end of the connection is its end, and a reset would not be told from it
 }
 
 func judge(t traits) verdict {
@@ -58,7 +58,7 @@
 		return pass // another server would say the same of this request
 	case t.notRun:
 		return rejected
-	case t.encoded, t.endless:
+	case t.encoded, t.unsure:
 		return unusable
 	case t.status/100 == 2 && !t.stamped:
 		return unusable
@@ -76,10 +76,16 @@
 	unusable: pairing.Broken,
 }
 
-func answerTraits(head *http1.Response, body *http1.Body) traits {
+func (c *call) answerTraits(head *http1.Response, body *http1.Body) traits {
 	return traits{
 		status: head.Status, notRun: head.Header.Get(notRunHeader) != "",
 		stamped: head.Header.Get(stampHeader) != "", encoded: head.Header.Get("Content-Encoding") != "",
-		endless: body.Length() < 0 && head.Header.Get("Transfer-Encoding") == "" && !body.Whole(),
+		unsure: c.unsent && endsWithConnection(head, body),
 	}
 }
+
+// endsWithConnection tells whether only the end of the connection ends the body. An orderly end completes
+// it, a reset does not.
+func endsWithConnection(head *http1.Response, body *http1.Body) bool {
+	return body.Length() < 0 && head.Header.Get("Transfer-Encoding") == ""
+}
