Front: no connection carries two calls of the same request

Cause: found by reading. A writer that couldn't fetch the prompt's memory may be called again for the same request, on the connection that was kept. If it sends its rejection twice, the second one came in the place of the second call's answer, with the right id: the request then counted as not run while it ran, so that it was refused (503) or sent elsewhere. Ids don't help, as both calls bear the same one. Ruled out: other roles and rejections, whose servers are never drawn again for the request.

Change: a connection remembers the number of the last request that it carried, and the pool closes it rather than lend it to that request once more. No other call opens a connection more than before.

Test: TestSurplusRejectionIsNotTheNextOnes; without the comparison in connection.suits the client got 503 for a request that had run.

--- a/internal/front/connect.go
+++ b/internal/front/connect.go
@@ -58,7 +58,8 @@
 
 func (c *call) want() want {
 	q := c.delivery.request
-	w := want{server: c.choice.Server, idle: idleMost, most: c.delivery.front.connectionShare(q.service)}
+	w := want{server: c.choice.Server, idle: idleMost, most: c.delivery.front.connectionShare(q.service),
+		request: c.delivery.number}
 	if !q.route.Idempotent() {
 		w.idle = idleUnsafe
 	}
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -33,6 +33,7 @@
 	front   *Front
 	client  *client
 	request *request
+	number  uint64 // of the request in this process
 	relay   relay
 
 	attempts    attempts
@@ -48,7 +49,7 @@
 }
 
 func newDelivery(c *client, q *request) *delivery {
-	d := &delivery{front: c.front, client: c, request: q}
+	d := &delivery{front: c.front, client: c, request: q, number: c.front.deliveries.Add(1)}
 	d.attempts.most = q.route.MaxTries
 	d.relay = newRelay(c, q)
 	return d
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -54,6 +54,8 @@
 	tickets *ticketReturner
 	stats   counters
 
+	deliveries atomic.Uint64 // how many requests were taken to servers
+
 	readTimes *readTimes
 
 	mu       sync.Mutex
--- a/internal/front/pool.go
+++ b/internal/front/pool.go
@@ -32,7 +32,8 @@
 type connection struct {
 	*socket
 	server  string
-	reused  bool // it has carried a request before
+	reused  bool   // it has carried a request before
+	request uint64 // number of the last request that it carried, 0 for one of the proxy's own
 	since   time.Time
 	expires time.Time
 }
@@ -63,6 +64,9 @@
 	server *catalog.Server
 	most   int           // connections that this proxy may have to the server, 0 where there is no bound
 	idle   time.Duration // the longest that the connection may have been idle
+	// request is the number of the client's request, 0 for one of the proxy's own. The connection must not have
+	// carried it before: a server that answers twice would answer the second call with the first one's answer.
+	request uint64
 }
 
 // take returns a connection that is quiet: the one used last, or else a new one, which ctx bounds.
@@ -75,8 +79,8 @@
 		if c == nil {
 			return p.dial(ctx, w)
 		}
-		if c.server == w.server.ID && c.fresh(w, time.Now()) && c.quiet() {
-			c.reused = true
+		if c.suits(w) && c.quiet() {
+			c.reused, c.request = true, w.request
 			p.stats.reused.Add(1)
 			return c, nil
 		}
@@ -84,6 +88,12 @@
 	}
 }
 
+// suits tells whether an idle connection may carry the call.
+func (c *connection) suits(w want) bool {
+	again := w.request != 0 && c.request == w.request
+	return c.server == w.server.ID && !again && c.fresh(w, time.Now())
+}
+
 // fresh tells whether an idle connection may carry the call, as far as its age tells.
 func (c *connection) fresh(w want, now time.Time) bool {
 	return now.Before(c.expires) && now.Sub(c.since) <= w.idle
@@ -148,7 +158,7 @@
 		return nil, err
 	}
 	p.stats.dialled.Add(1)
-	return &connection{socket: socket, server: w.server.ID}, nil
+	return &connection{socket: socket, server: w.server.ID, request: w.request}, nil
 }
 
 // keep takes a connection back for the next call; alive is how long the server keeps it.
--- a/internal/front/split_test.go
+++ b/internal/front/split_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"strings"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -207,3 +209,38 @@
 		r.Assert(r.chooser.outcomes(), qt.DeepEquals, []pairing.Outcome{pairing.Served, pairing.Abandoned})
 	})
 }
+
+// twice answers each request as h does, and right before each answer but the first on a connection it sends
+// the one before once more.
+func twice(h handler) handler {
+	var mu sync.Mutex
+	before := map[io.Writer]string{}
+	return func(q *http1.Request, w io.Writer) bool {
+		var text strings.Builder
+		goesOn := h(q, &text)
+		mu.Lock()
+		surplus := before[w]
+		before[w] = text.String()
+		mu.Unlock()
+		io.WriteString(w, surplus+text.String())
+		return goesOn
+	}
+}
+
+// A server that says late once more that it can't fetch the memory doesn't say so of the next call, which
+// runs: else the request would run twice or be refused though it has run.
+func TestSurplusRejectionIsNotTheNextOnes(t *testing.T) {
+	lapsed := status(503, "Cresshub-Not-Run: 1", "Cresshub-Server-Load: 1,0,8")
+	reader := newServer(t, "i-r", "language", catalog.Reading, readsPrompt("h"))
+	var writers []*server
+	for _, id := range []string{"i-w1", "i-w2"} {
+		writers = append(writers, newServer(t, id, "language", catalog.Writing,
+			twice(inTurn(lapsed, events(1, 2, true)))))
+	}
+	r := newRig(t, nil, append(writers, reader)...)
+	answer := r.dial().ask("POST", "/modelfirm/", "a", "prompt")
+	r.Assert(answer.Status, qt.Equals, 200)
+	r.Assert(string(answer.Body), qt.Equals, pieces(1, 2))
+	r.Assert(writers[0].got(), qt.HasLen, 2) // the second one ran
+	r.Assert(writers[1].got(), qt.HasLen, 0)
+}
