--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -131,26 +131,13 @@
 	}
 	d := newDelivery(c, q)
 	c.setDelivery(d)
-	w := c.watch(d)
+	w := watch(c.socket, func() { d.stop(clientLeft) })
 	d.run()
 	w.stop()
 	c.setDelivery(nil)
 	return d.goesOn
 }
 
-func (c *client) watch(d *delivery) stopper {
-	if c.socket.holdsInput() { // the next request is there already: the client has not left
-		return unwatched{}
-	}
-	return watch(c.socket, func() { d.stop(clientLeft) })
-}
-
-type stopper interface{ stop() }
-
-type unwatched struct{}
-
-func (unwatched) stop() {}
-
 func (c *client) setDelivery(d *delivery) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync"
 	"testing"
@@ -47,6 +48,43 @@
 	}
 }
 
+// A client that has sent more than one request and leaves is missed as soon as any other.
+// Unseen, its call would end as a silent one.
+func TestClientThatLeavesBehindItsNextRequest(t *testing.T) {
+	const next = "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: b\r\n"
+	for _, route := range []string{"safe", "unsafe", "stream", "firm"} {
+		for _, reset := range []bool{false, true} {
+			for _, later := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, reset %t, later %t", route, reset, later), func(t *testing.T) {
+					t.Parallel()
+					gone := make(chan string, 9)
+					s := newServer(t, "i-1", "lookup", "", silence(gone))
+					r := newRig(t, nil, s)
+					p := r.dial()
+					first := fmt.Sprintf("POST /%s/ HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: a\r\n%s", route, length(""))
+					if later {
+						io.WriteString(p, first)
+						r.until("it came", func() bool { return len(s.got()) == 1 })
+						io.WriteString(p, next)
+					} else {
+						io.WriteString(p, first+next)
+						r.until("it came", func() bool { return len(s.got()) == 1 })
+					}
+					if reset {
+						p.Conn.(*net.TCPConn).SetLinger(0)
+					}
+					p.Close()
+					r.Assert(<-gone, qt.Equals, "a")
+					r.settled()
+					r.Assert(r.chooser.outcomes(), qt.DeepEquals, []pairing.Outcome{pairing.Abandoned})
+					r.until("the client is gone", func() bool { return len(r.front.all()) == 0 })
+					r.Assert(s.got(), qt.HasLen, 1)
+				})
+			}
+		}
+	}
+}
+
 func TestDrainAnswersWhatWasRead(t *testing.T) {
 	goOn := make(chan bool)
 	s := newServer(t, "i-1", "lookup", "", func(q *http1.Request, w io.Writer) bool {
