Front: bodies that a server does not read at once cost neither the request nor the next one

Cause: measured. The system ends a connection whose bytes stay unacknowledged for 0.8 s (TCP_USER_TIMEOUT), and it counts as such a server's closed window too: a server that had not read 200 kB of a request after 1.03 s cost the client a 502, was told to the fleet as dead, and a request that was sent on the connection of an early answer got 502 with it. An answer that came while 7 MB were being sent was not looked at before the end of the request (504 after 4.9 s). Ruled out: other bytes where the rest of a body is due; a connection whose request was not sent whole was never kept.

Change (upload.go): bodies from 32 kB on may wait unread as long as their request lasts; while they are sent, bytes of an answer leave the rest 200 ms; a connection whose server has bytes of a body still to take, or has answered it with no success, carries nothing more; closing it resets it. Small requests find dead machines within 0.8 s as before.

Tests: TestAnswerBeforeTheBodyIsRead, TestServerThatDoesNotReadIsSilent, TestClientLeavesAServerThatDoesNotRead, TestSmallRequestsFindDeadMachinesSoon.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -127,11 +127,7 @@
 func (c *call) send() *failure {
 	c.conn.sent = 0
 	c.conn.SetWriteDeadline(c.delivery.request.end)
-	message, out := c.message(), c.conn.writer()
-	err := message.Write(out)
-	if err == nil {
-		err = out.Flush()
-	}
+	err := c.write(c.message())
 	switch {
 	case err == nil:
 		return nil
@@ -192,7 +188,7 @@
 	if load, ok := parseLoad(head.Header.Get(loadHeader)); ok {
 		c.delivery.front.decider.told(c.choice.Server.ID, load)
 	}
-	if !c.spoilt {
+	if !c.spoilt && !c.restUnread(head) {
 		c.alive = idleTime(head)
 	}
 }
--- a/internal/front/pool.go
+++ b/internal/front/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/catalog"
@@ -32,8 +33,9 @@
 type connection struct {
 	*socket
 	server  string
-	reused  bool   // it has carried a request before
-	request uint64 // number of the last request that it carried, 0 for one of the proxy's own
+	reused  bool        // it has carried a request before
+	request uint64      // number of the last request that it carried, 0 for one of the proxy's own
+	large   atomic.Bool // its last request has a large body
 	since   time.Time
 	expires time.Time
 }
--- a/internal/front/servers_test.go
+++ b/internal/front/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -32,7 +33,11 @@
 
 // listen gives each connection a goroutine until the test ends.
 func (s *server) listen(t testing.TB, serve func(net.Conn)) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s.listenWith(t, net.ListenConfig{}, serve)
+}
+
+func (s *server) listenWith(t testing.TB, how net.ListenConfig, serve func(net.Conn)) {
+	listener, err := how.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/front/upload_test.go
@@ -0,0 +1,158 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"cresshub/internal/catalog"
+	"cresshub/internal/http1"
+	"cresshub/internal/nodesettings"
+	"cresshub/internal/pairing"
+)
+
+// upload is larger than what the systems on both sides hold of it.
+const upload = 7 << 20
+
+func allowUploads(settings *nodesettings.Settings, state *fakeState) {
+	settings.MemoryBytes = 64 << 20 * bodiesPart
+	state.config.Limits.BodyBytes = upload
+}
+
+// narrow starts a server whose system holds little of what its process does not read.
+func narrow(t *testing.T, id string, serve func(net.Conn)) *server {
+	s := &server{Server: &catalog.Server{ID: id, Service: "lookup", State: catalog.Ready}}
+	small := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10)
+		})
+	}}
+	s.listenWith(t, small, serve)
+	return s
+}
+
+// A server that answers before it has read a long body, and reads on later: the client has its answer, and
+// the server finds nothing but that body where the rest of it is due. What follows takes another connection.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	for _, answer := range []struct {
+		status int
+		answer handler
+	}{{200, ok("done")}, {500, failure500}, {400, status(400, "Cresshub-Not-Run: 1")}} {
+		for _, size := range []int{100_000, upload} {
+			t.Run(fmt.Sprint(answer.status, " ", size), func(t *testing.T) {
+				t.Parallel()
+				readOn, rest := make(chan bool), make(chan []byte, 1)
+				release := sync.OnceFunc(func() { close(readOn) })
+				defer release()
+				s := narrow(t, "i-1", func(conn net.Conn) {
+					in := bufio.NewReader(conn)
+					q, body, err := http1.ReadRequestHead(in)
+					if err != nil {
+						return
+					}
+					answer.answer(q, conn)
+					if body.Length() == int64(size) {
+						<-readOn
+						all, _ := io.ReadAll(in)
+						rest <- all
+					}
+				})
+				r := newRig(t, allowUploads, s)
+				p := r.dial()
+				status := p.ask("POST", "/unsafe/", "a", strings.Repeat("x", size)).Status
+				r.Assert(status, qt.Equals, answer.status)
+				r.Assert(p.ask("POST", "/unsafe/", "b", "").Status, qt.Equals, status)
+				release()
+				got := <-rest
+				r.Assert(strings.Trim(string(got), "x"), qt.Equals, "")
+				r.Assert(len(got) <= size, qt.IsTrue)
+				r.settled()
+			})
+		}
+	}
+}
+
+// A process that does not read is silent, and not a machine that is dead: its request has all its time.
+func TestServerThatDoesNotReadIsSilent(t *testing.T) {
+	t.Parallel()
+	s := narrow(t, "i-1", func(conn net.Conn) {
+		q, body, err := http1.ReadRequestHead(bufio.NewReader(conn))
+		if err == nil && body.Length() > 0 {
+			awaitHangUp(qt.New(t), conn, patience)
+		} else if err == nil {
+			ok("x")(q, conn)
+		}
+	})
+	r := newRig(t, allowUploads, s)
+	p := r.dial()
+	answer := p.ask("POST", "/unsafe/", "a", strings.Repeat("x", 200_000), "Cresshub-Deadline-Ms: 2000")
+	r.Assert(answer.Status, qt.Equals, 504)
+	r.settled()
+	r.Assert(r.chooser.outcomes(), qt.DeepEquals, []pairing.Outcome{pairing.Silent})
+	r.Assert(r.state.suspected, qt.HasLen, 0)
+}
+
+// A server that does not read sees at once that its client has left.
+func TestClientLeavesAServerThatDoesNotRead(t *testing.T) {
+	t.Parallel()
+	came, gone := make(chan bool), make(chan bool)
+	s := narrow(t, "i-1", func(conn net.Conn) {
+		if _, _, err := http1.ReadRequestHead(bufio.NewReader(conn)); err == nil {
+			close(came)
+			awaitHangUp(qt.New(t), conn, patience/5) // without a reset it takes 15 s
+			close(gone)
+		}
+	})
+	r := newRig(t, allowUploads, s)
+	p := r.dial()
+	p.send("POST", "/safe/", "a", strings.Repeat("x", 200_000))
+	<-came
+	p.Close()
+	<-gone
+	r.settled()
+	r.Assert(r.chooser.outcomes(), qt.DeepEquals, []pairing.Outcome{pairing.Abandoned})
+}
+
+// awaitHangUp waits until the other side has ended the connection, of which nothing is read.
+func awaitHangUp(c *qt.C, conn net.Conn, within time.Duration) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	c.Check(err, qt.IsNil)
+	c.Check(raw.Control(func(fd uintptr) {
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(events, int(within.Milliseconds()))
+		c.Check(n, qt.Equals, 1, qt.Commentf("%v", err))
+	}), qt.IsNil)
+}
+
+func TestSmallRequestsFindDeadMachinesSoon(t *testing.T) {
+	c := qt.New(t)
+	p, w, _ := poolOf(t, 9)
+	conn, err := p.take(context.Background(), w)
+	c.Assert(err, qt.IsNil)
+	defer p.drop(conn)
+	c.Assert(userTimeout(c, conn), qt.Equals, serverTimeout)
+	conn.allowUnread(true, 20*serverTimeout)
+	c.Assert(userTimeout(c, conn), qt.Equals, 20*serverTimeout)
+	conn.allowUnread(false, 20*serverTimeout)
+	c.Assert(userTimeout(c, conn), qt.Equals, serverTimeout)
+}
+
+func userTimeout(c *qt.C, conn *connection) (timeout time.Duration) {
+	err := conn.raw.Control(func(fd uintptr) {
+		ms, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		c.Check(err, qt.IsNil)
+		timeout = time.Duration(ms) * time.Millisecond
+	})
+	c.Assert(err, qt.IsNil)
+	return timeout
+}
