Front: silence ends no stream that nobody else can go on with; cuts and slow clients end in time

Cause: found by reading. (1) A stream with a piece that bears no id can't be taken up, but its server was given up after a second of silence all the same, and the client was cut. (2) An HTTP/1.0 client whose next request was there already saw an orderly end of a stream that was cut, since what it had sent was read first (linger): to it a part looked whole.

Tests: TestSilenceEndsOnlyWhatIsTakenUp, TestOldClientSeesThatItsStreamWasCut (with a second request now), TestNothingIsHeldPastTheRoutesTimeout. Each seen to fail without its change; the last one also without the route's timeout.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -16,8 +16,11 @@
 	// whole: closing at once would reset the connection, and the answer with it.
 	lingerTime  = 250 * time.Millisecond
 	lingerBytes = 256 << 10
-	// writeTime is how long a client may take to let an answer in, beyond the request's own end.
+	// writeTime is how long a client may take to let an answer in that belongs to no request.
 	writeTime = time.Second
+	// lastWrite is how long it may take beyond its request's end: the operators want nothing held a quarter of a
+	// second past the route's timeout.
+	lastWrite = 200 * time.Millisecond
 )
 
 // client is a client's connection. One goroutine serves it.
@@ -27,6 +30,7 @@
 	held   int // bytes of the present body that were taken from the budget
 
 	lingers bool // the answer to a request that was not read whole has been sent
+	cut     bool // the last answer was cut off, so that nothing may look like its end
 
 	mu       sync.Mutex
 	idle     bool
@@ -40,7 +44,7 @@
 	for c.awaitRequest() && c.serve() {
 		c.socket.rest()
 	}
-	if c.lingers || c.socket.holdsInput() || c.socket.look() == bytesThere {
+	if !c.cut && (c.lingers || c.socket.holdsInput() || c.socket.look() == bytesThere) {
 		c.linger()
 	}
 	c.socket.release()
@@ -122,7 +126,7 @@
 
 // answer answers a request that was read whole.
 func (c *client) answer(q *request) bool {
-	c.socket.SetWriteDeadline(q.end.Add(writeTime))
+	c.socket.SetWriteDeadline(q.writeUntil())
 	switch {
 	case q.config == nil:
 		return c.refuse(q, errNoConfig)
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -223,6 +223,7 @@
 // cut makes sure that an answer that is not whole does not look so: where only the end of the connection
 // ends it, the connection is reset.
 func (d *delivery) cut() {
+	d.client.cut = true
 	if conn, ok := d.client.socket.Conn.(*net.TCPConn); ok && d.request.Old {
 		conn.SetLinger(0)
 	}
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -55,6 +55,9 @@
 	return q
 }
 
+// writeUntil is when the client must have let its answer in.
+func (q *request) writeUntil() time.Time { return q.end.Add(lastWrite) }
+
 // maxHeld is how long a request is held that names no deadline and has no route.
 const maxHeld = time.Minute
 
--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -85,3 +85,25 @@
 		c.Assert(idleTime(&http1.Response{Header: test.header, Close: test.close}), qt.Equals, test.want)
 	}
 }
+
+// A request ends, and its client has let its answer in, no later than a quarter of a second past the route's
+// timeout, whatever the client would wait.
+func TestNothingIsHeldPastTheRoutesTimeout(t *testing.T) {
+	c := qt.New(t)
+	config, err := fleetconfig.Parse([]byte(testConfig(testLimits)))
+	c.Assert(err, qt.IsNil)
+	arrived := time.Now()
+	for _, timeout := range []time.Duration{time.Millisecond, 300 * time.Millisecond, 5 * time.Second, time.Hour} {
+		for _, deadline := range []string{"", "0", "250", "60000", "90000", "-1", "x"} {
+			config.Match("h", "/safe/").Timeout = timeout
+			head := &http1.Request{Target: "/safe/", Header: http1.Header{{Name: "Host", Value: "h"},
+				{Name: deadlineHeader, Value: deadline}}}
+			q := newRequest(head, arrived, config)
+			c.Check(q.end.Sub(arrived) <= timeout, qt.IsTrue)
+			c.Check(q.writeUntil().Sub(arrived) < timeout+250*time.Millisecond, qt.IsTrue)
+			if ms := wholeNumber(deadline); ms > 0 {
+				c.Check(q.end.Sub(arrived) <= time.Duration(ms)*time.Millisecond, qt.IsTrue)
+			}
+		}
+	}
+}
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -141,7 +141,7 @@
 	if !r.begun {
 		return c.silentUntil()
 	}
-	if !r.replaceable {
+	if !r.replaceable || !r.mayGoOn() { // silence alone ends nothing
 		return d.request.end
 	}
 	return earlier(d.request.end, time.Now().Add(streamPatience(d.request.route.GapTarget)))
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -6,9 +6,11 @@
 	"strconv"
 	"syscall"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"cresshub/internal/fleetconfig"
 	"cresshub/internal/http1"
 	"cresshub/internal/pairing"
 )
@@ -240,25 +242,45 @@
 	r.Assert(r.dial().ask("POST", "/firm/", "a", "").Status, qt.Equals, 502)
 }
 
-// What only the end of the connection ends is reset where it is not whole.
+// What only the end of the connection ends is reset where it is not whole, also where the next request of the
+// client is there.
 func TestOldClientSeesThatItsStreamWasCut(t *testing.T) {
-	next := make(chan bool)
-	s := newServer(t, "i-1", "lookup", "", func(q *http1.Request, w io.Writer) bool {
-		io.WriteString(w, streamHead(q, "s")+chunk(event(1)))
-		<-next
-		return false
-	})
-	r := newRig(t, nil, s)
-	p := r.dial()
-	io.WriteString(p, "GET /firm/ HTTP/1.0\r\nHost: h\r\nCresshub-Try-Id: b\r\n\r\n")
-	_, body, err := http1.ReadResponseHead(p.in, "GET")
-	r.Assert(err, qt.IsNil)
-	got := make([]byte, len(event(1)))
-	_, err = io.ReadFull(body, got)
-	r.Assert(err, qt.IsNil)
-	close(next)
-	_, err = body.Read(got)
-	r.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	const request = "GET /firm/ HTTP/1.0\r\nHost: h\r\nCresshub-Try-Id: b\r\n\r\n"
+	for _, sent := range []string{request, request + request} {
+		next := make(chan bool)
+		s := newServer(t, "i-1", "lookup", "", func(q *http1.Request, w io.Writer) bool {
+			io.WriteString(w, streamHead(q, "s")+chunk(event(1)))
+			<-next
+			return false
+		})
+		r := newRig(t, nil, s)
+		p := r.dial()
+		io.WriteString(p, sent)
+		_, body, err := http1.ReadResponseHead(p.in, "GET")
+		r.Assert(err, qt.IsNil)
+		got := make([]byte, len(event(1)))
+		_, err = io.ReadFull(body, got)
+		r.Assert(err, qt.IsNil)
+		close(next)
+		_, err = body.Read(got)
+		r.Assert(err, qt.ErrorIs, syscall.ECONNRESET)
+	}
+}
+
+// A silent server gives no reason to end a stream that no other server could go on with.
+func TestSilenceEndsOnlyWhatIsTakenUp(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	q := &request{end: now.Add(time.Minute), route: &fleetconfig.Route{Kind: fleetconfig.Stream}}
+	call := &call{delivery: &delivery{request: q}}
+	r := &relay{request: q, begun: true, replaceable: true, order: order{any: true}}
+	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
+	q.route.Resumable = true
+	c.Assert(r.pauseUntil(call).Before(q.end), qt.IsTrue)
+	r.unnumbered = true
+	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
+	r.unnumbered, r.order.any = false, false
+	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
 }
 
 // The rest of an answer that is no stream is nowhere to be had.
