--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -33,6 +33,7 @@
 	front   *Front
 	client  *client
 	request *request
+	number  uint64 // of the request in this process
 	relay   relay
 
 	attempts    attempts
@@ -48,7 +49,7 @@
 }
 
 func newDelivery(c *client, q *request) *delivery {
-	d := &delivery{front: c.front, client: c, request: q}
+	d := &delivery{front: c.front, client: c, request: q, number: c.front.deliveries.Add(1)}
 	d.attempts.most = q.route.MaxTries
 	d.relay = newRelay(c, q)
 	return d
@@ -222,6 +223,7 @@
 // cut makes sure that an answer that is not whole does not look so: where only the end of the connection
 // ends it, the connection is reset.
 func (d *delivery) cut() {
+	d.client.cut = true
 	if conn, ok := d.client.socket.Conn.(*net.TCPConn); ok && d.request.Old {
 		conn.SetLinger(0)
 	}
