A write is never refused however many others were taken since

Cause: an entry named only the 32 committed ones before it, and a write of longer ago was answered Conflict when it was sent again, though it had been in force. With a longer list the cost was the matter: the whole list went along the chain and into the log with each write.

A new write names only its predecessor; a replica that holds it extends its own history, and one that doesn't asks for the body, which brings the whole. A version below all that a cut history names gets Unavailable in place of Conflict. An older release refuses the new record with its usual error; messages keep their form, and an older receiver reads a new write with a history of one.

--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -35,6 +35,8 @@
 	CommitRecordAfter time.Duration // the committed sequence is persisted by itself
 	// QueueLimit bounds how many requests wait at a node.
 	QueueLimit int
+	// HistoryLength bounds how many earlier entries an entry names; all nodes have the same.
+	HistoryLength int
 }
 
 // withDefaults fills in what is not set.
@@ -58,6 +60,9 @@
 	if c.QueueLimit == 0 {
 		c.QueueLimit = 256
 	}
+	if c.HistoryLength == 0 {
+		c.HistoryLength = defaultHistoryLength
+	}
 	if c.TargetMembers == 0 {
 		c.TargetMembers = 3
 	}
--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -1,5 +1,7 @@
 package chain
 
+import "crypto/sha256"
+
 // durable is what a node keeps on its disk.
 type durable struct {
 	id MemberID
@@ -37,7 +39,7 @@
 		data.ballot(s.acceptor.promised)
 		data.ballot(s.acceptor.accepted)
 		data.view(&s.acceptor.acceptedValue)
-	case recordEntry:
+	case recordEntry, recordSuccessor:
 		data.number(s.held.Epoch)
 		data.number(s.held.Sequence)
 		data.signed(s.held.Version)
@@ -53,7 +55,7 @@
 }
 
 // apply reads one record.
-func (s *durable) apply(record []byte) error {
+func (s *durable) apply(record []byte, historyLength int) error {
 	if len(record) == 0 {
 		return &BadRecord{Reason: "it is empty"}
 	}
@@ -68,9 +70,10 @@
 	case recordAcceptor:
 		s.acceptor = acceptorState{data.ballot(), data.ballot(), data.view()}
 	case recordEntry:
-		entry := Entry{Epoch: data.number(), Sequence: data.number(), Version: data.signed()}
-		entry.Body = data.data
-		s.held = hold(entry, nil) // the record of its history follows
+		s.held = hold(data.entry(), nil) // the record of its history follows
+	case recordSuccessor:
+		entry := data.entry()
+		s.held = s.held.successor(entry, sha256.Sum256(entry.Body), historyLength)
 	case recordPosition:
 		s.held.Epoch = data.number()
 		s.committedSequence = data.number()
--- a/internal/chain/head.go
+++ b/internal/chain/head.go
@@ -159,7 +159,7 @@
 	h.pending, h.sentAt = true, n.now
 	h.waiters = append(h.waiters, r)
 	next := Entry{n.state.view.Epoch, n.state.held.Sequence + 1, r.proposal.Version, r.proposal.Body}
-	n.replaceHeld(heldEntry{next, r.digest, n.state.held.successorHistory()})
+	n.extendHeld(next, r.digest)
 	n.passWrite(r.from, r.id)
 }
 
@@ -199,15 +199,18 @@
 }
 
 // judge decides on a write by the committed entry and its history: one that was in force is not refused,
-// also where a later one has replaced it.
+// also where a later one has replaced it. One that the history may have forgotten gets no clear answer.
 func (n *Node) judge(r request) {
+	held := &n.state.held
 	switch {
-	case n.state.held.includes(r.proposal.Version, r.digest):
+	case held.includes(r.proposal.Version, r.digest):
 		n.answer(r, Applied)
-	case n.state.held.Version != r.proposal.Expected:
-		n.answer(r, Conflict)
-	default:
+	case held.Version == r.proposal.Expected:
 		n.startWrite(r)
+	case held.mayHaveForgotten(r.proposal.Version):
+		n.answer(r, Unavailable)
+	default:
+		n.answer(r, Conflict)
 	}
 }
 
--- a/internal/chain/message.go
+++ b/internal/chain/message.go
@@ -26,8 +26,9 @@
 	Nack
 	// Seal asks replicas that the current epoch is not open at never to open it.
 	Seal
-	// Append passes an entry along the chain: Sequence, Version, Digest, Resend, View (the current one) if
-	// Resend is set, Body and History if HasBody. A new write carries where it came in: Origin and Request.
+	// Append passes an entry along the chain: Sequence, Version, Digest, Resend, Body if HasBody. A new write
+	// carries where it came in, Origin and Request, and in History the entry before it alone: who holds that
+	// one has the rest. With Resend it has the current View, and the whole History if HasBody.
 	Append
 	// AskBody asks the predecessor for an entry with its body: Sequence.
 	AskBody
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -61,7 +61,7 @@
 	}
 	n.state.held = hold(Entry{}, nil)
 	for _, record := range records {
-		if err := n.state.apply(record); err != nil {
+		if err := n.state.apply(record, n.config.HistoryLength); err != nil {
 			return nil, Effects{}, err
 		}
 	}
@@ -84,7 +84,7 @@
 // included.
 func (n *Node) SnapshotRecords() [][]byte {
 	var records [][]byte
-	for kind := recordIdentity; kind < recordKinds; kind++ {
+	for kind := recordIdentity; kind < recordSuccessor; kind++ {
 		records = append(records, n.state.encodeRecord(kind))
 	}
 	return records
--- a/internal/chain/record.go
+++ b/internal/chain/record.go
@@ -14,6 +14,8 @@
 	recordEntry
 	recordPosition // what changes of an entry without its body, and the sealed epoch
 	recordHistory  // of the entry; a log of an earlier release has none
+	// recordSuccessor is an entry whose history is that of the entry before it and that entry.
+	recordSuccessor
 	recordKinds
 )
 
@@ -134,3 +136,10 @@
 }
 
 func (d *decoder) ballot() Ballot { return Ballot{d.number(), MemberID(d.text())} }
+
+// entry reads an entry, whose body is the rest of the record.
+func (d *decoder) entry() Entry {
+	entry := Entry{Epoch: d.number(), Sequence: d.number(), Version: d.signed()}
+	entry.Body = d.data
+	return entry
+}
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -34,7 +34,8 @@
 	if held.Epoch == view.Epoch && m.Sequence == held.Sequence {
 		return
 	}
-	if !m.HasBody {
+	extends := held.isPredecessorOf(m)
+	if !m.HasBody || !m.Resend && !extends {
 		n.send(m.From, Message{Kind: AskBody, Sequence: m.Sequence})
 		return
 	}
@@ -42,25 +43,44 @@
 		// The head begins a write only after the one before it is committed.
 		n.setCommitted()
 	}
-	n.replaceHeld(hold(Entry{view.Epoch, m.Sequence, m.Version, m.Body}, m.History))
-	if m.Resend {
-		n.passAgain()
-	} else {
+	next := hold(Entry{view.Epoch, m.Sequence, m.Version, m.Body}, m.History)
+	if extends {
+		n.extendHeld(next.Entry, next.digest)
 		n.passWrite(m.Origin, m.Request)
+		return
+	}
+	n.replaceHeld(next)
+	n.passAgain()
+}
+
+// extendHeld takes the entry that follows the held one, which is committed. Its record doesn't repeat the
+// history; two of them in one step are persisted as a whole.
+func (n *Node) extendHeld(entry Entry, digest Digest) {
+	next := n.state.held.successor(entry, digest, n.config.HistoryLength)
+	if n.changed[recordEntry] || n.changed[recordSuccessor] {
+		n.replaceHeld(next)
+		return
 	}
+	n.state.held = next
+	n.changed[recordSuccessor] = true
 }
 
 // replaceHeld takes another entry in place of the held one.
 func (n *Node) replaceHeld(entry heldEntry) {
 	n.state.held = entry
 	n.changed[recordEntry], n.changed[recordHistory] = true, true
+	n.changed[recordSuccessor] = false
 }
 
 // passWrite sends a new write to the successor; the tail acknowledges it to the head and answers the node
 // where it came in, if that is another.
 func (n *Node) passWrite(origin MemberID, number uint64) {
 	if next := n.state.view.successor(n.state.id); next != "" {
-		m := n.entryMessage(true)
+		m := n.entryMessage()
+		m.HasBody, m.Body = true, n.state.held.Body
+		if past := n.state.held.history; len(past) > 0 {
+			m.History = past[len(past)-1:]
+		}
 		m.Origin, m.Request = origin, number
 		n.send(next, m)
 		return
@@ -88,21 +108,20 @@
 	n.send(n.state.view.head(), Message{Kind: Ack, Sequence: n.state.held.Sequence})
 }
 
-// entryMessage makes the message that passes the held entry on.
-func (n *Node) entryMessage(withBody bool) Message {
+// entryMessage makes the message that names the held entry.
+func (n *Node) entryMessage() Message {
 	held := &n.state.held
-	m := Message{Kind: Append, Sequence: held.Sequence, Version: held.Version,
+	return Message{Kind: Append, Sequence: held.Sequence, Version: held.Version,
 		Digest: slices.Clone(held.digest[:])}
-	if withBody {
-		m.HasBody, m.Body, m.History = true, held.Body, held.history
-	}
-	return m
 }
 
 // sendAgain sends an entry that is no new write; the receiver may not know the epoch's view yet.
 func (n *Node) sendAgain(to MemberID, withBody bool) {
-	m := n.entryMessage(withBody)
+	m := n.entryMessage()
 	m.Resend, m.View = true, n.state.view
+	if withBody {
+		m.HasBody, m.Body, m.History = true, n.state.held.Body, n.state.held.history
+	}
 	n.send(to, m)
 }
 
--- a/internal/chain/request.go
+++ b/internal/chain/request.go
@@ -16,12 +16,13 @@
 const (
 	// Applied says that a write was committed, maybe a while ago, or that a read is answered.
 	Applied Outcome = iota + 1
-	// Conflict says that the register has another version than expected. The write is never in force, and is
-	// none of the last historyLength that were.
+	// Conflict says that the register has another version than expected. The write was never in force and
+	// never will be.
 	Conflict
 	// Invalid says that a proposal's version isn't above the expected one.
 	Invalid
-	// Unavailable gives no answer: a write may be in force now, later or never.
+	// Unavailable gives no answer: a write may be in force now, later or never, or it has a version from
+	// before all that the history names, and may have been in force once.
 	Unavailable
 )
 
--- a/internal/chain/sim_machine_test.go
+++ b/internal/chain/sim_machine_test.go
@@ -45,7 +45,8 @@
 	return Config{
 		Self: Member{m.world.newIdentity(), m.address}, HasDisk: m.hasDisk, FirstStart: m.first,
 		TargetMembers: m.world.members, RequiredCopies: m.world.copies,
-		Random: rand.New(rand.NewSource(m.world.random.Int63())),
+		HistoryLength: m.world.historyLength,
+		Random:        rand.New(rand.NewSource(m.world.random.Int63())),
 	}
 }
 
--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -17,6 +17,8 @@
 	simSeeds         = 200
 	simSeedsVariable = "CHAIN_SIM_SEEDS"
 	simFirstVariable = "CHAIN_SIM_FIRST"
+	// simShortHistory is the history's length in some seeds, so that writes are forgotten.
+	simShortHistory = 4
 	// simTraceLines is how much of a failing seed's trace is told.
 	simTraceLines = 60
 	// simFaults is how long faults come, simRecovery how long the register may take to be back then.
@@ -65,6 +67,9 @@
 	if seed%3 == 0 {
 		w.members, w.copies = 5, 3
 	}
+	if seed%4 == 0 {
+		w.historyLength = simShortHistory
+	}
 	foundWorld(w)
 	s := &nemesis{world: w, until: w.now + simFaults}
 	w.duplicates = 0.05 * float64(w.random.Intn(2))
--- a/internal/chain/sim_world_test.go
+++ b/internal/chain/sim_world_test.go
@@ -57,6 +57,8 @@
 	duplicates float64
 	// members is how many members there shall be, copies how many replicas a write needs.
 	members, copies int
+	// historyLength is how many earlier entries an entry names.
+	historyLength int
 	// growth is how far a machine's log grows before a new segment is begun.
 	growth     int64
 	requests   uint64
@@ -79,7 +81,9 @@
 		machines: map[string]*simMachine{},
 		links:    map[[2]string]*simLink{},
 		growth:   simGrowth,
-		history:  newHistory(),
+
+		historyLength: defaultHistoryLength,
+		history:       newHistory(),
 	}
 }
 
--- a/internal/node/chain_wire.go
+++ b/internal/node/chain_wire.go
@@ -37,16 +37,20 @@
 
 func encodeHistory(history []chain.PastEntry) []peerwire.PastEntry {
 	encoded := make([]peerwire.PastEntry, len(history))
-	for i, past := range history {
-		encoded[i] = peerwire.PastEntry{Version: past.Version, Digest: past.Digest}
+	for i := range history {
+		encoded[i] = peerwire.PastEntry{Version: history[i].Version, Digest: history[i].Digest[:]}
 	}
 	return encoded
 }
 
 func decodeHistory(encoded []peerwire.PastEntry) []chain.PastEntry {
-	var history []chain.PastEntry
-	for _, past := range encoded {
-		history = append(history, chain.PastEntry{Version: past.Version, Digest: past.Digest})
+	if len(encoded) == 0 {
+		return nil
+	}
+	history := make([]chain.PastEntry, len(encoded))
+	for i, past := range encoded {
+		history[i].Version = past.Version
+		copy(history[i].Digest[:], past.Digest)
 	}
 	return history
 }
--- a/internal/node/chain_wire_test.go
+++ b/internal/node/chain_wire_test.go
@@ -33,6 +33,10 @@
 		for i := range v.Len() {
 			fill(v.Index(i), next)
 		}
+	case reflect.Array:
+		for i := range v.Len() {
+			fill(v.Index(i), next)
+		}
 	case reflect.String:
 		v.SetString(string(rune('a' + *next%26)))
 	case reflect.Bool:
