Founding ends also when a disk or the founder is lost on the way

Cause: the first view needs the durable consent of all its members, and a member consents to one view only. If a disk was lost between its consent and the decision the others could neither decide nor turn to another view, and if the founder was lost nobody went on at all. A machine that was started again before the decision took no first view either, since its start was no first one any more.

Change: attempts. A founder without all consents for 3 s tries the next epoch with those who have answered and with new candidates; the view names the attempts before it in the field for unopened epochs, so messages and records keep their form. Consenting members take the founding over after 3 to 6 s. A member that has revoked a view that others did adopt counts as unfit until it hears of the next one. A disk remembers that it was empty at the first start.

Two tests wait 3 s of virtual time first, as their founders ask two members only.

Seen to fail: no next attempt, no taking over, hasRevoked or waitsForFounding false, mayConsent without majorities, without the disk's memory of the first start, no waiting for enough members, dropping silent members at once, not asking again those who have accepted; each by the test of its name in found_test.go, the first two, the memory and the waiting by TestSimulatedFounding too.

--- a/internal/chain/cluster_test.go
+++ b/internal/chain/cluster_test.go
@@ -63,6 +63,9 @@
 	if members == 0 {
 		return l
 	}
+	if members < 3 {
+		l.run(3 * time.Second) // the founder waits for more
+	}
 	l.do("a", func(n *Node) Effects { return n.Found(l.now, list[:members]) })
 	l.run(600 * time.Millisecond)
 	return l
--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -11,7 +11,7 @@
 	Self Member
 	// HasDisk says that this node can be a member; without it nothing is persisted.
 	HasDisk bool
-	// FirstStart lets a node without a view accept the first one of a founder.
+	// FirstStart lets a node without a view accept the first attempt of a founder, also after a restart.
 	FirstStart bool
 	// TargetMembers is how many members there shall be.
 	TargetMembers int
@@ -33,6 +33,7 @@
 	ResendAfter       time.Duration // without an acknowledgement an entry or marker is sent again
 	RequestTimeout    time.Duration // a request is answered Unavailable
 	CommitRecordAfter time.Duration // the committed sequence is persisted by itself
+	RefoundAfter      time.Duration // without all consents the founder tries the first view of fewer members
 	// QueueLimit bounds how many requests wait at a node.
 	QueueLimit int
 	// HistoryLength bounds how many earlier entries an entry names; all nodes have the same.
@@ -57,6 +58,7 @@
 	fill(&c.ResendAfter, 200*time.Millisecond)
 	fill(&c.RequestTimeout, 2*time.Second)
 	fill(&c.CommitRecordAfter, time.Second)
+	fill(&c.RefoundAfter, 3*time.Second)
 	if c.QueueLimit == 0 {
 		c.QueueLimit = 256
 	}
--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -5,7 +5,9 @@
 // durable is what a node keeps on its disk.
 type durable struct {
 	id MemberID
-	// genesis is the first view that this machine has accepted, decided or not.
+	// fromFirstStart says that the disk was empty at the first start of the whole system.
+	fromFirstStart bool
+	// genesis is the latest first view that this machine has accepted, decided or not.
 	genesis View
 	// view is the latest decided view that this node knows.
 	view     View
@@ -31,6 +33,9 @@
 	switch kind {
 	case recordIdentity:
 		data.text(string(s.id))
+		if s.fromFirstStart {
+			data.number(1)
+		}
 	case recordGenesis:
 		data.view(&s.genesis)
 	case recordView:
@@ -63,6 +68,7 @@
 	switch int(record[0]) {
 	case recordIdentity:
 		s.id = MemberID(data.text())
+		s.fromFirstStart = len(data.data) > 0 // a log of an earlier release doesn't tell
 	case recordGenesis:
 		s.genesis = data.view()
 	case recordView:
--- a/internal/chain/message.go
+++ b/internal/chain/message.go
@@ -12,7 +12,7 @@
 	ViewNotice
 	// Genesis asks a machine without a view to accept the first one: Address (of the founder), View.
 	Genesis
-	// GenesisReply tells the first view that a machine has accepted: View.
+	// GenesisReply tells the first view that a machine has accepted last: Address, View.
 	GenesisReply
 	// Prepare opens a ballot for the view behind Epoch: Ballot, View (the current one).
 	Prepare
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -35,6 +35,8 @@
 	forwards  map[uint64]forwarded
 	proposing proposing
 	founding  *founding
+	// takeOverAt is when this node goes on with a founding that it has consented to.
+	takeOverAt time.Duration
 }
 
 // registerState is what is set back when records can't be made durable.
@@ -66,13 +68,14 @@
 		}
 	}
 	if n.state.id == "" {
-		n.state.id = config.Self.ID
+		n.state.id, n.state.fromFirstStart = config.Self.ID, config.FirstStart
 		n.changed[recordIdentity] = true
 	}
 	if n.state.committedSequence == n.state.held.Sequence && n.state.held.Sequence > 0 {
 		n.state.committed, n.state.committedKnown = n.state.held, true
 	}
 	n.saved = n.state
+	n.expectFounder()
 	n.startEpoch()
 	if n.isHead() {
 		n.openEpoch()
@@ -121,7 +124,7 @@
 	n.forgiveOwnPause()
 	n.expireRequests()
 	n.resend()
-	n.resendGenesis()
+	n.driveFounding()
 	n.drivePlan()
 	n.persistIdle()
 	if n.now-n.lastHeartbeat >= n.config.HeartbeatInterval {
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -101,7 +101,7 @@
 		EntryEpoch: n.state.held.Epoch,
 		Open:       n.IsOpenHead(),
 		Leaving:    n.leaving,
-		Stalled:    n.stalled,
+		Stalled:    n.stalled || n.waitsForFounding(),
 		Sealed:     n.state.sealed != 0 && n.state.sealed == n.state.view.Epoch,
 		Sequence:   n.state.committedSequence,
 	}
--- a/internal/chain/receive.go
+++ b/internal/chain/receive.go
@@ -74,7 +74,7 @@
 
 // adopt takes over a decided view if it is newer than the node's own.
 func (n *Node) adopt(view View) {
-	if view.Epoch <= n.state.view.Epoch {
+	if view.Epoch <= n.state.view.Epoch || n.hasRevoked(&view) {
 		return
 	}
 	n.state.view = view
--- a/internal/chain/view.go
+++ b/internal/chain/view.go
@@ -107,12 +107,28 @@
 	return ids
 }
 
-// genesisView returns the first view of members who hold nothing yet.
-func genesisView(members []Member) View {
+// firstView returns a first view of members who hold nothing yet; unopened are the attempts before it.
+func firstView(epoch uint64, members []Member, unopened []PastChain) View {
 	ids := identities(members)
-	return View{Epoch: 1, Members: slices.Clone(members), Chain: ids, Sources: ids}
+	return View{Epoch: epoch, Members: slices.Clone(members), Chain: ids, Sources: ids, Unopened: unopened}
 }
 
+// holdsMajorities tells whether a majority of each unopened chain are members.
+func (v View) holdsMajorities() bool {
+	return !slices.ContainsFunc(v.Unopened, func(past PastChain) bool {
+		kept := 0
+		for _, id := range past.Chain {
+			if v.isMember(id) {
+				kept++
+			}
+		}
+		return kept < len(past.Chain)/2+1
+	})
+}
+
+// sorted returns identities in order.
+func sorted(ids []MemberID) []MemberID { return slices.Sorted(slices.Values(ids)) }
+
 // equal tells whether two views say the same.
 func (v View) equal(other View) bool {
 	return v.Epoch == other.Epoch && slices.Equal(v.Members, other.Members) &&
