Unfinished views are decided, and a copy that is needed is let go only once others hold it

Cause: a view that was accepted and not decided stood until somebody wanted another one. A member that leaves was taken out of the chain as soon as the chain was long enough with newcomers, who hold nothing yet; its place as a member was filled only 1.2 s later, so that a machine that stopped early left two voters of three. A member in the chain could be replaced before a chain without it was open.

Change: an acceptor proposes what it has accepted again after 500 ms. The planner tells leaving from failing disks: a leaving replica stays until as many others as a write needs hold the state, and is replaced as a member at once then; Node.MayStop tells when it isn't needed. A silent replica is replaced only outside the chain. A replica whose disk fails no longer blocks the replacement of others. A member that was never heard is replaced at once if another identity has its address.

Only members that were heard before the pause are forgiven now, and an identity is no candidate if another one of its machine was heard later.

The simulator loses disks while views are under way now; it counts a candidate that such a view names as a member, where it lost none before.

Tests: the planner's cases "leaving" said unfit and now say leaving or failing disk, with the same answers; "candidate replaces a leaving member" wants it at once in place of after 2 s. Seen to fail: no proposing again (TestAcceptedViewIsFinishedThoughNobodyWantsIt); no early silence (TestMemberThatWasNeverHeardIsGoneIfAnotherHasItsAddress); forgiving candidates or the silent ones (TestOwnPauseForgivesOnlyMembers); superseded identities, holders, mayLeave, replicas replaced in the chain, failing ones waited for (cases of TestPlan); each condition of MayStop (TestLeavingMember...).

--- a/internal/chain/acceptor.go
+++ b/internal/chain/acceptor.go
@@ -29,6 +29,7 @@
 	}
 	*acceptor = acceptorState{promised: m.Ballot, accepted: m.Ballot, acceptedValue: m.View}
 	n.changed[recordAcceptor] = true
+	n.proposing.acceptedAt = n.now
 	n.send(m.From, Message{Kind: Accepted, Ballot: m.Ballot})
 }
 
--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -30,6 +30,7 @@
 	SettleAfter       time.Duration // a plan that rests on differing reports is proposed
 	ProposeStagger    time.Duration // between the proposers of the same change
 	ProposeTimeout    time.Duration // for one phase of a proposal
+	FinishAfter       time.Duration // a view that was accepted and not decided is proposed again
 	ResendAfter       time.Duration // without an acknowledgement an entry or marker is sent again
 	RequestTimeout    time.Duration // a request is answered Unavailable
 	CommitRecordAfter time.Duration // the committed sequence is persisted by itself
@@ -55,6 +56,7 @@
 	fill(&c.SettleAfter, 5*c.HeartbeatInterval/2)
 	fill(&c.ProposeStagger, 150*time.Millisecond)
 	fill(&c.ProposeTimeout, 300*time.Millisecond)
+	fill(&c.FinishAfter, 500*time.Millisecond)
 	fill(&c.ResendAfter, 200*time.Millisecond)
 	fill(&c.RequestTimeout, 2*time.Second)
 	fill(&c.CommitRecordAfter, time.Second)
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -133,7 +133,7 @@
 	return n.finish()
 }
 
-// Leave tells the others that this node is about to stop.
+// Leave tells the others that this node is about to stop. It should go on until MayStop, if time allows.
 func (n *Node) Leave(now time.Duration) Effects {
 	n.begin(now)
 	n.leaving = true
@@ -141,6 +141,21 @@
 	return n.finish()
 }
 
+// MayStop tells whether a node that leaves isn't needed any more: the others hold what it holds, and another
+// member has taken its place if there is one to do so.
+func (n *Node) MayStop() bool {
+	view := &n.state.view
+	if !n.leaving || view.Epoch == 0 || n.InChain() {
+		return n.leaving && view.Epoch == 0
+	}
+	head := n.peers[view.head()]
+	if head == nil || !n.heard(head) || !head.heartbeat.Open || head.heartbeat.Epoch != view.Epoch {
+		return false
+	}
+	p := planner{view: view, seen: n.observe(), rules: n.rules()}
+	return !view.isMember(n.state.id) || len(p.candidates()) == 0
+}
+
 // PersistFailed takes the last step back, because its records could not be made durable. Whoever waits for an
 // answer gets Unavailable. The node counts as stalled until a later write works.
 func (n *Node) PersistFailed(now time.Duration) Effects {
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -66,21 +66,31 @@
 	p.heartbeat.EntryEpoch = entryEpoch
 }
 
-// expectMembers enters members that were never heard, as if they had been heard now.
+// expectMembers enters members that were never heard, as if they had been heard now, or before another
+// identity of the same machine was heard first.
 func (n *Node) expectMembers() {
 	for _, member := range n.state.view.Members {
-		if n.peers[member.ID] == nil && member.ID != n.state.id {
-			n.peers[member.ID] = &peer{member: member, lastHeard: n.now, steadySince: n.now}
+		if n.peers[member.ID] != nil || member.ID == n.state.id {
+			continue
 		}
+		heard := n.now
+		for _, known := range n.peers {
+			if known.member.Address == member.Address && known.heartbeat.Kind == Heartbeat {
+				heard = min(heard, known.steadySince)
+			}
+		}
+		n.peers[member.ID] = &peer{member: member, lastHeard: heard, steadySince: heard}
 	}
 }
 
-// forgiveOwnPause lets nobody be suspected for silence while this node itself was stopped.
+// forgiveOwnPause lets no member be suspected for silence while this node itself was stopped, unless it was
+// silent before. A candidate that went away meanwhile must not be taken for one that is there.
 func (n *Node) forgiveOwnPause() {
-	pause := n.now - n.lastTick
+	began := n.lastTick
 	n.lastTick = n.now
 	for id, known := range n.peers {
-		if pause > n.config.SuspectAfter/2 {
+		heardBefore := began-known.lastHeard <= n.config.SuspectAfter
+		if n.now-began > n.config.SuspectAfter/2 && heardBefore && n.state.view.isMember(id) {
 			known.lastHeard = max(known.lastHeard, n.now-n.config.HeartbeatInterval)
 		}
 		if n.now-known.lastHeard > forgetAfter && !n.state.view.isMember(id) {
@@ -191,6 +201,7 @@
 			Silence:    n.now - known.lastHeard,
 			Steady:     known.lastHeard - known.steadySince,
 			Unfit:      known.unfitSince != 0,
+			Leaving:    known.heartbeat.Leaving && !known.heartbeat.Stalled,
 			EntryEpoch: known.heartbeat.EntryEpoch,
 			Sealed:     known.heartbeat.Sealed && known.heartbeat.Epoch == n.state.view.Epoch,
 		}
@@ -205,6 +216,7 @@
 	own := n.heartbeat()
 	seen.Peers[n.state.id] = PeerState{
 		Member: n.Self(), HasDisk: n.config.HasDisk, Steady: n.now - n.started, Unfit: isUnfit(&own),
+		Leaving:    own.Leaving && !own.Stalled,
 		EntryEpoch: own.EntryEpoch, Sealed: own.Sealed, Reports: true, Hears: own.Hears,
 	}
 	return seen
--- a/internal/chain/plan.go
+++ b/internal/chain/plan.go
@@ -20,9 +20,9 @@
 	HasDisk bool
 	// Silence is the time since it was last heard, Steady how long it had been heard without a gap then.
 	Silence, Steady time.Duration
-	// Unfit says that it leaves or that its disk fails, UnfitFor since how long.
-	Unfit    bool
-	UnfitFor time.Duration
+	// Unfit says that it leaves or that its disk fails, UnfitFor since how long; Leaving tells the two apart.
+	Unfit, Leaving bool
+	UnfitFor       time.Duration
 	// EntryEpoch is the epoch in which it last accepted an entry.
 	EntryEpoch uint64
 	// Sealed says that it has promised not to open the current epoch.
@@ -162,7 +162,7 @@
 func (p *planner) candidates() []MemberID {
 	var ids []MemberID
 	for id, known := range p.seen.Peers {
-		if known.HasDisk && !known.Unfit && p.directly(id) && !p.view.isMember(id) {
+		if known.HasDisk && !known.Unfit && p.directly(id) && !p.view.isMember(id) && !p.isSuperseded(known) {
 			ids = append(ids, id)
 		}
 	}
@@ -170,6 +170,17 @@
 	return ids
 }
 
+// isSuperseded tells whether another identity of the same machine was heard later.
+func (p *planner) isSuperseded(known PeerState) bool {
+	for _, other := range p.seen.Peers {
+		sameMachine := other.Member.Address == known.Member.Address && known.Member.Address != ""
+		if sameMachine && other.Member.ID != known.Member.ID && other.Silence < known.Silence {
+			return true
+		}
+	}
+	return false
+}
+
 // replacedBy returns the index of the member whose place a candidate takes: at once the one at its own
 // address, which has not been heard since the candidate is; else the one that is gone for longest.
 func (p *planner) replacedBy(candidate PeerState) (int, bool) {
@@ -189,48 +200,104 @@
 			longest, found, place = gone, true, at
 		}
 	}
-	return place, found
+	if found {
+		return place, true
+	}
+	place = slices.IndexFunc(p.view.Members, func(member Member) bool { return p.mayLeave(member.ID) })
+	return max(place, 0), place >= 0
 }
 
-// goneFor returns how long a member has been silent to all or unfit.
+// goneFor returns how long a member has been silent to all or unfit. A silent one that the chain still names
+// may hold a copy that the others lack: a view without it in the chain comes first.
 func (p *planner) goneFor(id MemberID) time.Duration {
 	known := p.seen.Peers[id]
-	if known.Unfit {
+	if known.Unfit && !known.Leaving {
 		return max(known.UnfitFor, known.Silence)
 	}
-	if p.alive(id) {
+	if p.alive(id) || p.view.inChain(id) {
 		return 0
 	}
 	return known.Silence
 }
 
-// openEverywhere tells whether the epoch is open at each replica that is there: until then a member that is
-// not in the chain may hold the only copy that is left.
+// mayLeave tells whether a member wants to leave and enough others hold what it holds.
+func (p *planner) mayLeave(id MemberID) bool {
+	staying := func(other MemberID) bool {
+		return other != id && p.alive(other) && !p.seen.Peers[other].Unfit
+	}
+	others := slices.DeleteFunc(slices.Clone(p.view.Chain), func(other MemberID) bool { return !staying(other) })
+	enough := p.holders(others) >= copiesNeeded(p.view.Members, p.rules.RequiredCopies)
+	return p.seen.Peers[id].Leaving && (enough || !p.view.inChain(id))
+}
+
+// holders counts those of the chain's replicas that hold every committed entry.
+func (p *planner) holders(replicas []MemberID) int {
+	count := 0
+	for _, id := range replicas {
+		if p.view.inChain(id) && p.isSource(id) {
+			count++
+		}
+	}
+	return count
+}
+
+// openEverywhere tells whether the epoch is open at each replica that is there and can open it: until then a
+// member that is not in the chain may hold the only copy that is left.
 func (p *planner) openEverywhere() bool {
 	for _, id := range p.view.Chain {
-		if p.alive(id) && p.seen.Peers[id].EntryEpoch != p.view.Epoch {
+		known := p.seen.Peers[id]
+		failing := known.Unfit && !known.Leaving
+		if p.alive(id) && !failing && known.EntryEpoch != p.view.Epoch {
 			return false
 		}
 	}
 	return true
 }
 
-// viewOf returns the next view for a set of members: without the unfit ones if enough others are there.
+// viewOf returns the next view for a set of members: without the unfit ones if enough others are there. One
+// that leaves stays until enough others hold what it holds.
 func (p *planner) viewOf(members []Member) (View, bool) {
-	fit := p.bestChain(p.replicas(members, false))
-	if len(fit) >= copiesNeeded(members, p.rules.RequiredCopies) {
+	needed := copiesNeeded(members, p.rules.RequiredCopies)
+	fit := p.bestChain(p.replicas(members, fitOnly))
+	if len(fit) >= needed && (p.holders(fit) >= needed || !p.holderLeaves(members)) {
 		return p.viewWith(members, fit), true
 	}
-	all := p.bestChain(p.replicas(members, true))
+	staying := p.bestChain(p.replicas(members, fitOrLeaving))
+	if len(staying) >= needed {
+		return p.viewWith(members, staying), true
+	}
+	all := p.bestChain(p.replicas(members, fitOrNot))
 	if len(all) >= majority(members) {
 		return p.viewWith(members, all), true
 	}
 	return View{}, false
 }
 
+// holderLeaves tells whether a replica that holds the state wants to leave.
+func (p *planner) holderLeaves(members []Member) bool {
+	return slices.ContainsFunc(p.view.Chain, func(id MemberID) bool {
+		leaving := p.seen.Peers[id].Leaving && p.alive(id)
+		return leaving && p.isSource(id) && slices.Contains(identities(members), id)
+	})
+}
+
+// fitness says which of the old replicas a chain may have.
+type fitness int
+
+const (
+	fitOnly fitness = iota
+	fitOrLeaving
+	fitOrNot
+)
+
+// allows tells whether a replica is fit enough.
+func (f fitness) allows(known PeerState) bool {
+	return !known.Unfit || f == fitOrNot || f == fitOrLeaving && known.Leaving
+}
+
 // replicas returns who may be in the chain: the old replicas in their order, then newcomers. Sources stand
 // before the others, which they do in any chain as long as its epoch isn't sealed.
-func (p *planner) replicas(members []Member, unfit bool) []MemberID {
+func (p *planner) replicas(members []Member, fit fitness) []MemberID {
 	old := p.view.Chain
 	if p.epochSealed() {
 		old = append(slices.Clone(p.view.Sources), old...)
@@ -242,7 +309,7 @@
 		}
 	}
 	for _, id := range old {
-		add(id, p.alive(id) && (unfit || !p.seen.Peers[id].Unfit))
+		add(id, p.alive(id) && fit.allows(p.seen.Peers[id]))
 	}
 	for _, id := range identities(members) {
 		known := p.seen.Peers[id]
--- a/internal/chain/plan_test.go
+++ b/internal/chain/plan_test.go
@@ -27,6 +27,10 @@
 	return func(p *PeerState) { p.Unfit, p.UnfitFor = true, since }
 }
 
+func leaving(since time.Duration) peerOption {
+	return func(p *PeerState) { p.Unfit, p.Leaving, p.UnfitFor = true, true, since }
+}
+
 func steady(since time.Duration) peerOption { return func(p *PeerState) { p.Steady = since } }
 
 func entryOf(epoch uint64) peerOption { return func(p *PeerState) { p.EntryEpoch = epoch } }
@@ -84,9 +88,22 @@
 			nodes(b, silent(time.Second), third, silent(time.Second)), ""},
 		{"back, not steady", planView("a", "b"), nodes(third, steady(200*time.Millisecond)), ""},
 		{"back and steady", planView("a", "b"), nodes(third, entryOf(3)), "[a b c] [a b c] [c]"},
-		{"leaving", planView("a", "b", "c"), nodes(a, unfit(0)), "[a b c] [b c] []"},
-		{"leaving but needed", planView("a", "b"),
+		{"failing disk", planView("a", "b", "c"), nodes(a, unfit(0)), "[a b c] [b c] []"},
+		{"failing disk but needed", planView("a", "b"),
 			nodes(b, unfit(0), third, silent(time.Second)), ""},
+		{"leaving", planView("a", "b", "c"), nodes(a, leaving(0)), "[a b c] [b c] []"},
+		{"leaving but needed", planView("a", "b"),
+			nodes(b, leaving(0), third, silent(time.Second)), ""},
+		{"leaving, and the one that is back holds nothing yet", planView("a", "b"),
+			nodes(b, leaving(0), third, entryOf(3)), "[a b c] [a b c] [c]"},
+		{"leaving, and the one that is back holds the state", fresh(planView("a", "b", "c"), "c"),
+			nodes(b, leaving(0)), "[a b c] [a c] []"},
+		{"leaving with a candidate", planView("a", "b", "c"),
+			nodes(d, entryOf(0), b, leaving(0)), "[a d c] [a c d] [d]"},
+		{"leaving with a candidate, holding a copy that is needed", planView("a", "b"),
+			nodes(d, entryOf(0), b, leaving(0), third, silent(time.Second)), ""},
+		{"leaving, holding a copy that is needed, and another gone", planView("a", "b"),
+			nodes(d, entryOf(0), b, leaving(0), third, silent(2*time.Second)), "[a b d] [a b d] [d]"},
 		{"fresh one stays out of the head's place", fresh(planView("b", "a", "c"), "a", "c"),
 			nodes(a, entryOf(4), third, entryOf(4), b, silent(time.Second)), ""},
 		{"fresh one that is open may be head", fresh(planView("b", "a", "c"), "a", "c"),
@@ -100,7 +117,17 @@
 		{"candidate replaces a silent member", planView("a", "b"),
 			nodes(d, entryOf(0), third, silent(2*time.Second)), "[a b d] [a b d] [d]"},
 		{"candidate replaces a leaving member", planView("a", "b"),
+			nodes(d, entryOf(0), third, leaving(0)), "[a b d] [a b d] [d]"},
+		{"candidate replaces a member whose disk fails", planView("a", "b"),
 			nodes(d, entryOf(0), third, unfit(2*time.Second)), "[a b d] [a b d] [d]"},
+		{"candidate replaces no silent replica before a chain without it", planView("a", "b"),
+			nodes(d, entryOf(0), b, silent(2*time.Second), third, steady(200*time.Millisecond)), ""},
+		{"candidate waits for no replica whose disk fails", fresh(planView("a", "c"), "c"),
+			nodes(d, entryOf(0), b, silent(2*time.Second), third, entryOf(4), third, unfit(0)),
+			"[a d c] [a d] [d]"},
+		{"candidate of before its machine's disk was emptied", planView("a", "b"),
+			nodes(d, entryOf(0), d, silent(time.Millisecond), d, steady(time.Hour), d, at("host-e"),
+				MemberID("e"), entryOf(0), third, silent(2*time.Second)), "[a b e] [a b e] [e]"},
 		{"candidate waits until the epoch is open", fresh(planView("a", "b"), "b"),
 			nodes(d, entryOf(0), b, entryOf(4), third, silent(2*time.Second)), ""},
 		{"candidate replaces its own machine at once", planView("a", "b", "c"),
--- a/internal/chain/proposer.go
+++ b/internal/chain/proposer.go
@@ -33,6 +33,8 @@
 	wantedSince time.Duration
 	// stuckSince is since when no view can follow; 0 if one can.
 	stuckSince time.Duration
+	// acceptedAt is when this node, as an acceptor, accepted a view that it hasn't heard of being decided.
+	acceptedAt time.Duration
 }
 
 // rules returns the planner's settings.
@@ -46,7 +48,9 @@
 	}
 }
 
-// drivePlan asks the planner and proposes what it wants when it is this node's turn.
+// drivePlan asks the planner and proposes what it wants when it is this node's turn. A view that was accepted
+// and not decided is finished also if nobody wants it any more: while it stands, a loss among those whom it
+// names, members yet or not, counts as one of a member's, and only the view behind it can replace them.
 func (n *Node) drivePlan() {
 	if !n.state.view.isMember(n.state.id) {
 		return
@@ -61,12 +65,18 @@
 		p.wantedSince = n.now
 	}
 	p.wanted = wanted
+	rankDelay := time.Duration(n.rank(seen)) * n.config.ProposeStagger
+	unfinished := n.state.acceptor.accepted != (Ballot{}) && n.now >= p.acceptedAt+n.config.FinishAfter+rankDelay
+	if unfinished && p.phase == idle && n.now >= p.notBefore && !n.stalled {
+		n.prepare()
+		return
+	}
 	if !found {
 		n.driveSeal(seen)
 		return
 	}
 	p.stuckSince = 0
-	turn := p.wantedSince + time.Duration(n.rank(seen))*n.config.ProposeStagger
+	turn := p.wantedSince + rankDelay
 	if Disputed(n.state.view, seen, n.rules()) {
 		turn += n.config.SettleAfter
 	}
--- a/internal/chain/sim_nemesis_test.go
+++ b/internal/chain/sim_nemesis_test.go
@@ -125,21 +125,19 @@
 	m.busyUntil = s.world.now + time.Duration(s.world.random.Int63n(int64(3*time.Second)))
 }
 
-// mayLoseDisk tells whether one disk can be lost: the last one that was lost has been replaced, each replica
-// of the latest view has the state, and no other view is under way, which may name a disk that was lost as a
-// candidate's.
+// mayLoseDisk tells whether one disk can be lost: the last one that was lost has been replaced in the latest
+// view and in each one that is under way, and each replica of the latest view has the state.
 func (s *nemesis) mayLoseDisk() bool {
 	disks := map[MemberID]durable{}
 	var latest View
+	var named []MemberID
 	for _, address := range s.world.addresses {
 		m := s.world.machines[address]
 		if m.gone || !m.hasDisk || !m.up() {
 			continue
 		}
 		disks[m.node.state.id] = m.node.saved.durable
-		if m.node.state.acceptor.accepted != (Ballot{}) {
-			return false
-		}
+		named = append(named, identities(m.node.saved.acceptor.acceptedValue.Members)...)
 		if view := m.node.state.view; view.Epoch > latest.Epoch {
 			latest = view
 		}
@@ -147,7 +145,7 @@
 	if len(latest.Chain) < 2 {
 		return false
 	}
-	for _, id := range identities(latest.Members) {
+	for _, id := range append(named, identities(latest.Members)...) {
 		disk, found := disks[id]
 		if !found || latest.inChain(id) && disk.held.Epoch != latest.Epoch {
 			return false
--- a/internal/chain/view_test.go
+++ b/internal/chain/view_test.go
@@ -61,6 +61,36 @@
 	l.mustWrite("a", 1, 2, "two")
 }
 
+// TestLeavingMemberMayStopOnceAnotherHoldsItsState: the one in its place has to copy the state first.
+func TestLeavingMemberMayStopOnceAnotherHoldsItsState(t *testing.T) {
+	l := newCluster(t, 4, 3)
+	l.mustWrite("a", 0, 1, "one")
+	l.run(time.Second)
+	b := l.machines["b"].node
+	l.c.Assert(b.MayStop(), qt.IsFalse)
+	l.drop = loseKind(Append, "d")
+	l.do("b", func(n *Node) Effects { return n.Leave(l.now) })
+	l.run(time.Second)
+	l.mustChain("b", "a", "c", "d")
+	l.c.Assert(b.MayStop(), qt.IsFalse)
+	l.drop = nil
+	l.run(500 * time.Millisecond)
+	l.c.Assert(b.MayStop(), qt.IsTrue)
+	l.c.Assert(string(l.machines["d"].node.state.held.Body), qt.Equals, "one")
+}
+
+// TestLeavingMemberWithoutASuccessorMayStopOutsideTheChain: its vote is missed, its copy isn't.
+func TestLeavingMemberWithoutASuccessorMayStopOutsideTheChain(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	l.mustWrite("a", 0, 1, "one")
+	for _, id := range []MemberID{"b", "c"} {
+		l.do(id, func(n *Node) Effects { return n.Leave(l.now) })
+		l.run(time.Second)
+	}
+	l.c.Assert(l.machines["b"].node.MayStop(), qt.IsTrue)
+	l.c.Assert(l.machines["c"].node.MayStop(), qt.IsFalse) // a would be alone
+}
+
 func TestLeavingReplicaStaysIfItIsNeeded(t *testing.T) {
 	l := newCluster(t, 3, 3)
 	l.machines["c"].down = true
@@ -241,3 +271,81 @@
 	l.c.Assert(l.view("a").Epoch > 2, qt.IsTrue)
 	l.mustChain("a", "b", "a")
 }
+
+// TestAcceptedViewIsFinishedThoughNobodyWantsIt: a view that one acceptor has accepted names a candidate whose
+// disk is lost then. It is decided, the candidate is replaced, and the loss of another disk can be borne.
+func TestAcceptedViewIsFinishedThoughNobodyWantsIt(t *testing.T) {
+	for _, lost := range []MemberID{"a", "b"} {
+		l := newCluster(t, 4, 3)
+		l.mustWrite("a", 0, 1, "one")
+		l.run(time.Second)
+		members := []Member{{"a", "10.0.0.1"}, {"b", "10.0.0.2"}, {"d", "10.0.0.4"}}
+		chosen := View{Epoch: 2, Members: members, Chain: []MemberID{"a", "b", "d"}, Fresh: []MemberID{"d"},
+			Sources: []MemberID{"a", "b"}}
+		l.do("b", func(n *Node) Effects {
+			return n.Receive(l.now, Message{Kind: Accept, From: "a", Epoch: 1, Ballot: Ballot{1, "a"}, View: chosen})
+		})
+		l.machines["d"].down = true
+		l.start("x", "10.0.0.4", false, 3)
+		l.machines["x"].node.SetContacts([]Member{{"a", "10.0.0.1"}, {"c", "10.0.0.3"}})
+		l.run(3 * time.Second)
+		l.c.Assert(l.view("c").Epoch > 2, qt.IsTrue)
+		l.c.Assert(l.view("c").isMember("d"), qt.IsFalse)
+		l.machines[lost].down = true
+		l.run(2 * time.Second)
+		l.mustRead("c", 1, "one")
+		l.mustWrite("c", 1, 2, "two")
+	}
+}
+
+// TestMemberThatWasNeverHeardIsGoneIfAnotherHasItsAddress: who joins late replaces it at once.
+func TestMemberThatWasNeverHeardIsGoneIfAnotherHasItsAddress(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	a := l.machines["a"].node
+	l.start("x", "10.0.0.4", false, 3)
+	l.machines["x"].node.SetContacts([]Member{{"a", "10.0.0.1"}})
+	l.run(2 * time.Second)
+	view := l.view("a")
+	view.Epoch, view.Members = 2, []Member{{"a", "10.0.0.1"}, {"b", "10.0.0.2"}, {"d", "10.0.0.4"}}
+	a.Receive(l.now, Message{Kind: ViewNotice, View: view})
+	next, found := Plan(view, a.observe(), a.rules())
+	l.c.Assert(found, qt.IsTrue)
+	l.c.Assert(identities(next.Members), qt.DeepEquals, []MemberID{"a", "b", "x"})
+}
+
+// TestOwnPauseForgivesOnlyMembers: who was silent before, or is no member, isn't taken to be there.
+func TestOwnPauseForgivesOnlyMembers(t *testing.T) {
+	l := newCluster(t, 4, 3)
+	l.run(2 * time.Second)
+	l.machines["c"].down = true
+	l.run(time.Second)
+	l.machines["a"].down, l.machines["b"].down, l.machines["d"].down = true, true, true
+	l.run(3 * time.Second)
+	a := l.machines["a"].node
+	a.Tick(l.now)
+	rules := a.rules()
+	p := planner{view: &a.state.view, seen: a.observe(), rules: rules}
+	l.c.Assert(p.directly("b"), qt.IsTrue)
+	l.c.Assert(p.directly("c"), qt.IsFalse)
+	l.c.Assert(p.directly("d"), qt.IsFalse)
+}
+
+// TestLeavingMemberWaitsForTheCandidateInItsPlace: it votes until another does.
+func TestLeavingMemberWaitsForTheCandidateInItsPlace(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	l.mustWrite("a", 0, 1, "one")
+	l.start("d", "10.0.0.4", false, 3)
+	l.machines["d"].node.SetContacts([]Member{{"a", "10.0.0.1"}, {"b", "10.0.0.2"}, {"c", "10.0.0.3"}})
+	l.do("b", func(n *Node) Effects { return n.Leave(l.now) })
+	b := l.machines["b"].node
+	for l.view("b").inChain("b") || l.view("b").Epoch == 1 {
+		l.run(testTick)
+	}
+	l.run(150 * time.Millisecond)
+	l.c.Assert(b.peers[l.view("b").head()].heartbeat.Open, qt.IsTrue)
+	l.c.Assert(l.view("b").isMember("b"), qt.IsTrue)
+	l.c.Assert(b.MayStop(), qt.IsFalse)
+	l.run(time.Second)
+	l.c.Assert(l.view("b").isMember("d"), qt.IsTrue)
+	l.c.Assert(b.MayStop(), qt.IsTrue)
+}
