--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -11,7 +11,7 @@
 	Self Member
 	// HasDisk says that this node can be a member; without it nothing is persisted.
 	HasDisk bool
-	// FirstStart lets a node without a view accept the first one of a founder.
+	// FirstStart lets a node without a view accept the first attempt of a founder, also after a restart.
 	FirstStart bool
 	// TargetMembers is how many members there shall be.
 	TargetMembers int
@@ -30,11 +30,15 @@
 	SettleAfter       time.Duration // a plan that rests on differing reports is proposed
 	ProposeStagger    time.Duration // between the proposers of the same change
 	ProposeTimeout    time.Duration // for one phase of a proposal
+	FinishAfter       time.Duration // a view that was accepted and not decided is proposed again
 	ResendAfter       time.Duration // without an acknowledgement an entry or marker is sent again
 	RequestTimeout    time.Duration // a request is answered Unavailable
 	CommitRecordAfter time.Duration // the committed sequence is persisted by itself
+	RefoundAfter      time.Duration // without all consents the founder tries the first view of fewer members
 	// QueueLimit bounds how many requests wait at a node.
 	QueueLimit int
+	// HistoryLength bounds how many earlier entries an entry names; all nodes have the same.
+	HistoryLength int
 }
 
 // withDefaults fills in what is not set.
@@ -52,12 +56,17 @@
 	fill(&c.SettleAfter, 5*c.HeartbeatInterval/2)
 	fill(&c.ProposeStagger, 150*time.Millisecond)
 	fill(&c.ProposeTimeout, 300*time.Millisecond)
+	fill(&c.FinishAfter, 500*time.Millisecond)
 	fill(&c.ResendAfter, 200*time.Millisecond)
 	fill(&c.RequestTimeout, 2*time.Second)
 	fill(&c.CommitRecordAfter, time.Second)
+	fill(&c.RefoundAfter, 3*time.Second)
 	if c.QueueLimit == 0 {
 		c.QueueLimit = 256
 	}
+	if c.HistoryLength == 0 {
+		c.HistoryLength = defaultHistoryLength
+	}
 	if c.TargetMembers == 0 {
 		c.TargetMembers = 3
 	}
--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -1,9 +1,13 @@
 package chain
 
+import "crypto/sha256"
+
 // durable is what a node keeps on its disk.
 type durable struct {
 	id MemberID
-	// genesis is the first view that this machine has accepted, decided or not.
+	// fromFirstStart says that the disk was empty at the first start of the whole system.
+	fromFirstStart bool
+	// genesis is the latest first view that this machine has accepted, decided or not.
 	genesis View
 	// view is the latest decided view that this node knows.
 	view     View
@@ -29,6 +33,9 @@
 	switch kind {
 	case recordIdentity:
 		data.text(string(s.id))
+		if s.fromFirstStart {
+			data.number(1)
+		}
 	case recordGenesis:
 		data.view(&s.genesis)
 	case recordView:
@@ -37,7 +44,7 @@
 		data.ballot(s.acceptor.promised)
 		data.ballot(s.acceptor.accepted)
 		data.view(&s.acceptor.acceptedValue)
-	case recordEntry:
+	case recordEntry, recordSuccessor:
 		data.number(s.held.Epoch)
 		data.number(s.held.Sequence)
 		data.signed(s.held.Version)
@@ -53,7 +60,7 @@
 }
 
 // apply reads one record.
-func (s *durable) apply(record []byte) error {
+func (s *durable) apply(record []byte, historyLength int) error {
 	if len(record) == 0 {
 		return &BadRecord{Reason: "it is empty"}
 	}
@@ -61,6 +68,7 @@
 	switch int(record[0]) {
 	case recordIdentity:
 		s.id = MemberID(data.text())
+		s.fromFirstStart = len(data.data) > 0 // a log of an earlier release doesn't tell
 	case recordGenesis:
 		s.genesis = data.view()
 	case recordView:
@@ -68,9 +76,10 @@
 	case recordAcceptor:
 		s.acceptor = acceptorState{data.ballot(), data.ballot(), data.view()}
 	case recordEntry:
-		entry := Entry{Epoch: data.number(), Sequence: data.number(), Version: data.signed()}
-		entry.Body = data.data
-		s.held = hold(entry, nil) // the record of its history follows
+		s.held = hold(data.entry(), nil) // the record of its history follows
+	case recordSuccessor:
+		entry := data.entry()
+		s.held = s.held.successor(entry, sha256.Sum256(entry.Body), historyLength)
 	case recordPosition:
 		s.held.Epoch = data.number()
 		s.committedSequence = data.number()
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -35,6 +35,8 @@
 	forwards  map[uint64]forwarded
 	proposing proposing
 	founding  *founding
+	// takeOverAt is when this node goes on with a founding that it has consented to.
+	takeOverAt time.Duration
 }
 
 // registerState is what is set back when records can't be made durable.
@@ -61,18 +63,19 @@
 	}
 	n.state.held = hold(Entry{}, nil)
 	for _, record := range records {
-		if err := n.state.apply(record); err != nil {
+		if err := n.state.apply(record, n.config.HistoryLength); err != nil {
 			return nil, Effects{}, err
 		}
 	}
 	if n.state.id == "" {
-		n.state.id = config.Self.ID
+		n.state.id, n.state.fromFirstStart = config.Self.ID, config.FirstStart
 		n.changed[recordIdentity] = true
 	}
 	if n.state.committedSequence == n.state.held.Sequence && n.state.held.Sequence > 0 {
 		n.state.committed, n.state.committedKnown = n.state.held, true
 	}
 	n.saved = n.state
+	n.expectFounder()
 	n.startEpoch()
 	if n.isHead() {
 		n.openEpoch()
@@ -84,7 +87,7 @@
 // included.
 func (n *Node) SnapshotRecords() [][]byte {
 	var records [][]byte
-	for kind := recordIdentity; kind < recordKinds; kind++ {
+	for kind := recordIdentity; kind < recordSuccessor; kind++ {
 		records = append(records, n.state.encodeRecord(kind))
 	}
 	return records
@@ -121,7 +124,7 @@
 	n.forgiveOwnPause()
 	n.expireRequests()
 	n.resend()
-	n.resendGenesis()
+	n.driveFounding()
 	n.drivePlan()
 	n.persistIdle()
 	if n.now-n.lastHeartbeat >= n.config.HeartbeatInterval {
@@ -130,7 +133,7 @@
 	return n.finish()
 }
 
-// Leave tells the others that this node is about to stop.
+// Leave tells the others that this node is about to stop. It should go on until MayStop, if time allows.
 func (n *Node) Leave(now time.Duration) Effects {
 	n.begin(now)
 	n.leaving = true
@@ -138,6 +141,21 @@
 	return n.finish()
 }
 
+// MayStop tells whether a node that leaves isn't needed any more: the others hold what it holds, and another
+// member has taken its place if there is one to do so.
+func (n *Node) MayStop() bool {
+	view := &n.state.view
+	if !n.leaving || view.Epoch == 0 || n.InChain() {
+		return n.leaving && view.Epoch == 0
+	}
+	head := n.peers[view.head()]
+	if head == nil || !n.heard(head) || !head.heartbeat.Open || head.heartbeat.Epoch != view.Epoch {
+		return false
+	}
+	p := planner{view: view, seen: n.observe(), rules: n.rules()}
+	return !view.isMember(n.state.id) || len(p.candidates()) == 0
+}
+
 // PersistFailed takes the last step back, because its records could not be made durable. Whoever waits for an
 // answer gets Unavailable. The node counts as stalled until a later write works.
 func (n *Node) PersistFailed(now time.Duration) Effects {
--- a/internal/chain/receive.go
+++ b/internal/chain/receive.go
@@ -74,7 +74,7 @@
 
 // adopt takes over a decided view if it is newer than the node's own.
 func (n *Node) adopt(view View) {
-	if view.Epoch <= n.state.view.Epoch {
+	if view.Epoch <= n.state.view.Epoch || n.hasRevoked(&view) {
 		return
 	}
 	n.state.view = view
@@ -88,7 +88,7 @@
 
 // startEpoch sets back all that belongs to one epoch.
 func (n *Node) startEpoch() {
-	n.proposing = proposing{}
+	n.proposing = proposing{acceptedAt: n.now}
 	n.expectMembers()
 	n.dropHeadRole()
 	n.redirectForwards()
