Each member is cut off in nine ways for 20 s under changes, reads and drains

Cause: that a member which is cut off hands out nothing old and loses nothing, and what that costs the others, was known from the chain alone. Change: TestMemberCutOff cuts each of three members (head and tail among them) off from members, from all machines, one way each, refused, reset, and with followers, servers and an operator, for 20 s; an operator on each side, a drain every fifth change. The tables of all machines are looked at every 50 ms: none may lack a server that calls and that it reaches. simnet: connections that drop what was not sent (SetLinger), as calls to servers do.

--- /dev/null
+++ b/internal/nodesim/absence.go
@@ -0,0 +1,93 @@
+package nodesim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	absenceInterval = 50 * time.Millisecond
+	// newServerTime is how long after its first heartbeat a server may be unknown.
+	newServerTime = 2 * time.Second
+)
+
+// Absences are the times in which machines did not know servers that called and that they reached.
+type Absences struct {
+	fleet *Fleet
+	about func(*Machine, *Server) bool
+	stop  chan struct{}
+	ended chan struct{}
+	open  map[absence]time.Duration // since when
+	lines []string
+	total time.Duration // over all pairs of a machine and a server
+}
+
+// absence is a machine that does not know a server.
+type absence struct{ machine, server string }
+
+// Everywhere has a watch look at all machines and servers.
+func Everywhere(*Machine, *Server) bool { return true }
+
+// WatchAbsences begins to look at the tables of the machines that run, for some machines and servers.
+func (f *Fleet) WatchAbsences(about func(*Machine, *Server) bool) *Absences {
+	a := &Absences{fleet: f, about: about, stop: make(chan struct{}), ended: make(chan struct{}),
+		open: map[absence]time.Duration{}}
+	go a.run()
+	return a
+}
+
+// Stop ends the watch and returns the absences, a line each, and their sum.
+func (a *Absences) Stop() (string, time.Duration) {
+	close(a.stop)
+	<-a.ended
+	for each := range a.open {
+		a.end(each)
+	}
+	slices.Sort(a.lines)
+	return strings.Join(a.lines, "\n"), a.total
+}
+
+func (a *Absences) run() {
+	defer close(a.ended)
+	for {
+		select {
+		case <-a.stop:
+			return
+		case <-time.After(absenceInterval):
+			a.look()
+		}
+	}
+}
+
+func (a *Absences) look() {
+	for _, m := range a.fleet.Running() {
+		for _, s := range a.fleet.Servers {
+			a.note(absence{m.Name, s.ID}, a.lacks(m, s))
+		}
+	}
+}
+
+func (a *Absences) lacks(m *Machine, s *Server) bool {
+	return a.about(m, s) && s.Calls() && s.known(newServerTime) && m.process.node.Servers().ByID(s.ID) == nil &&
+		a.fleet.Network.Reaches(m.IP, s.IP)
+}
+
+func (a *Absences) note(each absence, lacks bool) {
+	_, open := a.open[each]
+	switch {
+	case lacks && !open:
+		a.open[each] = a.fleet.Now()
+	case !lacks && open:
+		a.end(each)
+	}
+}
+
+func (a *Absences) end(each absence) {
+	since, now := a.open[each], a.fleet.Now()
+	delete(a.open, each)
+	a.total += now - since
+	a.lines = append(a.lines, fmt.Sprintf("from %v to %v %s did not know %s", since, now, each.machine,
+		each.server))
+}
--- /dev/null
+++ b/internal/nodesim/cut_test.go
@@ -0,0 +1,204 @@
+package nodesim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/simnet"
+)
+
+const (
+	cutTime = 20 * time.Second
+	// agreeTime is within what time of the end of a cut all machines agree again.
+	agreeTime = 5 * time.Second
+	// changePause is between two changes of the operator on the side of the majority.
+	changePause = 400 * time.Millisecond
+)
+
+// cutCase is a way to cut a machine that keeps the configuration off from others.
+type cutCase struct {
+	name  string
+	fault simnet.Fault
+	out   bool // what the machine sends is lost
+	in    bool // what others send to it is lost
+	// far are the machines that it is cut off from.
+	far func(f *Fleet, member *Machine) []*Machine
+	// company says that followers, an operator and servers are cut off together with the machine.
+	company bool
+}
+
+func otherMembers(f *Fleet, member *Machine) []*Machine {
+	return slices.DeleteFunc(slices.Clone(f.WithDisk(true)), func(m *Machine) bool { return m == member })
+}
+
+func otherMachines(f *Fleet, member *Machine) []*Machine { return f.Except(member) }
+
+var cutCases = []cutCase{
+	{name: "from members", out: true, in: true, fault: simnet.Silent, far: otherMembers},
+	{name: "from machines", out: true, in: true, fault: simnet.Silent, far: otherMachines},
+	{name: "refused", out: true, in: true, fault: simnet.Refuse, far: otherMachines},
+	{name: "reset", out: true, in: true, fault: simnet.Reset, far: otherMachines},
+	{name: "outward", out: true, fault: simnet.Silent, far: otherMachines},
+	{name: "inward", in: true, fault: simnet.Silent, far: otherMachines},
+	{name: "outward to members", out: true, fault: simnet.Silent, far: otherMembers},
+	{name: "inward from members", in: true, fault: simnet.Silent, far: otherMembers},
+	{name: "with company", out: true, in: true, fault: simnet.Silent, far: otherMachines, company: true},
+}
+
+// TestMemberCutOff cuts off each machine that keeps the configuration in turn; one of them is the head of the
+// chain, one its tail.
+func TestMemberCutOff(t *testing.T) {
+	for _, test := range cutCases {
+		for member := range 3 {
+			t.Run(fmt.Sprintf("%s/%d", test.name, member), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { test.run(t, member) })
+			})
+		}
+	}
+}
+
+// cutTrial is a cut under way.
+type cutTrial struct {
+	f    *Fleet
+	cut  *Machine
+	near []*Machine // the machine that is cut off, and those with it
+	// nearServers are cut off with them.
+	nearServers []string
+	far         []*Machine // all others
+	history     History
+	farSide     *Operator
+	nearSide    *Operator
+	doing       sync.WaitGroup
+
+	mu      sync.Mutex
+	current Change // the newest that was sent
+}
+
+func (test *cutCase) run(t *testing.T, number int) {
+	f := New(t, Options{Disks: 3, Others: 7, Servers: 12, Seed: int64(number)})
+	trial := &cutTrial{f: f, cut: f.Machines[number]}
+	trial.near = []*Machine{trial.cut}
+	trial.farSide, trial.nearSide = f.AddOperator(&trial.history), f.AddOperator(&trial.history)
+	trial.current = Change{0, 1, 0}
+	qt.Assert(t, trial.farSide.PutUntil(f.Machines, trial.current, 4*time.Second, 0), qt.Equals, 200)
+	time.Sleep(time.Second)
+	test.cut(trial)
+	since := f.Now()
+	absences := f.WatchAbsences(Everywhere)
+	farAbsences := f.WatchAbsences(trial.bothFar)
+	for count := 0; f.Now()-since < cutTime; count++ {
+		trial.step(since)
+		if count%5 == 4 && count/5 < len(f.Servers)/3 {
+			trial.drain(f.Servers[1+3*(count/5)])
+		}
+	}
+	trial.doing.Wait()
+	if test.company { // servers that come back have to be heard first
+		trial.checkAbsences(absences)
+	}
+	f.Heal()
+	f.Await("all agree after the cut", agreeTime, f.Whole)
+	if test.company {
+		absences = f.WatchAbsences(Everywhere)
+	}
+	for _, m := range f.Machines {
+		version, status := trial.farSide.Get(m)
+		qt.Check(t, status, qt.Equals, 200)
+		qt.Check(t, version, qt.Equals, trial.current.Version)
+	}
+	time.Sleep(10 * time.Second)
+	f.CheckNoneLost(since)
+	trial.checkAbsences(absences)
+	trial.checkAbsences(farAbsences)
+	qt.Check(t, f.Whole(), qt.Equals, "")
+	qt.Check(t, strings.Join(trial.history.Check(), "\n"), qt.Equals, "")
+}
+
+// cut begins the cut.
+func (test *cutCase) cut(trial *cutTrial) {
+	f := trial.f
+	near, far := IPs(trial.cut), IPs(test.far(f, trial.cut)...)
+	if test.company {
+		trial.near = append(trial.near, f.WithDisk(false)[:2]...)
+		near = append(IPs(trial.near...), trial.nearSide.IP)
+		far = append(IPs(f.Except(trial.near...)...), trial.farSide.IP)
+		for i, s := range f.Servers {
+			if i%4 == 0 {
+				near = append(near, s.IP)
+				trial.nearServers = append(trial.nearServers, s.ID)
+			} else {
+				far = append(far, s.IP)
+			}
+		}
+	}
+	trial.far = f.Except(trial.near...)
+	f.Note("cut %v, %v from %v", test.name, near, far)
+	if test.out {
+		f.Network.SetFault(near, far, test.fault)
+	}
+	if test.in {
+		f.Network.SetFault(far, near, test.fault)
+	}
+}
+
+// step makes a change on the side of the majority while the operator on the other side sends the same change
+// and the one before, and reads; now and then a server drains.
+func (trial *cutTrial) step(since time.Duration) {
+	f := trial.f
+	earlier := trial.current
+	next := Change{earlier.Version, earlier.Version + 1, 0}
+	trial.doing.Go(func() {
+		near := trial.nearSide.shuffled(trial.near)[0]
+		trial.nearSide.Get(near)
+		trial.nearSide.Put(near, earlier)
+		trial.nearSide.Put(near, next)
+		trial.nearSide.Get(near)
+	})
+	began := f.Now()
+	status := trial.farSide.PutUntil(trial.far, next, 2*Bounds().Ack, 0)
+	if took := f.Now() - began; status != 200 || took > Bounds().Ack {
+		f.TB.Errorf("%v after the cut, a change got %d after %v", began-since, status, took)
+	}
+	trial.current = next
+	trial.farSide.Get(trial.farSide.shuffled(trial.far)[0])
+	time.Sleep(changePause)
+}
+
+// drain has a server leave that calls the far side: once that is acknowledged, all machines in touch keep off
+// it in time.
+func (trial *cutTrial) drain(s *Server) {
+	f := trial.f
+	if !f.Network.Reaches(s.IP, trial.far[0].IP) {
+		return
+	}
+	if !s.Drain(trial.farSide.shuffled(trial.far)[0].Control()) {
+		f.TB.Errorf("at %v the drain of %s was not acknowledged", f.Now(), s.ID)
+	}
+	f.Await("all in touch know of the drain of "+s.ID, Bounds().Drain, func() string {
+		for _, m := range trial.far {
+			if m.Node().Servers().ByID(s.ID) != nil {
+				return m.Name + " does not"
+			}
+		}
+		return ""
+	})
+}
+
+// checkAbsences ends a watch: no machine may have lacked a server that called and that it reached.
+func (trial *cutTrial) checkAbsences(absences *Absences) {
+	missing, total := absences.Stop()
+	qt.Check(trial.f.TB, missing, qt.Equals, "", qt.Commentf("%v in all", total))
+}
+
+// bothFar tells whether neither a machine nor a server is cut off from most.
+func (trial *cutTrial) bothFar(m *Machine, s *Server) bool {
+	return !slices.Contains(trial.near, m) && !slices.Contains(trial.nearServers, s.ID)
+}
--- a/internal/nodesim/server.go
+++ b/internal/nodesim/server.go
@@ -58,6 +58,7 @@
 	forward    string
 	caller     string    // control address that acknowledged last
 	heardAt    time.Time // when
+	firstHeard time.Time // when a heartbeat was acknowledged for the first time
 	longestGap time.Duration
 	stage      string
 	switching  bool
@@ -95,8 +96,8 @@
 	s.network = f.Network.Host(s.IP).NewProcess()
 	if f.Options.Stages {
 		s.stage = reading
-		s.listen()
 	}
+	s.listen()
 	f.Servers = append(f.Servers, s)
 	f.others.Go(s.run)
 	return s
@@ -230,10 +231,20 @@
 	if !s.heardAt.IsZero() {
 		s.longestGap = max(s.longestGap, now.Sub(s.heardAt))
 	}
+	if s.firstHeard.IsZero() {
+		s.firstHeard = now
+	}
 	s.caller, s.heardAt = target, now
 	return true
 }
 
+// known tells whether heartbeats were acknowledged for so long.
+func (s *Server) known(long time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.firstHeard.IsZero() && time.Since(s.firstHeard) > long
+}
+
 // callFrom makes a call as a process of the network, within callTimeout.
 func callFrom(process *simnet.Process, target string, call callclient.Call) (*http1.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
@@ -274,7 +285,7 @@
 	return s.beat(s.heartbeat("ready", by), first...)
 }
 
-// listen takes orders.
+// listen takes orders and answers health checks.
 func (s *Server) listen() {
 	listener, err := s.network.Listen(s.address())
 	if err != nil {
@@ -291,7 +302,7 @@
 				return
 			}
 			from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-			handle := func(call *callserver.Call) *http1.Response { return s.takeOrder(from, call) }
+			handle := func(call *callserver.Call) *http1.Response { return s.answer(from, call) }
 			server := &callserver.Server{MaxBody: 4096, Handle: handle}
 			server.Serve(&oneConnection{Listener: listener, conn: c})
 		}
@@ -314,6 +325,16 @@
 	return c, nil
 }
 
+// answer answers a call of another machine.
+func (s *Server) answer(from string, call *callserver.Call) *http1.Response {
+	if call.Method == "POST" && call.Path == "/api/order" {
+		return s.takeOrder(from, call)
+	}
+	answer := callserver.Text(200, "well")
+	answer.Header = append(answer.Header, http1.Field{Name: "Cresshub-Server-Id", Value: s.ID})
+	return answer
+}
+
 func (s *Server) takeOrder(from string, call *callserver.Call) *http1.Response {
 	var body struct {
 		Order, Stage, Holder string
--- a/internal/nodesim/turnover_test.go
+++ b/internal/nodesim/turnover_test.go
@@ -94,6 +94,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range int64(10) {
 				t.Run(fmt.Sprint(seed), func(t *testing.T) {
+					t.Parallel()
 					synctest.Test(t, func(t *testing.T) { test.run(t, seed) })
 				})
 			}
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -35,6 +35,7 @@
 	changed       chan struct{} // closed at the next change of anything here
 	readDeadline  time.Time
 	writeDeadline time.Time
+	dropsUnsent   bool        // closing resets the connection
 	stalled       *time.Timer // ends the connection unless what was sent is acknowledged before
 }
 
@@ -205,6 +206,11 @@
 	if c.closed {
 		return nil
 	}
+	if c.dropsUnsent {
+		c.dropHeld()
+		c.abort()
+		return nil
+	}
 	if c.broken == nil {
 		c.peer.arrive(nil, time.Now().Add(c.network.delay(c.from, c.to)))
 	}
@@ -213,6 +219,21 @@
 	return nil
 }
 
+// SetLinger drops what has not arrived when the connection closes, where it is 0.
+func (c *conn) SetLinger(seconds int) error {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	c.dropsUnsent = seconds == 0
+	return nil
+}
+
+// dropHeld forgets what a fault holds up on its way to the other end; the lock is held.
+func (c *conn) dropHeld() {
+	if !c.network.passes(c.from, c.to) {
+		c.peer.arriving, c.peer.arrivingBytes = nil, 0
+	}
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- a/internal/simnet/network.go
+++ b/internal/simnet/network.go
@@ -148,9 +148,10 @@
 // address returns the address of a port of a host.
 func address(ip string, port int) *net.TCPAddr { return &net.TCPAddr{IP: net.ParseIP(ip), Port: port} }
 
-// Reaches tells whether two hosts reach each other.
+// Reaches tells whether two hosts have power and no fault between them.
 func (n *Network) Reaches(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.passes(a, b) && n.passes(b, a)
+	whole := n.faults[direction{a, b}] == None && n.faults[direction{b, a}] == None
+	return whole && n.passes(a, b) && n.passes(b, a)
 }
