--- /dev/null
+++ b/internal/nodesim/race_test.go
@@ -0,0 +1,120 @@
+package nodesim
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/simnet"
+)
+
+// TestOperatorsRace has two operators send different changes under the same versions, each to several machines
+// at once, while answers get lost and a member comes and goes: exactly one change per version is taken, all of
+// its senders are told 200, also when it is sent again after later ones, and the other is refused.
+func TestOperatorsRace(t *testing.T) {
+	for seed := range int64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runRace(t, seed) })
+		})
+	}
+}
+
+const (
+	raceRounds   = 12
+	copiesAtOnce = 3 // machines that a change is sent to at the same time
+	answersLost  = 0.3
+)
+
+func runRace(t *testing.T, seed int64) {
+	f := New(t, Options{Disks: 3, Others: 7, Servers: 3, Seed: seed})
+	history := &History{}
+	operators := []*Operator{f.AddOperator(history), f.AddOperator(history)}
+	trouble := make(chan struct{})
+	var troubles sync.WaitGroup
+	if seed%2 == 1 {
+		troubles.Go(func() { cutInTurn(f, trouble) })
+	}
+	base := int64(0)
+	var taken []Change
+	for round := range raceRounds {
+		version := base + 1 + f.Random.Int63n(3)
+		winner := race(t, f, operators, base, version)
+		taken = append(taken, winner)
+		base = version
+		again := taken[f.Random.Intn(len(taken))]
+		status := operators[round%2].PutUntil(f.Machines, again, 8*time.Second, answersLost)
+		qt.Check(t, status, qt.Equals, 200, qt.Commentf("%+v sent again", again))
+	}
+	close(trouble)
+	troubles.Wait()
+	f.Heal()
+	f.Await("all agree", agreeTime, f.Whole)
+	for _, m := range f.Machines {
+		version, status := operators[0].Get(m)
+		qt.Check(t, status, qt.Equals, 200)
+		qt.Check(t, version, qt.Equals, base)
+	}
+	qt.Check(t, strings.Join(history.Check(), "\n"), qt.Equals, "")
+}
+
+// race has each operator send its change to several machines at once until each copy has a clear answer, and
+// returns the one that was taken.
+func race(t *testing.T, f *Fleet, operators []*Operator, base, version int64) Change {
+	outcomes := make([][]int, len(operators))
+	changes := make([]Change, len(operators))
+	var sending sync.WaitGroup
+	var mu sync.Mutex
+	for i, operator := range operators {
+		changes[i] = Change{base, version, 1 + int64(i)}
+		for range copiesAtOnce {
+			sending.Go(func() {
+				status := operator.PutUntil(f.Machines, changes[i], 12*time.Second, answersLost)
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[i] = append(outcomes[i], status)
+			})
+		}
+	}
+	sending.Wait()
+	all := func(i, status int) bool {
+		return fmt.Sprint(outcomes[i]) == fmt.Sprint([]int{status, status, status})
+	}
+	for i := range operators {
+		if all(i, 200) && all(1-i, 412) {
+			return changes[i]
+		}
+	}
+	t.Fatalf("version %d: the operators were told %v", version, outcomes)
+	return Change{}
+}
+
+// cutInTurn cuts one member after the other off for some seconds each.
+func cutInTurn(f *Fleet, stop <-chan struct{}) {
+	pause := func(long time.Duration) bool {
+		select {
+		case <-stop:
+			return false
+		case <-f.over:
+			return false
+		case <-time.After(long):
+			return true
+		}
+	}
+	for turn := 0; ; turn++ {
+		m := f.Machines[turn%3]
+		f.Cut(IPs(m), IPs(f.Except(m)...), simnet.Silent)
+		if !pause(3 * time.Second) {
+			return
+		}
+		f.Heal()
+		if !pause(4 * time.Second) {
+			return
+		}
+	}
+}
