A process that ends waits until others hold what it holds of the control state

Cause, from review: a machine that was told to end left about 2.5 s later, whether or not the others held what it held. With another disk lost just before, it could take the last copy with it.

Test: the end with others that hold the state in time, too late, at once; without the wait the first two fail.

--- a/internal/node/chain_calls.go
+++ b/internal/node/chain_calls.go
@@ -113,3 +113,12 @@
 func (noControlState) member() bool          { return false }
 func (noControlState) leave()                {}
 func (noControlState) close()                {}
+
+func (noControlState) released() <-chan struct{} { return alreadyReleased }
+
+// alreadyReleased is the channel of those who hold nothing.
+var alreadyReleased = func() <-chan struct{} {
+	released := make(chan struct{})
+	close(released)
+	return released
+}()
--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -43,6 +43,8 @@
 	fence   atomic.Uint64 // epoch in which this member is the head and the chain is open, 0 where it is not
 	founder bool
 	ended   chan struct{} // closed when the goroutine of the chain has ended
+	free    chan struct{} // closed once this member leaves and the others hold all that it holds
+	isFree  bool          // free is closed; of the goroutine of the chain
 	// identity is that of this machine's disk; it names the holder of duties.
 	identity string
 
@@ -78,7 +80,7 @@
 func openChainMember(n *Node) (*chainMember, error) {
 	founder, hasDisk := n.founds(), n.settings.DataDir != ""
 	m := &chainMember{node: n, founder: founder, links: map[string]*peerlink.Link{},
-		events: make(chan func(time.Duration) chain.Effects, chainQueue), ended: make(chan struct{}),
+		events: make(chan func(time.Duration) chain.Effects, chainQueue), ended: make(chan struct{}), free: make(chan struct{}),
 		waiters: map[uint64]chan chain.Reply{}, committed: make(chan []byte, 1),
 		last: uint64(rand.Int63())} // requests of an earlier process must not be taken for this one's
 	var records [][]byte
@@ -123,6 +125,8 @@
 	}
 }
 
+func (m *chainMember) released() <-chan struct{} { return m.free }
+
 func (m *chainMember) leave() { m.post(m.machine.Leave) }
 
 // post hands an event to the goroutine of the chain and tells whether there was room.
@@ -227,6 +231,10 @@
 		fence = m.machine.View().Epoch
 	}
 	m.fence.Store(fence)
+	if !m.isFree && m.machine.MayStop() {
+		m.isFree = true
+		close(m.free)
+	}
 	if view := m.machine.View(); view.Epoch != m.epoch {
 		m.epoch = view.Epoch
 		m.node.state.learnView(int64(view.Epoch), memberInfos(view.Members))
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -28,6 +28,9 @@
 	member() bool
 	// leave hands the control state over before this process ends.
 	leave()
+	// released returns a channel that closes once the others hold all that this process holds of the control
+	// state, so that it may end after leave.
+	released() <-chan struct{}
 	// close frees what this process holds, after the channel that start was given has closed.
 	close()
 }
--- a/internal/node/disk_member.go
+++ b/internal/node/disk_member.go
@@ -69,4 +69,6 @@
 
 func (d *diskMember) leave() { d.current().leave() }
 
+func (d *diskMember) released() <-chan struct{} { return d.current().released() }
+
 func (d *diskMember) close() { d.current().close() }
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -67,6 +67,7 @@
 		l.front.Close()
 		n.front.Wait(deadline)
 	}
+	n.awaitRelease(deadline)
 	n.sayFarewell()
 	for _, listener := range []interface{ Close() error }{l.inner, l.control, l.ready} {
 		if listener != nil {
@@ -76,6 +77,18 @@
 	n.log.Info().Msg("node: ended")
 }
 
+// awaitRelease waits until this process is not needed any more to keep the control state: it may hold one of
+// the last copies of what was acknowledged.
+func (n *Node) awaitRelease(deadline time.Time) {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-n.control.released():
+	case <-timer.C:
+		n.log.Warn().Msg("node: ending although the other machines do not hold the whole control state yet")
+	}
+}
+
 // sayFarewell tells the hubs that this process has ended.
 func (n *Node) sayFarewell() {
 	n.announceSelf(func(self *directory.Record) { self.State = directory.Ended })
--- /dev/null
+++ b/internal/node/lifecycle_test.go
@@ -0,0 +1,46 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// neededMember keeps a part of the control state that others do not hold until needed closes.
+type neededMember struct {
+	noControlState
+	needed chan struct{}
+}
+
+func (m neededMember) released() <-chan struct{} { return m.needed }
+
+// TestTheEndWaitsForCopiesOfTheControlState: a process that holds one of the last copies goes on until others
+// hold them, or its time is over.
+func TestTheEndWaitsForCopiesOfTheControlState(t *testing.T) {
+	for _, test := range []struct {
+		name                  string
+		release, grace, waits time.Duration
+	}{
+		{"others hold it in time", time.Second, 5 * time.Second, time.Second},
+		{"the time is over", 9 * time.Second, 5 * time.Second, 5 * time.Second},
+		{"nothing is held", 0, 5 * time.Second, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newTestNode(t)
+				member := neededMember{needed: make(chan struct{})}
+				n.control = member
+				go func() {
+					time.Sleep(test.release)
+					close(member.needed)
+				}()
+				began := time.Now()
+				n.awaitRelease(began.Add(test.grace))
+				qt.Check(t, time.Since(began), qt.Equals, test.waits)
+				<-member.needed
+			})
+		})
+	}
+}
