Hubs tell apart whether they hold a copy and whether they reach a majority

Cause, from review: a member without a majority told that it holds no copy. Machines that had started again then followed nobody while only such members were there, and served nothing, though an old copy is better than none where no drain can be acknowledged anyway.

Change: the status has a flag of its own. A follower leaves a hub without a majority for one with; where there is none it stays, and one that follows nobody takes what is there. The state of a hub is a struct in place of four return values. TestMessagesKeepEveryField has the new field.

Test: TestMemberCutOff fails with the flag always set (seen).

--- a/internal/node/compare.go
+++ b/internal/node/compare.go
@@ -59,7 +59,7 @@
 	if peerwire.Decode(frame.Body, &answer) != nil {
 		return
 	}
-	if _, _, _, holds := h.snapshot(); holds && n.isHub() {
+	if h.current().holds && n.isHub() {
 		defer n.state.markSynced()
 	}
 	if len(answer.Ranges) == 0 {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -67,14 +67,15 @@
 	}
 	f.source, f.heard = next, now
 	n.sendFollow()
-	id, _, _, _ := next.snapshot()
-	n.announceSelf(func(self *directory.Record) { self.Watcher = id })
+	watcher := next.current().id
+	n.announceSelf(func(self *directory.Record) { self.Watcher = watcher })
 }
 
-// mayStayWith tells whether a hub is still one to follow.
+// mayStayWith tells whether a hub is still one to follow. One that does not reach a majority may miss what the
+// others acknowledge; it is left once another one can be followed.
 func (n *Node) mayStayWith(source *hub) bool {
-	_, _, _, holds := source.snapshot()
-	return holds && source.link.Up() && n.hubAt(source.ip) == source
+	state := source.current()
+	return state.holds && state.reachesMajority && source.link.Up() && n.hubAt(source.ip) == source
 }
 
 // becomeHub ends following where this process is a hub; followMu is held.
@@ -93,16 +94,32 @@
 	f.source.link.Send(peerwire.KindFollow, peerwire.Encode(&request))
 }
 
-// chooseSource names the hub to follow by rendezvous hashing over those that answer, other than one to avoid
-// where there is a choice.
+// chooseSource names the hub to follow: by rendezvous hashing over those that answer and reach a majority,
+// other than one to avoid where there is a choice. Where none reaches a majority, one that does not is better
+// than none.
 func (n *Node) chooseSource(avoid *hub) *hub {
-	var best *hub
-	var bestRank uint64
+	var inMajority, others []*hub
 	for _, h := range n.currentHubs() {
-		_, _, heard, holds := h.snapshot()
-		if heard == 0 || !holds || !h.link.Up() {
-			continue
+		state := h.current()
+		switch {
+		case state.heard == 0 || !state.holds || !h.link.Up():
+		case state.reachesMajority:
+			inMajority = append(inMajority, h)
+		default:
+			others = append(others, h)
 		}
+	}
+	if followsNone := avoid == nil || !avoid.link.Up(); followsNone && len(inMajority) == 0 {
+		return n.firstByRank(others, nil)
+	}
+	return n.firstByRank(inMajority, avoid)
+}
+
+// firstByRank returns the hub that ranks first for this process, the one to avoid last.
+func (n *Node) firstByRank(hubs []*hub, avoid *hub) *hub {
+	var best *hub
+	var bestRank uint64
+	for _, h := range hubs {
 		rank := xxhash.Sum64String(n.settings.Name + "/" + h.ip)
 		if h == avoid {
 			rank = 0
@@ -206,8 +223,7 @@
 // fetchConfig asks a hub for a newer configuration where the feed did not bring it.
 func (n *Node) fetchConfig(h *hub) {
 	time.Sleep(fetchPatience)
-	_, _, heard, _ := h.snapshot()
-	if heard == 0 || !n.fetching.CompareAndSwap(false, true) {
+	if h.current().heard == 0 || !n.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	defer n.fetching.Store(false)
--- a/internal/node/hub_link.go
+++ b/internal/node/hub_link.go
@@ -19,24 +19,29 @@
 	link *peerlink.Link
 	stop chan struct{}
 
-	mu     sync.Mutex
-	id     string        // of the process that answers there
-	pushed uint64        // the place up to which it has the records of this process
-	heard  time.Duration // when it last answered a ping, 0 since the connection opened
-	holds  bool          // it may be followed
+	mu    sync.Mutex
+	state hubState
 }
 
-func (h *hub) snapshot() (id string, pushed uint64, heard time.Duration, holds bool) {
+// hubState is what is known of a hub.
+type hubState struct {
+	id              string        // of the process that answers there
+	pushed          uint64        // the place up to which it has the records of this process
+	heard           time.Duration // when it last answered a ping, 0 since the connection opened
+	holds           bool          // it may be followed
+	reachesMajority bool          // more than half of the members answer it
+}
+
+func (h *hub) current() hubState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.id, h.pushed, h.heard, h.holds
+	return h.state
 }
 
 // answers tells whether the hub has answered lately.
 func (h *hub) answers(now time.Duration) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.heard > 0 && now-h.heard <= contactLife
+	heard := h.current().heard
+	return heard > 0 && now-heard <= contactLife
 }
 
 func (n *Node) newHub(ip string) *hub {
@@ -46,7 +51,7 @@
 	up := make(chan struct{}, 1)
 	h.link = n.endpoint.NewLink(n.innerAddress(ip), hello, other, func(isUp bool) {
 		h.mu.Lock()
-		h.pushed, h.heard = 0, 0
+		h.state.pushed, h.state.heard = 0, 0
 		h.mu.Unlock()
 		select {
 		case up <- struct{}{}:
@@ -87,10 +92,11 @@
 	}
 	now := n.now()
 	h.mu.Lock()
-	if h.id != "" && h.id != status.ID {
-		h.pushed = 0 // another process: it knows nothing yet
+	if h.state.id != "" && h.state.id != status.ID {
+		h.state.pushed = 0 // another process: it knows nothing yet
 	}
-	h.id, h.heard, h.holds = status.ID, now, status.HoldsSnapshot
+	h.state.id, h.state.heard = status.ID, now
+	h.state.holds, h.state.reachesMajority = status.HoldsSnapshot, status.ReachesMajority
 	h.mu.Unlock()
 	n.hubsMu.Lock()
 	n.reachedAt = now
--- a/internal/node/hub_push.go
+++ b/internal/node/hub_push.go
@@ -33,7 +33,7 @@
 
 // pushOnce tells whether the hub has all records of this process.
 func (n *Node) pushOnce(h *hub) bool {
-	_, pushed, _, _ := h.snapshot()
+	pushed := h.current().pushed
 	var records []directory.Record
 	var number uint64
 	n.state.read(func(d *directory.Directory) {
@@ -54,10 +54,10 @@
 		}
 	}
 	h.mu.Lock()
-	if h.pushed == pushed { // else the connection was opened anew meanwhile
-		h.pushed = max(number, 1)
+	if h.state.pushed == pushed { // else the connection was opened anew meanwhile
+		h.state.pushed = max(number, 1)
 	}
-	complete := h.pushed >= number
+	complete := h.state.pushed >= number
 	h.mu.Unlock()
 	n.wakeWaiters()
 	return complete
--- a/internal/node/introductions_test.go
+++ b/internal/node/introductions_test.go
@@ -44,14 +44,14 @@
 	c := qt.New(t)
 	n := newTestNode(t)
 	n.state.markSynced()
-	c.Check(n.status().HoldsSnapshot, qt.IsTrue, qt.Commentf("it is the only member"))
+	c.Check(n.status().ReachesMajority, qt.IsTrue, qt.Commentf("it is the only member"))
 	n.state.learnView(2, membersAt(n.settings.IP, "10.9.0.1", "10.9.0.2"))
-	c.Check(n.status().HoldsSnapshot, qt.IsFalse)
-	answering := &hub{ip: "10.9.0.2", heard: 1}
+	c.Check(n.status().ReachesMajority, qt.IsFalse)
+	answering := &hub{ip: "10.9.0.2", state: hubState{heard: 1}}
 	n.hubs["10.9.0.2"] = answering
-	c.Check(n.status().HoldsSnapshot, qt.IsTrue)
-	answering.heard = n.now() - contactLife - 1
-	c.Check(n.status().HoldsSnapshot, qt.IsFalse)
+	c.Check(n.status().ReachesMajority, qt.IsTrue)
+	answering.state.heard = n.now() - contactLife - 1
+	c.Check(n.status().ReachesMajority, qt.IsFalse)
 }
 
 // TestNothingIsPromisedWithoutAView: a process that started later and knows no view sends servers elsewhere.
@@ -73,7 +73,7 @@
 	n.state.learnView(2, membersAt("10.9.0.1", "10.9.0.2", "10.9.0.3"))
 	c.Check(n.handleCall(heartbeat("ready", "1")).Status, qt.Equals, 503)
 	c.Check(n.state.Servers().Service("s"), qt.HasLen, 1, qt.Commentf("it is known here all the same"))
-	n.hubs["10.9.0.1"], n.hubs["10.9.0.2"] = &hub{heard: 1}, &hub{heard: 1}
+	n.hubs["10.9.0.1"], n.hubs["10.9.0.2"] = &hub{state: hubState{heard: 1}}, &hub{state: hubState{heard: 1}}
 	c.Check(n.handleCall(heartbeat("ready", "2")).Status, qt.Equals, 200)
 }
 
--- a/internal/node/majority.go
+++ b/internal/node/majority.go
@@ -49,10 +49,8 @@
 	defer deadline.Stop()
 	for {
 		progress := n.nextProgress()
-		if n.majorityOf(n.state.currentView().members, func(h *hub) bool {
-			_, pushed, _, _ := h.snapshot()
-			return pushed >= place
-		}) {
+		holdsPlace := func(h *hub) bool { return h.current().pushed >= place }
+		if n.majorityOf(n.state.currentView().members, holdsPlace) {
 			return true
 		}
 		select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -77,7 +77,7 @@
 	n.state.learnView(2, []peerwire.MemberInfo{{ID: "m", Address: "127.0.0.9"}})
 	n.hubs["127.0.0.9"] = &hub{ip: "127.0.0.9"}
 	c.Assert(n.awaitMajority(1, 0), qt.IsFalse)
-	n.hubs["127.0.0.9"].pushed = 1
+	n.hubs["127.0.0.9"].state.pushed = 1
 	c.Assert(n.awaitMajority(1, 0), qt.IsTrue)
 }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -54,13 +54,7 @@
 func (n *Node) status() *peerwire.Status {
 	v := n.state.currentView()
 	return &peerwire.Status{ID: n.id, Version: n.state.version(), Epoch: v.epoch, Members: v.members,
-		HoldsSnapshot: n.mayBeFollowed(&v)}
-}
-
-// mayBeFollowed tells whether this process's copy of the directory is one to follow. A member that does not
-// reach a majority may miss what was acknowledged meanwhile.
-func (n *Node) mayBeFollowed(v *view) bool {
-	return n.state.isSynced() && (!v.hasMember(n.settings.IP) || n.reachesMajority())
+		HoldsSnapshot: n.state.isSynced(), ReachesMajority: n.reachesFleet()}
 }
 
 // takeIntroduction learns the view of a process that sought this one out.
--- a/internal/peerwire/messages.go
+++ b/internal/peerwire/messages.go
@@ -51,6 +51,9 @@
 	Epoch         int64        `avro:"epoch"`   // of the view known there
 	Members       []MemberInfo `avro:"members"`
 	HoldsSnapshot bool         `avro:"holds_snapshot"` // it may be followed
+	// ReachesMajority tells that more than half of the members answer it, so that it misses nothing that they
+	// acknowledge.
+	ReachesMajority bool `avro:"reaches_majority"`
 }
 
 // MemberInfo names a machine that keeps the control state.
@@ -164,7 +167,7 @@
 	recordsSchema = recordOf("Records", `{"name":"records","type":{"type":"array","items":`+recordSchema+`}}`)
 	statusSchema  = recordOf("Status", `{"name":"id","type":"string"},{"name":"version","type":"long"},
 		{"name":"epoch","type":"long"},{"name":"members","type":{"type":"array","items":`+memberSchema+`}},
-		{"name":"holds_snapshot","type":"boolean"}`)
+		{"name":"holds_snapshot","type":"boolean"},{"name":"reaches_majority","type":"boolean"}`)
 	demandsSchema = recordOf("Demands", `{"name":"services","type":{"type":"array","items":
 		{"type":"record","name":"Demand","fields":[{"name":"service","type":"string"},
 		{"name":"reading","type":"double"},{"name":"writing","type":"double"}]}}}`)
--- a/internal/peerwire/peerwire_test.go
+++ b/internal/peerwire/peerwire_test.go
@@ -23,7 +23,7 @@
 	for _, pair := range [][2]any{
 		{&Hello{"p"}, &Hello{}},
 		{&Records{records}, &Records{}},
-		{&Status{"p", 1, 2, members, true}, &Status{}},
+		{&Status{"p", 1, 2, members, true, true}, &Status{}},
 		{&Demands{[]Demand{{"s", 1.5, 2.5}}}, &Demands{}},
 		{&Work{true, []WorkAtOne{{"s", 1, 2}}, true, []PromptsAtOne{{"s", []int64{-3}}}}, &Work{}},
 		{&Follow{"f", 1, 2}, &Follow{}},
