A server's answers are looked up only where its heartbeats stay away

Cause: each look of the watch asked the decisions, under their lock, for the last answer of every watched server, four times a second. Change: only for a server that is silent otherwise.

--- a/internal/node/orphans.go
+++ b/internal/node/orphans.go
@@ -59,11 +59,11 @@
 	if watcher != nil && watcher.Live() {
 		return false
 	}
-	since := n.lastSign(d, record)
-	if watcher != nil {
-		since = max(since, d.ChangedAt(watcher.ID))
+	limit := orphanHeartbeats * n.settings.Beat
+	if watcher != nil && now-d.ChangedAt(watcher.ID) <= limit {
+		return false
 	}
-	return now-since > orphanHeartbeats*n.settings.Beat
+	return n.isSilent(now, d, record, limit)
 }
 
 // ranksFirst tells whether this hub comes first for an id, by rendezvous hashing over the members that
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -43,7 +43,7 @@
 	isHub := n.isHub()
 	n.state.change(now, func(d *directory.Directory) {
 		for _, record := range d.WatchedBy(n.id) {
-			if record.ID != n.id && now-n.lastSign(d, record) > n.patience(record) {
+			if record.ID != n.id && n.isSilent(now, d, record, n.patience(record)) {
 				n.markLost(now, d, record, "silent")
 			}
 		}
@@ -62,16 +62,18 @@
 	}
 }
 
-// lastSign is when a watched process was last known to live.
-func (n *Node) lastSign(d *directory.Directory, record *directory.Record) time.Duration {
+// isSilent tells whether a process has given no sign of life here for longer than a limit: no call, and no
+// answer to a request either.
+func (n *Node) isSilent(now time.Duration, d *directory.Directory, record *directory.Record,
+	limit time.Duration) bool {
 	sign := max(n.trustSince, d.ChangedAt(record.ID))
 	if heard, ok := n.heardAt(record.ID); ok {
 		sign = max(sign, heard)
 	}
-	if record.Kind == directory.KindServer {
-		sign = max(sign, n.answeredAt(record.ID))
+	if now-sign <= limit {
+		return false
 	}
-	return sign
+	return record.Kind != directory.KindServer || now-n.answeredAt(record.ID) > limit
 }
 
 // answeredAt is when a server last answered a request that this process had sent, 0 for never.
