More than sixteen unopened epochs don't make sources forgotten

Cause: at 16 views that never opened the planner dropped all of the list. From then on only replicas of the current epoch could be the next head; a member that held everything, and could have shown that nothing was committed since, was none any more.

Change: of more than 16 one goes in which nothing was committed, as a replica that missed it tells, which keeps the knowledge for good; one that is the last that was open at somebody stays, unless it is the oldest, whose holders become sources. If there is none, the oldest goes with the sources that may lack its entries.

--- a/internal/chain/sim_found_test.go
+++ b/internal/chain/sim_found_test.go
@@ -13,7 +13,8 @@
 	// foundSeeds is how many foundings run without foundSeedsVariable in the environment.
 	foundSeeds         = 120
 	foundSeedsVariable = "CHAIN_FOUND_SEEDS"
-	// foundFaults is how long faults come while the system is founded, foundRecovery how long it may take then.
+	// foundFaults is how long faults come while the system is founded, foundRecovery how long it may take
+	// then.
 	foundFaults   = 4 * time.Second
 	foundRecovery = 22 * time.Second
 	foundAgain    = 800 * time.Millisecond
--- a/internal/chain/source.go
+++ b/internal/chain/source.go
@@ -20,26 +20,33 @@
 	}
 	complete, found := uint64(0), slices.Contains(p.view.Sources, id)
 	for _, past := range p.view.Unopened {
-		if past.Epoch == entryEpoch && slices.Contains(past.Chain, id) {
+		if p.openedIn(past, id) {
 			complete, found = past.Epoch, true
 		}
 	}
 	return found && p.nothingCommittedSince(complete)
 }
 
-// nothingCommittedSince tells whether each unopened epoch behind one has a replica that never accepted an
-// entry in it and, being in a later epoch, never will.
+// openedIn tells whether a past epoch is the last one that was open at a node: it then holds what was
+// committed before and in that epoch.
+func (p *planner) openedIn(past PastChain, id MemberID) bool {
+	return past.Epoch == p.seen.Peers[id].EntryEpoch && slices.Contains(past.Chain, id)
+}
+
+// nothingCommittedSince tells whether nothing was committed in each unopened epoch behind one.
 func (p *planner) nothingCommittedSince(epoch uint64) bool {
-	for _, past := range p.view.Unopened {
-		missed := func(id MemberID) bool {
-			known := p.seen.Peers[id]
-			return known.Reports && known.EntryEpoch < past.Epoch
-		}
-		if past.Epoch > epoch && !slices.ContainsFunc(past.Chain, missed) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(p.view.Unopened, func(past PastChain) bool {
+		return past.Epoch > epoch && !p.nothingCommittedIn(past)
+	})
+}
+
+// nothingCommittedIn tells whether a past epoch has a replica that never accepted an entry in it and, being
+// in a later epoch, never will.
+func (p *planner) nothingCommittedIn(past PastChain) bool {
+	return slices.ContainsFunc(past.Chain, func(id MemberID) bool {
+		known := p.seen.Peers[id]
+		return known.Reports && known.EntryEpoch < past.Epoch
+	})
 }
 
 // openAtAll tells whether the current epoch is known to be open at its whole chain.
@@ -61,9 +68,10 @@
 			next.Fresh = append(next.Fresh, id)
 		}
 	}
-	next.Unopened = p.unopened()
+	var sources []MemberID
+	next.Unopened, sources = p.unopened()
 	for _, id := range identities(members) {
-		inherited := len(next.Unopened) > 0 && slices.Contains(p.view.Sources, id)
+		inherited := len(next.Unopened) > 0 && slices.Contains(sources, id)
 		if inherited || p.isSource(id) {
 			next.Sources = append(next.Sources, id)
 		}
@@ -71,17 +79,42 @@
 	return next
 }
 
-// unopened returns the unopened epochs of the next view. Without them only replicas of the current epoch can
-// be sources.
-func (p *planner) unopened() []PastChain {
+// unopened returns the unopened epochs of the next view, and who holds all that was committed before them.
+func (p *planner) unopened() ([]PastChain, []MemberID) {
 	switch {
 	case p.openAtAll():
-		return nil
+		return nil, nil
 	case p.epochSealed():
-		return p.view.Unopened
-	case len(p.view.Unopened) >= maxUnopened:
-		return nil
+		return p.view.Unopened, p.view.Sources
+	case len(p.view.Unopened) < maxUnopened:
+		return append(slices.Clone(p.view.Unopened), PastChain{p.view.Epoch, p.view.Chain}), p.view.Sources
 	default:
-		return append(slices.Clone(p.view.Unopened), PastChain{p.view.Epoch, p.view.Chain})
+		kept, sources := p.forgetOne()
+		return append(kept, PastChain{p.view.Epoch, p.view.Chain}), sources
 	}
 }
+
+// forgetOne drops one of the unopened epochs and returns who holds all that was committed before the rest. An
+// epoch in which nothing was committed can go unharmed, unless it is the last one that was open at somebody
+// who holds the state by that alone. Else the oldest goes, and with it those sources that may lack its
+// entries.
+func (p *planner) forgetOne() ([]PastChain, []MemberID) {
+	sources, unopened := p.view.Sources, slices.Clone(p.view.Unopened)
+	for at, past := range unopened {
+		opened := p.openedLastIn(past)
+		if !p.nothingCommittedIn(past) || at > 0 && len(opened) > 0 {
+			continue
+		}
+		return slices.Delete(unopened, at, at+1), slices.Concat(sources, opened)
+	}
+	sources = nil
+	for _, past := range unopened {
+		sources = append(sources, p.openedLastIn(past)...)
+	}
+	return unopened[1:], sources
+}
+
+// openedLastIn returns the replicas at which a past epoch is the last one that was open.
+func (p *planner) openedLastIn(past PastChain) []MemberID {
+	return slices.DeleteFunc(slices.Clone(past.Chain), func(id MemberID) bool { return !p.openedIn(past, id) })
+}
--- a/internal/chain/view_test.go
+++ b/internal/chain/view_test.go
@@ -272,8 +272,9 @@
 	l.mustChain("a", "b", "a")
 }
 
-// TestAcceptedViewIsFinishedThoughNobodyWantsIt: a view that one acceptor has accepted names a candidate whose
-// disk is lost then. It is decided, the candidate is replaced, and the loss of another disk can be borne.
+// TestAcceptedViewIsFinishedThoughNobodyWantsIt: a view that one acceptor has accepted names a candidate
+// whose disk is lost then. It is decided, the candidate is replaced, and the loss of another disk can be
+// borne.
 func TestAcceptedViewIsFinishedThoughNobodyWantsIt(t *testing.T) {
 	for _, lost := range []MemberID{"a", "b"} {
 		l := newCluster(t, 4, 3)
