Rot at the end of the log is told from a crash, and ends the identity

Cause: a bad last frame was taken for a torn one and cut off. If it was rot the member went back behind what it had acknowledged or promised, without a word. Damage that was told ended the process for good.

Change: a crash leaves each sector of a write as it was or as it should be. So a last frame that neither ends early nor has a sector of zeros, or of the mark before it, is damaged. The mark is a frame without records, written behind each frame that is synced, without a sync of its own; the next frame takes its place. A bad frame before a mark is damaged too. Records of the chain end in no zero byte, so that a short end isn't mistaken for a sector that was not written. faultfs loses sectors where a disk has them, not from a write's start on.

TestEachByteOfDamageIsToldOrCutOff wanted each flip in the last frame to be cut off, which was the gap; as TestEachByteOfDamageIsTold it wants all told, with the mark and without.

--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -27,6 +27,10 @@
 	acceptedValue View
 }
 
+// recordEnd stands behind records that would end in zeros, which a log could take for a sector that was not
+// written. Nobody reads it.
+const recordEnd = 0xff
+
 // encodeRecord returns the current record of one kind.
 func (s *durable) encodeRecord(kind int) []byte {
 	data := encoder{byte(kind)}
@@ -56,6 +60,9 @@
 	case recordHistory:
 		data.history(s.held.history)
 	}
+	if kind != recordIdentity && kind != recordEntry && kind != recordSuccessor {
+		data = append(data, recordEnd)
+	}
 	return data
 }
 
--- a/internal/chain/fence_test.go
+++ b/internal/chain/fence_test.go
@@ -148,3 +148,21 @@
 		c.Assert(err, qt.ErrorMatches, "chain: record of kind .*; start the release that wrote it, or empty .*")
 	}
 }
+
+// TestRecordsEndInNoZeros: the log could take them for a sector that was not written.
+func TestRecordsEndInNoZeros(t *testing.T) {
+	l := newCluster(t, 4, 3)
+	l.mustWrite("a", 0, 1, "one")
+	l.machines["c"].down = true
+	l.run(3 * time.Second)
+	kinds := map[byte]bool{}
+	for _, id := range l.order {
+		for _, record := range l.machines[id].records {
+			kinds[record[0]] = true
+			l.c.Assert(record[len(record)-1], qt.Not(qt.Equals), byte(0), qt.Commentf("kind %d", record[0]))
+		}
+	}
+	for _, kind := range []byte{recordGenesis, recordView, recordAcceptor, recordSuccessor, recordPosition} {
+		l.c.Assert(kinds[kind], qt.IsTrue)
+	}
+}
--- a/internal/chain/sim_check_test.go
+++ b/internal/chain/sim_check_test.go
@@ -26,6 +26,8 @@
 	newest map[MemberID]uint64
 	// disksLost counts disks that were emptied or taken away.
 	disksLost int
+	// damages counts logs that were found to be damaged.
+	damages int
 	// replaced counts writes that were acknowledged again although a later one had replaced them.
 	replaced int
 	// outcomes counts the answers that clients got.
--- a/internal/chain/sim_machine_test.go
+++ b/internal/chain/sim_machine_test.go
@@ -8,6 +8,9 @@
 	"cresshub/internal/segmentlog/faultfs"
 )
 
+// simFolder is where a simulated log is.
+const simFolder = "state"
+
 // simSync is how long a simulated machine's disk takes for one step's records.
 const simSync = time.Millisecond
 
@@ -66,7 +69,13 @@
 			Snapshot: func() [][]byte { return m.node.SnapshotRecords() },
 			Growth:   w.growth,
 		}
-		if m.log, records, err = segmentlog.Open(m.disk, "state", options); err != nil {
+		var damage *segmentlog.Damaged
+		m.log, records, damage, err = segmentlog.OpenAnew(m.disk, simFolder, options)
+		if damage != nil {
+			w.note("%s begins anew: %v", m.address, damage)
+			w.history.damages++
+		}
+		if err != nil {
 			m.bootFailed(err)
 			return
 		}
--- a/internal/chain/sim_nemesis_test.go
+++ b/internal/chain/sim_nemesis_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"cresshub/internal/segmentlog/faultfs"
@@ -47,6 +49,7 @@
 		{"pause", s.pause}, {"disk lost", s.wipe}, {"disk lost while the others lose power", s.wipeAndPower},
 		{"machine replaced", s.replace}, {"partition", s.partition}, {"one-way cut", s.oneWay},
 		{"lossy links", s.lossy}, {"leave", s.leave}, {"wake of all links", s.healLinks},
+		{"rot at the end of the log", s.rot},
 	}
 	m := s.machine()
 	one := faults[s.world.random.Intn(len(faults))]
@@ -165,6 +168,31 @@
 	s.later(m)
 }
 
+// rot flips a bit of a log's last records while the machine is down: the machine then counts as one that has
+// lost its disk.
+func (s *nemesis) rot(m *simMachine) {
+	if !m.hasDisk || !s.mayLoseDisk() {
+		return
+	}
+	m.crash(s.loss())
+	names, err := m.disk.List(simFolder)
+	if err != nil || len(names) == 0 {
+		s.later(m)
+		return
+	}
+	name := simFolder + "/" + slices.Max(names)
+	data, err := m.disk.ReadFile(name)
+	if err == nil && strings.HasSuffix(name, ".segment") && len(data) > 0 {
+		err = m.disk.Corrupt(name, len(data)-1-s.world.random.Intn(min(len(data), 200)))
+	}
+	if err != nil {
+		s.world.fail("%s: %v", m.address, err)
+	}
+	m.first = false
+	s.world.history.disksLost++
+	s.later(m)
+}
+
 func (s *nemesis) wipeAndPower(m *simMachine) {
 	if !m.hasDisk || !s.mayLoseDisk() {
 		return
--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -39,13 +39,14 @@
 	seeds := fromEnvironment(simSeedsVariable, simSeeds)
 	first := fromEnvironment(simFirstVariable, 1)
 	var total [Unavailable + 1]atomic.Int64
-	var disks, replaced atomic.Int64
+	var disks, damages, replaced atomic.Int64
 	t.Run("seeds", func(t *testing.T) {
 		for seed := first; seed < first+seeds; seed++ {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
 				w := simulate(t, int64(seed))
 				disks.Add(int64(w.history.disksLost))
+				damages.Add(int64(w.history.damages))
 				replaced.Add(int64(w.history.replaced))
 				for outcome, count := range w.history.outcomes {
 					total[outcome].Add(int64(count))
@@ -53,9 +54,13 @@
 			})
 		}
 	})
-	t.Logf("%d seeds: %d applied, %d conflicts, %d unavailable; %d disks lost; %d replaced ones sent again",
+	t.Logf("%d seeds: %d applied, %d conflicts, %d unavailable; %d disks lost, %d by rot; "+
+		"%d replaced ones sent again",
 		seeds, total[Applied].Load(), total[Conflict].Load(), total[Unavailable].Load(), disks.Load(),
-		replaced.Load())
+		damages.Load(), replaced.Load())
+	if seeds >= simSeeds && damages.Load() == 0 {
+		t.Error("no log was damaged; let them rot more often")
+	}
 	if seeds >= simSeeds && replaced.Load() == 0 {
 		t.Error("no replaced write was sent again; let clients do that more often")
 	}
--- a/internal/segmentlog/faultfs/faultfs.go
+++ b/internal/segmentlog/faultfs/faultfs.go
@@ -122,6 +122,20 @@
 	f.generation++
 }
 
+// Corrupt flips one bit of a file, on the medium too, as rot does.
+func (f *FS) Corrupt(name string, offset int) error {
+	file := f.names[name]
+	if file == nil {
+		return missing(name)
+	}
+	file.data = append([]byte(nil), file.data...)
+	file.data[offset] ^= 1
+	if offset < len(file.durable) {
+		file.durable[offset] ^= 1
+	}
+	return nil
+}
+
 // Wipe empties the medium, as a new disk.
 func (f *FS) Wipe() {
 	f.names, f.durable, f.pending = map[string]*inode{}, map[string]*inode{}, nil
@@ -160,11 +174,12 @@
 // applySome writes those sectors that a draw keeps; all and none come up often.
 func (w write) applySome(data []byte, random *rand.Rand) []byte {
 	chance := []int{0, 50, 90, 100}[random.Intn(4)]
-	for start := 0; start < len(w.data); start += sector {
+	for start := 0; start < len(w.data); {
+		end := min(start+sector-int(w.offset+int64(start))%sector, len(w.data))
 		if random.Intn(100) < chance {
-			end := min(start+sector, len(w.data))
 			data = put(data, w.data[start:end], w.offset+int64(start))
 		}
+		start = end
 	}
 	return data
 }
--- a/internal/segmentlog/format.go
+++ b/internal/segmentlog/format.go
@@ -22,6 +22,9 @@
 	// maxPayload bounds what one Append may hold.
 	maxPayload = 32 << 20
 
+	// sectorSize is what a disk writes whole or not at all.
+	sectorSize = 512
+
 	segmentSuffix   = ".segment"
 	temporarySuffix = ".new"
 )
@@ -95,6 +98,13 @@
 	return data
 }
 
+// syncMark returns the frame without records that is written, but not synced, behind a frame once that is
+// synced. It has the sequence of the next frame, which takes its place.
+func syncMark(segment, next uint64) []byte { return appendFrame(nil, segment, next, nil) }
+
+// isSyncMark tells whether a frame is such a mark.
+func (f *frame) isSyncMark() bool { return len(f.records) == 0 && f.sequence > 0 }
+
 // frameHeaderChecksum covers a frame's header and the number of its segment, so that a frame that stands as
 // data inside another file's record isn't taken for one of this segment.
 func frameHeaderChecksum(header []byte, segment uint64) uint32 {
@@ -114,14 +124,14 @@
 	if len(data) < frameHeaderSize {
 		return frame{}, "the frame's header is short"
 	}
-	if frameHeaderChecksum(data, segment) != binary.LittleEndian.Uint32(data[16:]) {
+	size, good := frameExtent(data, segment)
+	if !good {
 		return frame{}, "the checksum of the frame's header differs"
 	}
-	length := int64(binary.LittleEndian.Uint32(data))
-	if length > int64(len(data)-frameHeaderSize) {
+	if size > int64(len(data)) {
 		return frame{}, "the frame is short"
 	}
-	payload := data[frameHeaderSize : frameHeaderSize+int(length)]
+	payload := data[frameHeaderSize:size]
 	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[12:]) {
 		return frame{}, "the frame's checksum differs"
 	}
@@ -129,7 +139,16 @@
 	if !ok {
 		return frame{}, "the frame's records don't fill it"
 	}
-	return frame{binary.LittleEndian.Uint64(data[4:]), records, frameHeaderSize + int(length)}, ""
+	return frame{binary.LittleEndian.Uint64(data[4:]), records, int(size)}, ""
+}
+
+// frameExtent returns how long the frame at the start of data should be, if its header is good.
+func frameExtent(data []byte, segment uint64) (int64, bool) {
+	if len(data) < frameHeaderSize {
+		return 0, false
+	}
+	good := frameHeaderChecksum(data, segment) == binary.LittleEndian.Uint32(data[16:])
+	return frameHeaderSize + int64(binary.LittleEndian.Uint32(data)), good
 }
 
 // splitRecords cuts a payload into its records.
--- a/internal/segmentlog/log.go
+++ b/internal/segmentlog/log.go
@@ -37,12 +37,39 @@
 	closed    bool
 }
 
+// OpenAnew opens the log as Open does. If it is damaged it begins an empty one in place of it, and returns
+// the damage too. That is safe for an owner that starts as a stranger then: what it promised under the old
+// records counts as lost with them.
+func OpenAnew(files FS, dir string, options Options) (*Log, [][]byte, *Damaged, error) {
+	l, records, err := Open(files, dir, options)
+	var damage *Damaged
+	if !errors.As(err, &damage) {
+		return l, records, nil, err
+	}
+	numbers, err := segmentNumbers(files, dir)
+	if err != nil {
+		return nil, nil, nil, fmt.Errorf("segment log: list %s: %w; let this user read the folder", dir, err)
+	}
+	// The new segment has the highest number before the damaged one is gone: no older one can come back.
+	l = &Log{fs: files, dir: dir, options: options.withDefaults(), number: numbers[len(numbers)-1]}
+	if err := l.begin(nil); err != nil {
+		return nil, nil, nil, err
+	}
+	l.removeOthers()
+	return l, nil, damage, nil
+}
+
+// withDefaults fills in what is not set.
+func (o Options) withDefaults() Options {
+	if o.Growth == 0 {
+		o.Growth = DefaultGrowth
+	}
+	return o
+}
+
 // Open opens the log in a folder, or begins one there, and returns its records. All of them are durable.
 func Open(files FS, dir string, options Options) (*Log, [][]byte, error) {
-	if options.Growth == 0 {
-		options.Growth = DefaultGrowth
-	}
-	l := &Log{fs: files, dir: dir, options: options}
+	l := &Log{fs: files, dir: dir, options: options.withDefaults()}
 	if err := files.MakeDir(dir); err != nil {
 		return nil, nil, fmt.Errorf("segment log: make %s: %w; make the folder or name another", dir, err)
 	}
@@ -106,6 +133,9 @@
 	if l.closed {
 		return ErrClosed
 	}
+	if len(records) == 0 {
+		return nil
+	}
 	size := frameSize(records)
 	if size-frameHeaderSize > maxPayload {
 		return fmt.Errorf("segment log: %d bytes at once, %d are the most; write less at once", size, maxPayload)
@@ -135,9 +165,18 @@
 	l.dirty = false
 	l.size += int64(len(data))
 	l.next++
+	l.mark()
 	return nil
 }
 
+// mark writes behind the last frame that it is synced, so that rot in it isn't taken for a crash. The mark
+// itself is not synced: a crash may lose it, and with it only that knowledge.
+func (l *Log) mark() {
+	if _, err := l.file.WriteAt(syncMark(l.number, l.next), l.size); err != nil {
+		l.dirty = true
+	}
+}
+
 // repair cuts off what a failed write may have left.
 func (l *Log) repair() error {
 	if err := l.removeAbandoned(); err != nil {
--- a/internal/segmentlog/log_test.go
+++ b/internal/segmentlog/log_test.go
@@ -1,6 +1,7 @@
 package segmentlog_test
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"math/rand"
@@ -189,29 +190,37 @@
 	return folder, filepath.Join(folder, "0000000000000001.segment")
 }
 
-func TestEachByteOfDamageIsToldOrCutOff(t *testing.T) {
+// markSize is how long the mark behind the last frame is.
+const markSize = 20
+
+// TestEachByteOfDamageIsTold flips each byte, with the mark behind the last frame and without, as a crash may
+// lose it. Only damage to the mark itself does no harm.
+func TestEachByteOfDamageIsTold(t *testing.T) {
 	c := qt.New(t)
 	folder, file := written(c)
-	good, err := os.ReadFile(file)
+	whole, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
-	lastFrame := len(good) - 20 - 4 - len("three")
-	for offset := range good {
-		bad := append([]byte(nil), good...)
-		bad[offset] ^= 0x40
-		c.Assert(os.WriteFile(file, bad, 0o600), qt.IsNil)
-		reports, err := segmentlog.Inspect(segmentlog.OSFS{}, folder)
-		c.Assert(err, qt.IsNil)
-		_, records, err := segmentlog.Open(segmentlog.OSFS{}, folder, segmentlog.Options{})
-		if offset >= lastFrame {
+	frames := len(whole) - markSize
+	for _, good := range [][]byte{whole, whole[:frames]} {
+		for offset := range good {
+			bad := append([]byte(nil), good...)
+			bad[offset] ^= 0x40
+			c.Assert(os.WriteFile(file, bad, 0o600), qt.IsNil)
+			reports, err := segmentlog.Inspect(segmentlog.OSFS{}, folder)
 			c.Assert(err, qt.IsNil)
-			c.Assert(records, qt.HasLen, 2)
-			c.Assert(reports[0].TornBytes, qt.Equals, int64(len(good)-lastFrame))
-			continue
+			_, records, err := segmentlog.Open(segmentlog.OSFS{}, folder, segmentlog.Options{})
+			if offset >= frames {
+				c.Assert(err, qt.IsNil)
+				c.Assert(records, qt.HasLen, 3)
+				c.Assert(reports[0].TornBytes, qt.Equals, int64(markSize))
+				continue
+			}
+			var damaged *segmentlog.Damaged
+			var newer *segmentlog.NewerFormat
+			told := errors.As(err, &damaged) || errors.As(err, &newer)
+			c.Assert(told, qt.IsTrue, qt.Commentf("%d: %v", offset, err))
+			c.Assert(reports[0].Problem.Error(), qt.Equals, err.Error())
 		}
-		var damaged *segmentlog.Damaged
-		var newer *segmentlog.NewerFormat
-		c.Assert(errors.As(err, &damaged) || errors.As(err, &newer), qt.IsTrue, qt.Commentf("%d: %v", offset, err))
-		c.Assert(reports[0].Problem.Error(), qt.Equals, err.Error())
 	}
 }
 
@@ -220,10 +229,14 @@
 	folder, file := written(c)
 	good, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
-	for cut := 1; cut < 20+4+len("three"); cut++ {
+	for cut := 1; cut < markSize+20+4+len("three"); cut++ {
 		c.Assert(os.WriteFile(file, good[:len(good)-cut], 0o600), qt.IsNil)
 		log, records, err := segmentlog.Open(segmentlog.OSFS{}, folder, segmentlog.Options{})
 		c.Assert(err, qt.IsNil)
+		if cut <= markSize {
+			c.Assert(records, qt.HasLen, 3)
+			continue
+		}
 		c.Assert(records, qt.HasLen, 2)
 		c.Assert(log.Append([]byte("three")), qt.IsNil)
 		again, err := os.ReadFile(file)
@@ -232,6 +245,132 @@
 	}
 }
 
+// TestEachTornWriteIsToldFromRot writes a frame of some sectors over the mark of the one before, at each
+// offset in a sector, and leaves each choice of its sectors as they were. None of these is damage, and each
+// flip of a byte in the whole frame is.
+func TestEachTornWriteIsToldFromRot(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewSource(1))
+	for shift := range 512 {
+		fs := faultfs.New()
+		log, _, err := segmentlog.Open(fs, dir, segmentlog.Options{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(log.Append(bytes.Repeat([]byte("a"), 1+shift)), qt.IsNil)
+		file := dir + "/0000000000000001.segment"
+		before, err := fs.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		c.Assert(log.Append(bytes.Repeat([]byte("b"), 400+random.Intn(700))), qt.IsNil)
+		after, err := fs.ReadFile(file)
+		c.Assert(err, qt.IsNil)
+		after = after[:len(after)-markSize]
+		first := (len(before) - markSize) / 512
+		sectors := (len(after)-1)/512 - first + 1
+		for choice := range 2 << sectors {
+			lost, before := choice>>1, before
+			if choice%2 == 0 {
+				before = before[:len(before)-markSize] // the mark was never on the disk
+			}
+			torn := append([]byte(nil), after...)
+			for sector := range sectors {
+				if lost&(1<<sector) != 0 {
+					loseSector(torn, before, (first+sector)*512)
+				}
+			}
+			c.Assert(reopened(c, torn), qt.Equals, lost == 0, qt.Commentf("shift %d, lost %b", shift, lost))
+		}
+		rotten := append([]byte(nil), after...)
+		rotten[len(before)-markSize+random.Intn(len(after)-len(before)+markSize)] ^= 1 << random.Intn(8)
+		_, _, err = openContent(c, rotten)
+		var damaged *segmentlog.Damaged
+		c.Assert(errors.As(err, &damaged), qt.IsTrue, qt.Commentf("shift %d: %v", shift, err))
+	}
+}
+
+// loseSector sets a sector back to what it was, zeros behind the end.
+func loseSector(data, before []byte, start int) {
+	for i := start; i < min(start+512, len(data)); i++ {
+		data[i] = 0
+		if i < len(before) {
+			data[i] = before[i]
+		}
+	}
+}
+
+// openContent opens a log whose segment has that content.
+func openContent(c *qt.C, data []byte) (*segmentlog.Log, [][]byte, error) {
+	fs := faultfs.New()
+	file, err := fs.Create(dir + "/0000000000000001.segment")
+	c.Assert(err, qt.IsNil)
+	_, err = file.WriteAt(data, 0)
+	c.Assert(err, qt.IsNil)
+	return segmentlog.Open(fs, dir, segmentlog.Options{})
+}
+
+// reopened opens a log whose last frame may be torn and tells whether that frame is there.
+func reopened(c *qt.C, data []byte) bool {
+	_, records, err := openContent(c, data)
+	c.Assert(err, qt.IsNil)
+	return len(records) == 2
+}
+
+// TestMarkTellsALostSectorFromACrash: zeros in a frame that is known to be synced are damage.
+func TestMarkTellsALostSectorFromACrash(t *testing.T) {
+	c := qt.New(t)
+	fs := faultfs.New()
+	log, _, err := segmentlog.Open(fs, dir, segmentlog.Options{})
+	c.Assert(err, qt.IsNil)
+	c.Assert(log.Append(bytes.Repeat([]byte("a"), 2000)), qt.IsNil)
+	data, err := fs.ReadFile(dir + "/0000000000000001.segment")
+	c.Assert(err, qt.IsNil)
+	loseSector(data, nil, 512)
+	_, _, err = openContent(c, data)
+	var damaged *segmentlog.Damaged
+	c.Assert(errors.As(err, &damaged), qt.IsTrue, qt.Commentf("%v", err))
+	_, records, err := openContent(c, data[:len(data)-markSize]) // this isn't told apart
+	c.Assert(err, qt.IsNil)
+	c.Assert(records, qt.HasLen, 0)
+}
+
+// TestDamagedLogBeginsAnew breaks the beginning at each operation: neither the damaged segment nor an older
+// one that a crash has left ever counts again.
+func TestDamagedLogBeginsAnew(t *testing.T) {
+	c := qt.New(t)
+	for number := 1; ; number++ {
+		fs := faultfs.New()
+		r, err := openRegister(fs, dir)
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.set("old"), qt.IsNil)
+		older, err := fs.ReadFile(dir + "/0000000000000001.segment")
+		c.Assert(err, qt.IsNil)
+		c.Assert(r.log.Compact([][]byte{[]byte("newer")}), qt.IsNil)
+		leftover, err := fs.Create(dir + "/0000000000000001.segment")
+		c.Assert(err, qt.IsNil)
+		_, err = leftover.WriteAt(older, 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(leftover.Sync(), qt.IsNil)
+		c.Assert(fs.Corrupt(dir+"/0000000000000002.segment", 50), qt.IsNil)
+		fs.FaultAt(number, faultfs.CrashAfter)
+		before := fs.Operations
+		_, records, damage, err := segmentlog.OpenAnew(fs, dir, segmentlog.Options{})
+		if err == nil && fs.Operations < before+number {
+			c.Assert(damage, qt.IsNotNil)
+			c.Assert(records, qt.HasLen, 0)
+			c.Assert(number > 4, qt.IsTrue)
+			return
+		}
+		fs.Crash()
+		fs.Restart(faultfs.LoseSome, rand.New(rand.NewSource(int64(number))))
+		log, records, _, err := segmentlog.OpenAnew(fs, dir, segmentlog.Options{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(records, qt.HasLen, 0)
+		c.Assert(log.Append([]byte("new")), qt.IsNil)
+		_, records, damage, err = segmentlog.OpenAnew(fs, dir, segmentlog.Options{})
+		c.Assert(err, qt.IsNil)
+		c.Assert(damage == nil, qt.IsTrue)
+		c.Assert(fmt.Sprintf("%s", records), qt.Equals, "[new]")
+	}
+}
+
 func TestNewerFormatIsRefused(t *testing.T) {
 	c := qt.New(t)
 	folder, file := written(c)
--- a/internal/segmentlog/scan.go
+++ b/internal/segmentlog/scan.go
@@ -1,6 +1,9 @@
 package segmentlog
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
 
 // scan is what reading one segment gave.
 type scan struct {
@@ -10,6 +13,8 @@
 	next uint64
 	// base is where the snapshot ends, good is where the last good frame ends.
 	base, good int64
+	// marked says that the last frame is a mark.
+	marked bool
 	// torn counts the bytes behind good; tornReason says why they are no frame.
 	torn       int64
 	tornReason string
@@ -22,38 +27,84 @@
 	}
 	result := scan{good: int64(headerSize)}
 	for result.good < int64(len(data)) {
-		rest := data[result.good:]
-		one, reason := decodeFrame(rest, number)
+		one, reason := decodeFrame(data[result.good:], number)
 		if reason == "" && one.sequence != result.next {
 			reason = "the frame's sequence is not the next one"
 		}
 		if reason != "" {
-			return endOfSegment(file, rest, number, result, reason)
+			return endOfSegment(file, data, number, result, reason)
 		}
-		result.records = append(result.records, one.records...)
-		result.good += int64(one.size)
-		if result.frames == 0 {
-			result.base = result.good
-		}
-		result.frames++
-		result.next++
+		result.add(one)
 	}
 	if result.frames == 0 {
 		return result, &Damaged{File: file, Offset: result.good, Reason: "the snapshot is missing"}
 	}
+	result.dropMark()
 	return result, nil
 }
 
+// add takes a good frame.
+func (s *scan) add(one frame) {
+	s.records = append(s.records, one.records...)
+	s.good += int64(one.size)
+	if s.frames == 0 {
+		s.base = s.good
+	}
+	s.frames++
+	s.next++
+	s.marked = one.isSyncMark()
+}
+
+// dropMark doesn't count a mark at the end: the next frame takes its place.
+func (s *scan) dropMark() {
+	if s.marked {
+		s.good -= frameHeaderSize
+		s.frames--
+		s.next--
+	}
+}
+
 // endOfSegment decides whether a bad frame is a torn end or damage. The snapshot was synced before the
 // segment got its name, and a frame is written only after the one before it was synced.
-func endOfSegment(file string, rest []byte, number uint64, result scan, reason string) (scan, error) {
-	if result.frames == 0 || goodFrameBehind(rest, number, result.next) {
+func endOfSegment(file string, data []byte, number uint64, result scan, reason string) (scan, error) {
+	rest := data[result.good:]
+	if result.frames == 0 || goodFrameBehind(rest, number, result.next) || !mayBeTorn(data, number, &result) {
 		return result, &Damaged{File: file, Offset: result.good, Reason: reason}
 	}
-	result.torn, result.tornReason = int64(len(rest)), reason
+	result.dropMark()
+	result.torn, result.tornReason = int64(len(data))-result.good, reason
 	return result, nil
 }
 
+// mayBeTorn tells whether a crash can have left a bad last frame. It leaves each sector of a write as it was
+// or as it should be: the file ends early, or a part of the frame in one sector still has what was there
+// before, the mark behind the last good frame and zeros. A frame of which nothing is missing has been changed
+// since.
+func mayBeTorn(data []byte, number uint64, result *scan) bool {
+	rest := data[result.good:]
+	if result.marked || len(rest) <= frameHeaderSize {
+		return true // the mark is still there, or is all that is bad
+	}
+	end := int64(len(data))
+	if size, good := frameExtent(rest, number); good {
+		if size > int64(len(rest)) {
+			return true
+		}
+		end = result.good + size
+	}
+	before := make([]byte, len(rest))
+	copy(before, syncMark(number, result.next))
+	for start := result.good; start < end; {
+		next := min(end, start-start%sectorSize+sectorSize)
+		part, old := data[start:next], before[start-result.good:next-result.good]
+		if bytes.Equal(part, old) || bytes.Equal(part, make([]byte, len(part))) {
+			return true
+		}
+		start = next
+	}
+	return false
+}
+
 // goodFrameBehind looks for a good frame with a later sequence anywhere behind the first byte.
 func goodFrameBehind(rest []byte, number, sequence uint64) bool {
 	for offset := 1; offset+frameHeaderSize <= len(rest); offset++ {
