Servers that leave, call late, alternate, or lose the machine they report to

Cause: what operators met around heartbeats was tried piece by piece, not with whole processes. Change, each with ten machines, three with a disk: TestLateHeartbeats (one sent before DELETE or draining arrives after it at every machine; DELETE without draining), TestAlternatingHeartbeats (30 s), TestWatchingMachineGone (killed, without power, SIGTERM, cut off from all, from machines, from servers; with a disk or without), TestThirdOfTheFleetCutOff (a hub with its followers, with a third of the servers or none, 20 s), TestServersLeaveByTheMachineCutOff (drains, ends and a server that comes reach the machine that is cut off first).

--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -26,6 +26,16 @@
 // IsHub tells whether others report to this process.
 func (n *Node) IsHub() bool { return n.isHub() }
 
+// Follows returns the IP of the hub whose feed this process follows, "" for none.
+func (n *Node) Follows() string {
+	n.followMu.Lock()
+	defer n.followMu.Unlock()
+	if source := n.following.source; source != nil {
+		return source.ip
+	}
+	return ""
+}
+
 // Traffic returns what went between this process and others.
 func (n *Node) Traffic() peerlink.Traffic { return n.endpoint.Traffic() }
 
--- a/internal/nodesim/absence.go
+++ b/internal/nodesim/absence.go
@@ -15,6 +15,8 @@
 
 // Absences are the times in which machines did not know servers that called and that they reached.
 type Absences struct {
+	Tolerated time.Duration // shorter absences are passed over
+
 	fleet *Fleet
 	about func(*Machine, *Server) bool
 	stop  chan struct{}
@@ -87,6 +89,9 @@
 func (a *Absences) end(each absence) {
 	since, now := a.open[each], a.fleet.Now()
 	delete(a.open, each)
+	if now-since <= a.Tolerated {
+		return
+	}
 	a.total += now - since
 	a.lines = append(a.lines, fmt.Sprintf("from %v to %v %s did not know %s", since, now, each.machine,
 		each.server))
--- /dev/null
+++ b/internal/nodesim/servers_test.go
@@ -0,0 +1,252 @@
+package nodesim
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/simnet"
+)
+
+// inFleet runs a test with a fleet of ten machines, three with a disk, that has a configuration.
+func inFleet(t *testing.T, options Options, test func(t *testing.T, f *Fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		options.Disks, options.Others = 3, 7
+		f := New(t, options)
+		operator := f.AddOperator(&History{})
+		qt.Assert(t, operator.PutUntil(f.Machines, Change{0, 1, 0}, 4*time.Second, 0), qt.Equals, 200)
+		f.Await("all know the configuration", 2*time.Second, f.Whole)
+		test(t, f)
+	})
+}
+
+// nobodyKnows returns "" where no machine sends requests to a server.
+func (f *Fleet) nobodyKnows(s *Server) string {
+	for _, m := range f.Running() {
+		if m.Node().Servers().ByID(s.ID) != nil {
+			return m.Name + " knows " + s.ID
+		}
+	}
+	return ""
+}
+
+// TestLateHeartbeats: nothing brings a server back that has said that it leaves, at whichever machine a late
+// heartbeat arrives; one that was only late does not change anything.
+func TestLateHeartbeats(t *testing.T) {
+	inFleet(t, Options{Servers: 8, Seed: 1}, func(t *testing.T, f *Fleet) {
+		drained, deleted, both, stays := f.Servers[0], f.Servers[1], f.Servers[2], f.Servers[3]
+		leaving := []*Server{drained, deleted, both}
+		late := map[*Server]Late{stays: stays.SendLate()}
+		for _, s := range leaving {
+			late[s] = s.SendLate()
+		}
+		qt.Check(t, drained.Drain(), qt.IsTrue)
+		qt.Check(t, deleted.Delete(), qt.IsTrue)
+		qt.Check(t, both.Drain(), qt.IsTrue)
+		time.Sleep(Bounds().Drain)
+		qt.Check(t, both.Delete(), qt.IsTrue)
+		for _, s := range leaving {
+			f.Await("nobody sends to "+s.ID, Bounds().Drain, func() string { return f.nobodyKnows(s) })
+		}
+		for _, m := range f.Machines {
+			for _, s := range leaving {
+				s.Deliver(late[s], m)
+				qt.Check(t, f.nobodyKnows(s), qt.Equals, "")
+			}
+			stays.Deliver(late[stays], m)
+			time.Sleep(200 * time.Millisecond)
+			qt.Check(t, f.Whole(), qt.Equals, "")
+		}
+		time.Sleep(5 * time.Second)
+		qt.Check(t, f.Whole(), qt.Equals, "")
+	})
+}
+
+// TestAlternatingHeartbeats: a server whose heartbeats each go to another machine is never lost, and what that
+// costs is bounded.
+func TestAlternatingHeartbeats(t *testing.T) {
+	inFleet(t, Options{Servers: 8, Seed: 2}, func(t *testing.T, f *Fleet) {
+		for _, s := range f.Servers[:3] {
+			s.Alternate = true
+		}
+		since := f.Now()
+		absences := f.WatchAbsences(Everywhere)
+		time.Sleep(30 * time.Second)
+		f.CheckNoneLost(since)
+		missing, _ := absences.Stop()
+		qt.Check(t, missing, qt.Equals, "")
+	})
+}
+
+// watcherTrouble is what befalls a machine that servers report to.
+var watcherTroubles = []struct {
+	name   string
+	strike func(f *Fleet, m *Machine)
+	// tolerated is how long a server may be unknown: it notices that its machine is silent a second after its
+	// next heartbeat, and counts as lost after 1.9 heartbeats.
+	tolerated time.Duration
+}{
+	{name: "killed", strike: func(_ *Fleet, m *Machine) { m.Kill() }},
+	{name: "without power", strike: func(_ *Fleet, m *Machine) { m.PowerOff() }},
+	{name: "terminated", strike: func(_ *Fleet, m *Machine) { m.Terminate() }},
+	{name: "cut off", strike: func(f *Fleet, m *Machine) {
+		f.Cut(IPs(m), append(IPs(f.Except(m)...), f.serverIPs()...), simnet.Silent)
+	}},
+	{name: "cut off from machines", strike: func(f *Fleet, m *Machine) {
+		f.Cut(IPs(m), IPs(f.Except(m)...), simnet.Silent)
+	}},
+	{name: "cut off from servers", strike: func(f *Fleet, m *Machine) {
+		f.Cut(IPs(m), f.serverIPs(), simnet.Silent)
+	}, tolerated: 350 * time.Millisecond},
+}
+
+// TestWatchingMachineGone: the servers that reported to a machine with trouble are known without a gap by all
+// others, as they report elsewhere.
+func TestWatchingMachineGone(t *testing.T) {
+	for _, trouble := range watcherTroubles {
+		for _, disk := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/disk=%t", trouble.name, disk), func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, Options{Servers: 20, Seed: 3}, func(t *testing.T, f *Fleet) {
+					struck := busiest(f, disk)
+					since := f.Now()
+					elsewhere := f.WatchAbsences(func(m *Machine, _ *Server) bool { return m != struck })
+					elsewhere.Tolerated = trouble.tolerated
+					trouble.strike(f, struck)
+					time.Sleep(20 * time.Second)
+					f.Heal()
+					if struck.Runs() {
+						f.Await("all agree", agreeTime, f.Whole)
+					}
+					time.Sleep(5 * time.Second)
+					missing, total := elsewhere.Stop()
+					qt.Check(t, missing, qt.Equals, "", qt.Commentf("%v in all", total))
+					f.CheckNoneLost(since)
+				})
+			})
+		}
+	}
+}
+
+// busiest returns the machine with or without a disk that most servers report to.
+func busiest(f *Fleet, disk bool) *Machine {
+	reports := map[string]int{}
+	for _, s := range f.Servers {
+		reports[s.Caller()]++
+	}
+	var most *Machine
+	for _, m := range f.WithDisk(disk) {
+		if most == nil || reports[m.Control()] > reports[most.Control()] {
+			most = m
+		}
+	}
+	return most
+}
+
+// TestThirdOfTheFleetCutOff cuts a hub off together with the machines that follow it, with their servers or
+// without: nobody else loses a server that calls, also after the cut.
+func TestThirdOfTheFleetCutOff(t *testing.T) {
+	for hub := range 3 {
+		for _, withServers := range []bool{false, true} {
+			t.Run(fmt.Sprintf("hub %d, servers=%t", hub, withServers), func(t *testing.T) {
+				t.Parallel()
+				inFleet(t, Options{Servers: 30, Seed: int64(hub)}, func(t *testing.T, f *Fleet) {
+					runThirdCutOff(t, f, hub, withServers)
+				})
+			})
+		}
+	}
+}
+
+func runThirdCutOff(t *testing.T, f *Fleet, hub int, withServers bool) {
+	near := append([]*Machine{f.Machines[hub]}, f.followersOf(f.Machines[hub])...)
+	far := f.Except(near...)
+	nearIPs, nearServers := IPs(near...), map[*Server]bool{}
+	farIPs := IPs(far...)
+	for i, s := range f.Servers {
+		if nearServers[s] = withServers && i%3 == 0; nearServers[s] {
+			nearIPs = append(nearIPs, s.IP)
+		} else if withServers {
+			farIPs = append(farIPs, s.IP)
+		}
+	}
+	nearMachines := strings.Join(IPs(near...), " ")
+	isNear := func(m *Machine) bool { return strings.Contains(nearMachines+" ", m.IP+" ") }
+	since := f.Now()
+	absences := f.WatchAbsences(func(m *Machine, s *Server) bool { return !isNear(m) && !nearServers[s] })
+	f.Cut(nearIPs, farIPs, simnet.Silent)
+	time.Sleep(20 * time.Second)
+	f.Heal()
+	f.Await("all agree", agreeTime, f.Whole)
+	time.Sleep(5 * time.Second)
+	missing, total := absences.Stop()
+	qt.Check(t, missing, qt.Equals, "", qt.Commentf("%v in all", total))
+	f.CheckNoneLost(since)
+}
+
+// followersOf returns the machines that follow a hub's feed.
+func (f *Fleet) followersOf(hub *Machine) []*Machine {
+	var followers []*Machine
+	for _, m := range f.WithDisk(false) {
+		if m.Node().Follows() == hub.IP {
+			followers = append(followers, m)
+		}
+	}
+	return followers
+}
+
+// TestServersLeaveByTheMachineCutOff has servers call a machine first that is cut off from the others when
+// they come, drain or end: others acknowledge that, and all in touch know in time.
+func TestServersLeaveByTheMachineCutOff(t *testing.T) {
+	for member := range 3 {
+		t.Run(fmt.Sprint(member), func(t *testing.T) {
+			t.Parallel()
+			inFleet(t, Options{Servers: 12, Seed: int64(member)}, func(t *testing.T, f *Fleet) {
+				runLure(t, f, f.Machines[member])
+			})
+		})
+	}
+}
+
+func runLure(t *testing.T, f *Fleet, cut *Machine) {
+	for _, s := range f.Servers {
+		s.ReportTo(cut)
+	}
+	time.Sleep(2 * Beat)
+	qt.Assert(t, f.Whole(), qt.Equals, "")
+	f.Cut(IPs(cut), IPs(f.Except(cut)...), simnet.Silent)
+	inTouch := f.Except(cut)
+	keptOff := func(s *Server) {
+		f.Await("all in touch keep off "+s.ID, Bounds().Drain, func() string {
+			for _, m := range inTouch {
+				if m.Node().Servers().ByID(s.ID) != nil {
+					return m.Name + " does not"
+				}
+			}
+			return ""
+		})
+	}
+	for i, pause := range []time.Duration{0, time.Second, 3 * time.Second, 6 * time.Second} {
+		time.Sleep(pause)
+		drained, deleted := f.Servers[2*i], f.Servers[2*i+1]
+		qt.Check(t, drained.Drain(cut.Control()), qt.IsTrue)
+		keptOff(drained)
+		qt.Check(t, deleted.Delete(cut.Control()), qt.IsTrue)
+		keptOff(deleted)
+	}
+	come := f.AddServer("server-new", cut.Control())
+	f.Await("all in touch know a server that came", 6*time.Second, func() string {
+		for _, m := range inTouch {
+			if m.Node().Servers().ByID(come.ID) == nil {
+				return m.Name + " does not"
+			}
+		}
+		return ""
+	})
+	f.Heal()
+	f.Await("all agree", agreeTime, f.Whole)
+}
