Front: tests of clients that leave at each stage of their request

Four stages had a test, each by a close.

Change: tests only. Close, reset and the end of sending alone, at eleven stages (first call, after a rejection or a break, while it is read, also by a second reader, while memory is fetched, written after a rejection, within streams, also one taken up) and during a dial. The routes' own times are a minute, so that nothing but the client's leaving ends a call.

Seen to fail: with the call under way left alone (its server is not told), with a watch that does not tell (a third call), and with the reason left out of both over and attach (a second call). Either of these two alone suffices; and the end of a hanging dial can't be told from its own limit of a second by what the test sees.

--- /dev/null
+++ b/internal/front/gone_test.go
@@ -0,0 +1,140 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
+
+	"cresshub/internal/catalog"
+	"cresshub/internal/http1"
+	"cresshub/internal/pairing"
+)
+
+// leaving are the ways in which a client goes.
+var leaving = map[string]func(conn *net.TCPConn){
+	"closes":           func(conn *net.TCPConn) { conn.Close() },
+	"resets":           func(conn *net.TCPConn) { conn.SetLinger(0); conn.Close() },
+	"ends its sending": func(conn *net.TCPConn) { conn.CloseWrite() },
+}
+
+// A client that leaves, whatever its request is at: the call under way is cut off at its server, no other one
+// follows, and memory that was read for it is freed.
+func TestClientLeavesAtEachStage(t *testing.T) {
+	ended := make(chan string, 999)
+	held := silence(ended)
+	begins := func(q *http1.Request, w io.Writer) bool {
+		io.WriteString(w, streamHead(q, "s")+chunk(event(1)))
+		return held(q, w)
+	}
+	goesOnAndStalls := func(q *http1.Request, w io.Writer) bool {
+		io.WriteString(w, streamHead(q, "s")+chunk(event(2)))
+		return held(q, w)
+	}
+	handle := readsPrompt("h")
+	for _, test := range []struct {
+		name, route string
+		read, serve []handler
+		calls       int
+		freed       int
+	}{
+		{"at its server", "safe", nil, []handler{held, ok("x")}, 1, 0},
+		{"at its server", "unsafe", nil, []handler{held, ok("x")}, 1, 0},
+		{"after a rejection", "unsafe", nil, []handler{full, held, ok("x")}, 2, 0},
+		{"after a break", "safe", nil, []handler{breakOff, held, ok("x")}, 2, 0},
+		{"within its stream", "firm", nil, []handler{begins, ok("x")}, 1, 0},
+		{"within a stream taken up", "stream", nil,
+			[]handler{streams("s", false, event(1)), goesOnAndStalls, goesOn(9)}, 2, 0},
+		{"while it is read", "model", []handler{held, handle}, []handler{begins}, 1, 0},
+		{"while it is read after a rejection", "modelfirm", []handler{full, held, handle}, []handler{begins}, 2, 0},
+		{"while its memory is fetched", "model", []handler{handle}, []handler{held, goesOn(9)}, 2, 1},
+		{"while it is written after a rejection", "modelfirm", []handler{handle}, []handler{full, held}, 3, 1},
+		{"within its written stream", "modelfirm", []handler{handle}, []handler{begins, goesOn(9)}, 2, 0},
+	} {
+		for way, leave := range leaving {
+			t.Run(fmt.Sprintf("%s %s, %s", test.route, test.name, way), func(t *testing.T) {
+				t.Parallel()
+				var readers, writers []*server
+				if test.read == nil {
+					writers = lookups(t, inTurn(test.serve...))
+				} else {
+					readers, writers = pair(t, inTurn(test.read...), inTurn(test.serve...))
+				}
+				r := newRig(t, nil, append(readers, writers...)...)
+				patient(r, test.route)
+				calls := func() int { return arrivals(readers) + arrivals(writers) - freed(readers) }
+				p := r.dial()
+				p.send("POST", "/"+test.route+"/", "a", "prompt")
+				r.until("its last call came", func() bool { return calls() == test.calls })
+				leave(p.Conn.(*net.TCPConn))
+				select {
+				case id := <-ended:
+					r.Assert(id, qt.Equals, "a")
+				case <-time.After(patience):
+					r.Fatal("its server was not told")
+				}
+				r.settled()
+				r.until("the client is gone", func() bool { return len(r.front.all()) == 0 })
+				r.until("its memory is freed", func() bool { return freed(readers) >= test.freed })
+				r.until("no call to free it is under way", func() bool { return len(r.front.tickets.places) == 0 })
+				r.Assert(freed(readers) <= 1, qt.IsTrue)
+				r.Assert(calls(), qt.Equals, test.calls)
+				outcomes := r.chooser.outcomes()
+				r.Assert(outcomes[len(outcomes)-1], qt.Equals, pairing.Abandoned)
+			})
+		}
+	}
+}
+
+// patient makes a route's own times so long that none of them ends a request within a test.
+func patient(r *rig, route string) {
+	place := r.state.config.Match("h", "/"+route+"/")
+	place.Timeout, place.Target, place.GapTarget = time.Minute, time.Minute, time.Minute
+}
+
+// crowded returns the address of a listener that lets no further connection in.
+func crowded(t *testing.T) string {
+	c := qt.New(t)
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { unix.Close(fd) })
+	c.Assert(unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), qt.IsNil)
+	c.Assert(unix.Listen(fd, 0), qt.IsNil)
+	name, err := unix.Getsockname(fd)
+	c.Assert(err, qt.IsNil)
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	for {
+		within, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		conn, err := new(net.Dialer).DialContext(within, "tcp", address)
+		cancel()
+		if err != nil {
+			return address
+		}
+		c.Cleanup(func() { conn.Close() })
+	}
+}
+
+// A client that leaves while a connection is being opened for it.
+func TestClientLeavesWhileAServerIsDialled(t *testing.T) {
+	stuck := &server{Server: &catalog.Server{ID: "i-1", Service: "lookup", State: catalog.Ready}}
+	stuck.Address = crowded(t)
+	other := newServer(t, "i-2", "lookup", "", ok("x"))
+	r := newRig(t, nil, stuck, other)
+	p := r.dial()
+	p.send("POST", "/safe/", "a", "")
+	r.until("it is dialled", func() bool {
+		r.chooser.mu.Lock()
+		defer r.chooser.mu.Unlock()
+		return len(r.chooser.open) == 1
+	})
+	p.Close()
+	r.until("the client is gone", func() bool { return len(r.front.all()) == 0 })
+	r.settled()
+	r.Assert(r.chooser.outcomes(), qt.DeepEquals, []pairing.Outcome{pairing.Abandoned})
+	r.Assert(other.got(), qt.HasLen, 0)
+}
