--- a/internal/segmentlog/log_test.go
+++ b/internal/segmentlog/log_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -286,6 +287,45 @@
 	}
 }
 
+// TestWriteTornInsideASectorIsATornEnd keeps only the first or only the last bytes of a frame, with the mark
+// before it or zeros in place of the others.
+func TestWriteTornInsideASectorIsATornEnd(t *testing.T) {
+	c := qt.New(t)
+	folder, file := written(c)
+	whole, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	whole = whole[:len(whole)-markSize]
+	start := len(whole) - (20 + 4 + len("three"))
+	mark := markBehind(c, "one", "two")
+	for kept := 1; kept < len(whole)-start; kept++ {
+		for _, old := range [][]byte{mark, nil} {
+			before := make([]byte, len(whole)-start)
+			copy(before, old)
+			first := slices.Concat(whole[:start+kept], before[kept:])
+			last := slices.Concat(whole[:start], before[:len(before)-kept], whole[len(whole)-kept:])
+			for _, torn := range [][]byte{first, last} {
+				c.Assert(os.WriteFile(file, torn, 0o600), qt.IsNil)
+				_, records, err := segmentlog.Open(segmentlog.OSFS{}, folder, segmentlog.Options{})
+				c.Assert(err, qt.IsNil, qt.Commentf("%d bytes kept", kept))
+				c.Assert(records, qt.HasLen, 2)
+			}
+		}
+	}
+}
+
+// markBehind returns the mark that a log writes behind some records.
+func markBehind(c *qt.C, records ...string) []byte {
+	fs := faultfs.New()
+	log, _, err := segmentlog.Open(fs, dir, segmentlog.Options{})
+	c.Assert(err, qt.IsNil)
+	for _, record := range records {
+		c.Assert(log.Append([]byte(record)), qt.IsNil)
+	}
+	data, err := fs.ReadFile(dir + "/0000000000000001.segment")
+	c.Assert(err, qt.IsNil)
+	return data[len(data)-markSize:]
+}
+
 // loseSector sets a sector back to what it was, zeros behind the end.
 func loseSector(data, before []byte, start int) {
 	for i := start; i < min(start+512, len(data)); i++ {
--- a/internal/segmentlog/scan.go
+++ b/internal/segmentlog/scan.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"slices"
 )
 
@@ -92,6 +93,9 @@
 		}
 		end = result.good + size
 	}
+	if missesAnEnd(data[result.good:end]) {
+		return true
+	}
 	before := make([]byte, len(rest))
 	copy(before, syncMark(number, result.next))
 	for start := result.good; start < end; {
@@ -105,6 +109,13 @@
 	return false
 }
 
+// missesAnEnd tells whether the first or the last bytes of a frame were not written. Disks that tear a write
+// inside a sector leave that: a length of zero, which only marks have, or a zero at the end, which no owner's
+// record ends in.
+func missesAnEnd(frame []byte) bool {
+	return binary.LittleEndian.Uint32(frame) == 0 || frame[len(frame)-1] == 0
+}
+
 // goodFrameBehind looks for a good frame with a later sequence anywhere behind the first byte.
 func goodFrameBehind(rest []byte, number, sequence uint64) bool {
 	for offset := 1; offset+frameHeaderSize <= len(rest); offset++ {
