A member that nothing reaches no longer stops the register

Cause, found by cutting each replica off for 20 s in six ways: if nothing came in to a member, while its own messages went out, it stayed in an old epoch and could not tell that it heard nobody. A member that has not told in the current epoch was taken to hear all, so 300 ms after it had been left out of the chain it was taken in again, the epoch never opened, and no call was answered until the cut ended.

Change: who joins the chain, or becomes a member, must have told in the current epoch. A replica that is heard and tells of an earlier epoch for 700 ms is left out, and replaced like a silent one.

In the planner's tests nodes now tell in their epoch unless they are mute.

--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -23,13 +23,17 @@
 
 	peers    map[MemberID]*peer
 	contacts []Member
-	leaving  bool
+	// leaving says that this node is about to stop, leavingSince since when.
+	leaving      bool
+	leavingSince time.Duration
 
 	started       time.Duration
 	lastTick      time.Duration
 	lastHeartbeat time.Duration
 	lastContact   time.Duration
 	lastProbe     time.Duration
+	// epochSince is since when this node knows its view.
+	epochSince time.Duration
 
 	head      headRole
 	forwards  map[uint64]forwarded
@@ -136,7 +140,9 @@
 // Leave tells the others that this node is about to stop. It should go on until MayStop, if time allows.
 func (n *Node) Leave(now time.Duration) Effects {
 	n.begin(now)
-	n.leaving = true
+	if !n.leaving {
+		n.leaving, n.leavingSince = true, n.now
+	}
 	n.sendHeartbeats()
 	return n.finish()
 }
--- a/internal/chain/peers.go
+++ b/internal/chain/peers.go
@@ -208,16 +208,23 @@
 		if known.heartbeat.Kind == Heartbeat && known.heartbeat.Epoch == n.state.view.Epoch {
 			state.Reports, state.Hears = true, known.heartbeat.Hears
 		}
+		if known.heartbeat.Kind == Heartbeat && known.heartbeat.Epoch < n.state.view.Epoch {
+			state.Behind = n.now - n.epochSince
+		}
 		if state.Unfit {
 			state.UnfitFor = n.now - known.unfitSince
 		}
 		seen.Peers[id] = state
 	}
 	own := n.heartbeat()
-	seen.Peers[n.state.id] = PeerState{
+	self := PeerState{
 		Member: n.Self(), HasDisk: n.config.HasDisk, Steady: n.now - n.started, Unfit: isUnfit(&own),
 		Leaving:    own.Leaving && !own.Stalled,
 		EntryEpoch: own.EntryEpoch, Sealed: own.Sealed, Reports: true, Hears: own.Hears,
 	}
+	if n.leaving {
+		self.UnfitFor = n.now - n.leavingSince
+	}
+	seen.Peers[n.state.id] = self
 	return seen
 }
--- a/internal/chain/plan.go
+++ b/internal/chain/plan.go
@@ -27,9 +27,11 @@
 	EntryEpoch uint64
 	// Sealed says that it has promised not to open the current epoch.
 	Sealed bool
-	// Hears are the members that it hears; Reports says that it has told.
+	// Hears are the members that it hears; Reports says that it has told in the current epoch.
 	Reports bool
 	Hears   []MemberID
+	// Behind is how long it has been heard in this epoch and yet tells of an earlier one: nothing reaches it.
+	Behind time.Duration
 }
 
 // Observation is what one node knows of all, itself included.
@@ -129,12 +131,16 @@
 	return p.hears(one, other) && p.hears(other, one)
 }
 
-// hears tells whether one node hears a member. Who has not told is taken to hear all.
+// hears tells whether one node hears a member. Who has not told in this epoch is taken to hear all, for a
+// while.
 func (p *planner) hears(one, other MemberID) bool {
 	if one == p.seen.Self {
 		return p.directly(other)
 	}
 	known := p.seen.Peers[one]
+	if known.Behind > p.rules.SuspectAfter {
+		return false
+	}
 	if !p.directly(one) || !known.Reports || !p.view.isMember(other) {
 		return true
 	}
@@ -158,11 +164,12 @@
 	return nil, false
 }
 
-// candidates returns the nodes that may become members, in a fixed order.
+// candidates returns the nodes that may become members, in a fixed order: those that know this epoch.
 func (p *planner) candidates() []MemberID {
 	var ids []MemberID
 	for id, known := range p.seen.Peers {
-		if known.HasDisk && !known.Unfit && p.directly(id) && !p.view.isMember(id) && !p.isSuperseded(known) {
+		fit := known.HasDisk && !known.Unfit && known.Reports && p.directly(id)
+		if fit && !p.view.isMember(id) && !p.isSuperseded(known) {
 			ids = append(ids, id)
 		}
 	}
@@ -182,7 +189,8 @@
 }
 
 // replacedBy returns the index of the member whose place a candidate takes: at once the one at its own
-// address, which has not been heard since the candidate is; else the one that is gone for longest.
+// address, which has not been heard since the candidate is; else the one that is gone for longest, or one
+// that leaves. The candidate must have been heard since there is a place for it: its disk may be gone by now.
 func (p *planner) replacedBy(candidate PeerState) (int, bool) {
 	for at, member := range p.view.Members {
 		known := p.seen.Peers[member.ID]
@@ -194,7 +202,7 @@
 	if candidate.Steady < p.rules.RejoinAfter || !p.openEverywhere() {
 		return 0, false
 	}
-	longest, found, place := p.rules.ReplaceAfter, false, 0
+	longest, found, place := p.rules.ReplaceAfter+candidate.Silence, false, 0
 	for at, member := range p.view.Members {
 		if gone := p.goneFor(member.ID); gone > longest {
 			longest, found, place = gone, true, at
@@ -203,7 +211,9 @@
 	if found {
 		return place, true
 	}
-	place = slices.IndexFunc(p.view.Members, func(member Member) bool { return p.mayLeave(member.ID) })
+	place = slices.IndexFunc(p.view.Members, func(member Member) bool {
+		return p.mayLeave(member.ID) && candidate.Silence <= p.seen.Peers[member.ID].UnfitFor
+	})
 	return max(place, 0), place >= 0
 }
 
@@ -214,10 +224,16 @@
 	if known.Unfit && !known.Leaving {
 		return max(known.UnfitFor, known.Silence)
 	}
-	if p.alive(id) || p.view.inChain(id) {
+	switch {
+	case p.view.inChain(id):
+		return 0
+	case known.Behind > p.rules.SuspectAfter:
+		return known.Behind
+	case p.alive(id):
 		return 0
+	default:
+		return known.Silence
 	}
-	return known.Silence
 }
 
 // mayLeave tells whether a member wants to leave and enough others hold what it holds.
@@ -314,7 +330,7 @@
 	for _, id := range identities(members) {
 		known := p.seen.Peers[id]
 		steady := known.Steady >= p.rules.RejoinAfter || !p.view.isMember(id)
-		add(id, !p.view.inChain(id) && p.directly(id) && steady && !known.Unfit)
+		add(id, !p.view.inChain(id) && p.directly(id) && steady && known.Reports && !known.Unfit)
 	}
 	sources := slices.DeleteFunc(slices.Clone(replicas), func(id MemberID) bool { return !p.isSource(id) })
 	others := slices.DeleteFunc(replicas, p.isSource)
--- a/internal/chain/plan_test.go
+++ b/internal/chain/plan_test.go
@@ -43,17 +43,38 @@
 
 func at(address string) peerOption { return func(p *PeerState) { p.Member.Address = address } }
 
-// observation builds what node a knows: each listed node is alive and well but for its options.
+// mute is a node that has told nothing in this epoch.
+func mute(p *PeerState) { p.Reports = false }
+
+// behind is a node that is heard but that nothing reaches.
+func behind(since time.Duration) peerOption {
+	return func(p *PeerState) { p.Reports, p.Behind = false, since }
+}
+
+// observation builds what node a knows: each listed node is alive and well but for its options, and hears all
+// that are not silent.
 func observation(nodes map[MemberID][]peerOption) Observation {
 	seen := Observation{Self: "a", Peers: map[MemberID]PeerState{}}
 	for id, options := range nodes {
 		member := Member{id, "host-" + string(id)}
-		state := PeerState{Member: member, HasDisk: true, Steady: time.Hour, EntryEpoch: 5}
+		state := PeerState{Member: member, HasDisk: true, Steady: time.Hour, EntryEpoch: 5, Reports: true}
 		for _, option := range options {
 			option(&state)
 		}
 		seen.Peers[id] = state
 	}
+	var heard []MemberID
+	for id, state := range seen.Peers {
+		if state.Silence <= planRules.SuspectAfter {
+			heard = append(heard, id)
+		}
+	}
+	for id, state := range seen.Peers {
+		if state.Reports && state.Hears == nil {
+			state.Hears = heard
+			seen.Peers[id] = state
+		}
+	}
 	return seen
 }
 
@@ -100,6 +121,12 @@
 			nodes(b, leaving(0)), "[a b c] [a c] []"},
 		{"leaving with a candidate", planView("a", "b", "c"),
 			nodes(d, entryOf(0), b, leaving(0)), "[a d c] [a c d] [d]"},
+		{"leaving with a candidate that was not heard since", planView("a", "b", "c"),
+			nodes(d, entryOf(0), d, silent(300*time.Millisecond), d, steady(time.Hour),
+				b, leaving(200*time.Millisecond)), "[a b c] [a c] []"},
+		{"candidate that was not heard since a member is gone", planView("a", "b"),
+			nodes(d, entryOf(0), d, silent(300*time.Millisecond), d, steady(time.Hour),
+				third, silent(1400*time.Millisecond)), ""},
 		{"leaving with a candidate, holding a copy that is needed", planView("a", "b"),
 			nodes(d, entryOf(0), b, leaving(0), third, silent(time.Second)), ""},
 		{"leaving, holding a copy that is needed, and another gone", planView("a", "b"),
@@ -137,6 +164,15 @@
 			nodes(d, at("host-c"), d, steady(time.Second)), ""},
 		{"replicas that don't hear each other", planView("a", "b", "c"),
 			nodes(b, hears("a"), third, hears("a")), "[a b c] [a b] []"},
+		{"back, and nothing reaches it", planView("a", "b"),
+			nodes(third, entryOf(3), third, behind(time.Second)), ""},
+		{"replica that nothing reaches", planView("a", "b", "c"),
+			nodes(b, behind(time.Second)), "[a b c] [a c] []"},
+		{"replica that has not told yet", planView("a", "b", "c"), nodes(b, behind(100*time.Millisecond)), ""},
+		{"candidate that nothing reaches", planView("a", "b"),
+			nodes(d, entryOf(0), d, behind(time.Second), third, silent(2*time.Second)), ""},
+		{"candidate replaces a member that nothing reaches", planView("a", "b"),
+			nodes(d, entryOf(0), third, behind(2*time.Second)), "[a b d] [a b d] [d]"},
 		{"silent here, heard by another", planView("a", "c"),
 			nodes(b, silent(time.Second), third, hears("a", "b")), ""},
 	} {
@@ -231,10 +267,16 @@
 	view.Epoch, view.Sources = 100, []MemberID{"a", "b", "c"}
 	for epoch := range uint64(maxUnopened) {
 		lost := MemberID(fmt.Sprint("x", epoch))
-		view.Unopened = append(view.Unopened, PastChain{10 + epoch, []MemberID{"a", "c", lost}})
+		chain := []MemberID{"a", lost}
+		if epoch < 3 {
+			chain = append(chain, "c")
+		}
+		view.Unopened = append(view.Unopened, PastChain{10 + epoch, chain})
 	}
 	view.Fresh = []MemberID{"x"}
-	nodes := observation(map[MemberID][]peerOption{"a": {entryOf(100)}, "b": {entryOf(5)}, "c": {entryOf(12)}})
+	nodes := observation(map[MemberID][]peerOption{
+		"a": {entryOf(100)}, "b": {entryOf(5), mute}, "c": {entryOf(12)},
+	})
 	next, found := Plan(view, nodes, planRules)
 	c.Assert(found, qt.IsTrue)
 	c.Assert(next.Unopened, qt.HasLen, maxUnopened)
--- a/internal/chain/receive.go
+++ b/internal/chain/receive.go
@@ -88,6 +88,7 @@
 
 // startEpoch sets back all that belongs to one epoch.
 func (n *Node) startEpoch() {
+	n.epochSince = n.now
 	n.proposing = proposing{acceptedAt: n.now}
 	n.expectMembers()
 	n.dropHeadRole()
--- a/internal/chain/sim_client_test.go
+++ b/internal/chain/sim_client_test.go
@@ -13,6 +13,10 @@
 	world *simWorld
 	id    int
 	until time.Duration
+	// at is the address of the only machine that the client asks; empty for any.
+	at string
+	// answered is called with each outcome, if it is set.
+	answered func(Outcome)
 	// version is the last one that the client has seen.
 	version int64
 	writes  int
@@ -41,9 +45,19 @@
 // machine draws a machine.
 func (s *simClient) machine() *simMachine {
 	w := s.world
+	if s.at != "" {
+		return w.machines[s.at]
+	}
 	return w.machines[w.addresses[w.random.Intn(len(w.addresses))]]
 }
 
+// tell reports an outcome.
+func (s *simClient) tell(outcome Outcome) {
+	if s.answered != nil {
+		s.answered(outcome)
+	}
+}
+
 // read reads at a machine that it draws.
 func (s *simClient) read() { s.readAt(s.machine()) }
 
@@ -51,6 +65,7 @@
 func (s *simClient) readAt(m *simMachine) {
 	w, called := s.world, s.world.now
 	m.request(nil, func(reply Reply) {
+		s.tell(reply.Outcome)
 		if reply.Outcome == Applied {
 			s.version = reply.Entry.Version
 		}
@@ -87,6 +102,7 @@
 	w := s.world
 	proposal := Proposal{input.expected, input.version, []byte(input.body)}
 	m.request(&proposal, func(reply Reply) {
+		s.tell(reply.Outcome)
 		outcome := reply.Outcome
 		if outcome == Unavailable && number < simAttempts && w.now < s.until {
 			delay := time.Duration(w.random.Int63n(int64(400 * time.Millisecond)))
--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -113,9 +113,12 @@
 }
 
 // foundWorld makes the machines that become members, one more with a disk and one without, which founds.
-func foundWorld(w *simWorld) {
+func foundWorld(w *simWorld) { foundWorldWith(w, 1) }
+
+// foundWorldWith does so with another number of machines that don't become members.
+func foundWorldWith(w *simWorld, candidates int) {
 	var members []Member
-	for i := range w.members + 1 {
+	for i := range w.members + candidates {
 		m := w.addMachine(fmt.Sprintf("10.0.0.%d", i+1), true, true)
 		if i < w.members {
 			members = append(members, m.node.Self())
--- a/internal/chain/view_test.go
+++ b/internal/chain/view_test.go
@@ -230,7 +230,7 @@
 func TestDuelOfProposersEnds(t *testing.T) {
 	l := newCluster(t, 3, 3)
 	l.machines["c"].down = true
-	for l.view("a").Epoch == 1 {
+	for l.view("a").Epoch == 1 && l.now < time.Minute {
 		l.run(testTick)
 		for _, id := range []MemberID{"a", "b"} {
 			n := l.machines[id].node
@@ -309,6 +309,9 @@
 	view := l.view("a")
 	view.Epoch, view.Members = 2, []Member{{"a", "10.0.0.1"}, {"b", "10.0.0.2"}, {"d", "10.0.0.4"}}
 	a.Receive(l.now, Message{Kind: ViewNotice, View: view})
+	told := l.machines["x"].node.heartbeat()
+	told.From, told.Epoch, told.Hears = "x", 2, []MemberID{"a", "b", "c"}
+	a.Receive(l.now, told)
 	next, found := Plan(view, a.observe(), a.rules())
 	l.c.Assert(found, qt.IsTrue)
 	l.c.Assert(identities(next.Members), qt.DeepEquals, []MemberID{"a", "b", "x"})
@@ -350,3 +353,25 @@
 	l.c.Assert(l.view("b").isMember("d"), qt.IsTrue)
 	l.c.Assert(b.MayStop(), qt.IsTrue)
 }
+
+// TestReplicaThatNothingReachesIsLeftOut: it goes deaf before it learns of a view in whose chain it is, so
+// that its last report is from the epoch before and says that it hears all.
+func TestReplicaThatNothingReachesIsLeftOut(t *testing.T) {
+	l := newCluster(t, 5, 5)
+	l.mustWrite("a", 0, 1, "one")
+	deaf := false
+	l.drop = func(_, to MemberID, m *Message) bool {
+		deaf = deaf || m.Kind == Accept
+		return deaf && to == "c"
+	}
+	l.machines["e"].down = true
+	l.run(time.Second)
+	l.run(2 * time.Second)
+	l.c.Assert(l.view("c").Epoch, qt.Equals, uint64(1))
+	l.mustChain("a", "a", "b", "d")
+	l.mustWrite("b", 1, 2, "two")
+	l.drop = nil
+	l.run(2 * time.Second)
+	l.mustRead("c", 2, "two")
+	l.mustChain("c", "a", "b", "d", "c")
+}
