Orders are announced once confirmed, and withdrawn where refused; a refused fence ends the duty

Cause, seen by TestOrdersNotSentBindNobody: a holder of the duty announced its orders (servers get no requests from then on) before it had made sure that it still holds the duty. Cut off from the other members it went on announcing; its followers carried the records to the other hubs when they changed over, so that 3 of 9 servers were out of service for 10 to 20 s at all machines. Seen by TestFencesAfterTheLossOfAllDisks: an order that was answered 412 stayed announced for 9 s and was then sent again: a third of the servers out of service all the time, 11 or 12 orders refused in 30 s. Ruled out: rule ONE itself, which no case breaks.

An order that is not sent any more, or is answered 400, 412 or 421, is withdrawn. After a 412 no more orders are sent under that fence; another one comes with the next epoch.

--- a/internal/node/stages.go
+++ b/internal/node/stages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/catalog"
@@ -36,6 +37,8 @@
 
 	fence   uint64        // under which the duty is held, 0 where it is not
 	allowed time.Duration // from when on orders may be sent
+	// refused is a fence that a server found lower than one it had seen. No more orders are sent under it.
+	refused atomic.Uint64
 }
 
 func (s *stageDuty) run(done <-chan struct{}) {
@@ -71,7 +74,7 @@
 		s.allowed = now + s.node.settings.Bounds.Lease + leaseMargin
 	}
 	s.fence = fence
-	return now >= s.allowed
+	return now >= s.allowed && fence != s.refused.Load()
 }
 
 // clearDone ends the records of orders that were carried out or whose servers are gone.
@@ -111,11 +114,11 @@
 	if len(orders) == 0 {
 		return
 	}
-	s.announce(service, orders)
 	confirmed := n.now()
 	if n.control.read(confirmTimeout).Outcome != peerwire.OutcomeTaken || s.member.fence.Load() != s.fence {
-		return
+		return // before anything is announced: another machine may hold the duty
 	}
+	s.announce(service, orders)
 	var sent sync.WaitGroup
 	for _, order := range orders {
 		sent.Add(1)
@@ -158,6 +161,7 @@
 	n := s.node
 	body, err := json.Marshal(orderBody{"stage", string(order.Stage), s.member.identity, s.fence})
 	if err != nil || n.now()-confirmed > confirmLife {
+		s.withdraw(order)
 		return
 	}
 	status := 0
@@ -168,4 +172,26 @@
 	}
 	n.log.Info().Err(err).Str("server", order.Server).Str("stage", string(order.Stage)).Int("status", status).
 		Uint64("fence", s.fence).Msg("stages: order sent")
+	switch status {
+	case 412:
+		s.refused.Store(s.fence)
+		s.withdraw(order)
+	case 400, 421:
+		s.withdraw(order)
+	}
+}
+
+// withdraw ends the announcement of an order that is not carried out, so that its server gets requests again.
+func (s *stageDuty) withdraw(order stageplan.Order) {
+	n := s.node
+	now := n.now()
+	n.state.change(now, func(d *directory.Directory) {
+		announced := d.Get(directory.OrderID(order.Server))
+		if announced == nil || announced.Watcher != n.id {
+			return
+		}
+		over := *announced
+		over.State = directory.Lost
+		d.Merge(now, over)
+	})
 }
