One machine at a time gives stages, whatever befalls it

Change: TestOneHolderGivesStages strikes whoever gave the last order five times (kill, empty disk, SIGTERM, cut off from members, from machines, three short cuts, loss of all processes), with servers that check fences and that don't: no fence has two senders, none follows a higher one at a server, and orders of two machines lie a lease apart over all servers.

--- /dev/null
+++ b/internal/nodesim/orders_test.go
@@ -0,0 +1,229 @@
+package nodesim
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/simnet"
+)
+
+// orderTroubles are what befalls whoever holds the duty of giving stages; each lasts for some seconds.
+var orderTroubles = []struct {
+	name   string
+	strike func(f *Fleet, holder *Machine)
+}{
+	{"kill", func(_ *Fleet, holder *Machine) { restart(holder, false) }},
+	{"wipe", func(_ *Fleet, holder *Machine) { restart(holder, true) }},
+	{"terminate", func(_ *Fleet, holder *Machine) {
+		<-holder.Terminate()
+		holder.Start(false)
+	}},
+	{"cut from members", func(f *Fleet, holder *Machine) {
+		f.cutFor(8*time.Second, holder, otherMembers(f, holder))
+	}},
+	{"cut from machines", func(f *Fleet, holder *Machine) { f.cutFor(8*time.Second, holder, f.Except(holder)) }},
+	{"short cuts", func(f *Fleet, holder *Machine) {
+		for range 3 {
+			f.cutFor(1200*time.Millisecond, holder, otherMembers(f, holder))
+			time.Sleep(900 * time.Millisecond)
+		}
+	}},
+	{"herd", func(f *Fleet, _ *Machine) {
+		f.PowerOffAll(f.Machines)
+		time.Sleep(herdDown)
+		f.StartTogether(f.Machines, false)
+	}},
+}
+
+func restart(m *Machine, wipe bool) {
+	m.PowerOff()
+	if wipe {
+		m.Wipe()
+	}
+	time.Sleep(herdDown)
+	m.Start(false)
+}
+
+// cutFor cuts a machine off from others for a while. Servers hear of it all the time.
+func (f *Fleet) cutFor(long time.Duration, m *Machine, others []*Machine) {
+	f.Cut(IPs(m), IPs(others...), simnet.Silent)
+	time.Sleep(long)
+	f.Heal()
+}
+
+// TestOneHolderGivesStages strikes whoever holds the duty, time and again, while servers need orders: orders
+// to one server never come from two machines under one fence, never under a lower fence after a higher one,
+// and never from two machines within the lease.
+func TestOneHolderGivesStages(t *testing.T) {
+	for _, trouble := range orderTroubles {
+		for _, fenced := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/fenced=%t", trouble.name, fenced), func(t *testing.T) {
+				t.Parallel()
+				options := Options{Servers: 9, Seed: 5, Stages: true, Fenced: fenced}
+				inFleet(t, options, func(t *testing.T, f *Fleet) {
+					stop := f.disturbStages()
+					for range 5 {
+						time.Sleep(5 * time.Second)
+						trouble.strike(f, f.holder())
+						time.Sleep(5 * time.Second)
+					}
+					close(stop)
+					qt.Check(t, strings.Join(f.checkOrders(), "\n"), qt.Equals, "")
+					qt.Check(t, f.orderCount() > 20, qt.IsTrue, qt.Commentf("%d orders", f.orderCount()))
+				})
+			})
+		}
+	}
+}
+
+// disturbStages has servers read again that were not ordered to write lately, until the channel closes, so
+// that orders are needed all the time.
+func (f *Fleet) disturbStages() chan struct{} {
+	stop := make(chan struct{})
+	f.others.Go(func() {
+		for turn := 0; ; turn++ {
+			if s := f.Servers[turn%len(f.Servers)]; !s.Ordered(orderedTime) {
+				s.SetStage(reading)
+			}
+			select {
+			case <-stop:
+				return
+			case <-f.over:
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	})
+	return stop
+}
+
+// holder returns the machine that gave the last order, the first one before there was any.
+func (f *Fleet) holder() *Machine {
+	holder, last := f.Machines[0], time.Duration(0)
+	for _, s := range f.Servers {
+		orders := s.Orders()
+		if len(orders) == 0 || orders[len(orders)-1].At < last {
+			continue
+		}
+		last = orders[len(orders)-1].At
+		for _, m := range f.Machines {
+			if m.IP == orders[len(orders)-1].From {
+				holder = m
+			}
+		}
+	}
+	return holder
+}
+
+func (f *Fleet) orderCount() int {
+	count := 0
+	for _, s := range f.Servers {
+		count += len(s.Orders())
+	}
+	return count
+}
+
+// checkOrders returns what contradicts that one machine at a time gives orders, a line each. The lease is kept
+// over all servers, though the rule is about each.
+func (f *Fleet) checkOrders() []string {
+	var breaks []string
+	var all []Order
+	for _, s := range f.Servers {
+		breaks = append(breaks, checkFences(s)...)
+		all = append(all, s.Orders()...)
+	}
+	slices.SortFunc(all, func(a, b Order) int { return cmp.Compare(a.At, b.At) })
+	for i, order := range all[min(1, len(all)):] {
+		if before := all[i]; order.From != before.From && order.At-before.At < Bounds().Lease {
+			breaks = append(breaks, fmt.Sprintf("%+v within the lease of %+v", order, before))
+		}
+	}
+	return breaks
+}
+
+// checkFences checks the orders to one server.
+func checkFences(s *Server) []string {
+	var breaks []string
+	senders := map[uint64]string{}
+	highest := uint64(0)
+	for _, order := range s.Orders() {
+		if earlier, ok := senders[order.Fence]; ok && earlier != order.From {
+			breaks = append(breaks, fmt.Sprintf("%s: %+v under a fence of %s", s.ID, order, earlier))
+		}
+		if order.Fence < highest {
+			breaks = append(breaks, fmt.Sprintf("%s: %+v after fence %d", s.ID, order, highest))
+		}
+		senders[order.Fence] = order.From
+		highest = max(highest, order.Fence)
+	}
+	return breaks
+}
+
+// TestFencesAfterTheLossOfAllDisks starts a fleet anew, with epochs that begin at 1, between servers that
+// remember higher fences: whoever holds the duty stops or gets above them, and sends few orders in vain.
+func TestFencesAfterTheLossOfAllDisks(t *testing.T) {
+	inFleet(t, Options{Servers: 9, Seed: 6, Stages: true, Fenced: true}, func(t *testing.T, f *Fleet) {
+		stop := f.disturbStages()
+		for range 4 {
+			restart(f.holder(), false)
+			time.Sleep(6 * time.Second)
+		}
+		f.PowerOffAll(f.Machines)
+		for _, m := range f.WithDisk(true) {
+			m.Wipe()
+		}
+		time.Sleep(herdDown)
+		f.StartTogether(f.Machines, true)
+		operator := f.AddOperator(&History{operators: 1})
+		qt.Assert(t, operator.PutUntil(f.Machines, Change{0, 1, 0}, 10*time.Second, 0), qt.Equals, 200)
+		began := f.Now()
+		absences := f.WatchAbsences(Everywhere)
+		absences.Tolerated = time.Second
+		time.Sleep(30 * time.Second)
+		close(stop)
+		missing, total := absences.Stop()
+		qt.Check(t, missing, qt.Equals, "", qt.Commentf("%v in all", total))
+		refused, taken := 0, 0
+		for _, s := range f.Servers {
+			for _, order := range s.Orders() {
+				switch {
+				case order.At < began:
+				case order.Status == 412:
+					refused++
+				case order.Status == 202:
+					taken++
+				}
+			}
+		}
+		t.Logf("%d orders refused, %d taken in 30 s", refused, taken)
+		qt.Check(t, refused <= len(f.Servers)/2, qt.IsTrue, qt.Commentf("%d orders were refused", refused))
+		qt.Check(t, slices.ContainsFunc(f.Servers, func(s *Server) bool { return len(s.Orders()) > 0 }), qt.IsTrue)
+	})
+}
+
+// orderedTime is how long after an order a server may be out of service: it changes its stage, and tells so with
+// its next heartbeat.
+const orderedTime = stageSwitch + 2*Beat
+
+// TestOrdersNotSentBindNobody cuts the holder off from the other members while servers need orders. What it
+// planned and could not send takes no server out of service, neither during the cut nor after it.
+func TestOrdersNotSentBindNobody(t *testing.T) {
+	inFleet(t, Options{Servers: 9, Seed: 7, Stages: true, Fenced: true}, func(t *testing.T, f *Fleet) {
+		time.Sleep(10 * time.Second)
+		holder := f.holder()
+		absences := f.WatchAbsences(func(_ *Machine, s *Server) bool { return !s.Ordered(orderedTime) })
+		absences.Tolerated = time.Second
+		stop := f.disturbStages()
+		f.cutFor(25*time.Second, holder, otherMembers(f, holder))
+		close(stop)
+		time.Sleep(15 * time.Second)
+		missing, total := absences.Stop()
+		qt.Check(t, missing, qt.Equals, "", qt.Commentf("%v in all", total))
+	})
+}
--- a/internal/nodesim/race_test.go
+++ b/internal/nodesim/race_test.go
@@ -13,9 +13,9 @@
 	"cresshub/internal/simnet"
 )
 
-// TestOperatorsRace has two operators send different changes under the same versions, each to several machines
-// at once, while answers get lost and a member comes and goes: exactly one change per version is taken, all of
-// its senders are told 200, also when it is sent again after later ones, and the other is refused.
+// TestOperatorsRace has two operators send different changes under the same versions, each to several
+// machines at once, while answers get lost and members come and go: exactly one change per version is taken,
+// all of its senders are told 200, also when it is sent again after later ones, and the other is refused.
 func TestOperatorsRace(t *testing.T) {
 	for seed := range int64(6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/internal/nodesim/server.go
+++ b/internal/nodesim/server.go
@@ -148,6 +148,12 @@
 	return slices.Clone(s.orders)
 }
 
+// Ordered tells whether the server took an order within a time until now.
+func (s *Server) Ordered(within time.Duration) bool {
+	now := s.fleet.Now()
+	return slices.ContainsFunc(s.Orders(), func(o Order) bool { return o.Status == 202 && now-o.At < within })
+}
+
 func (f *Fleet) serverByID(id string) *Server {
 	for _, s := range f.Servers {
 		if s.ID == id {
--- a/internal/nodesim/servers_test.go
+++ b/internal/nodesim/servers_test.go
@@ -66,8 +66,7 @@
 	})
 }
 
-// TestAlternatingHeartbeats: a server whose heartbeats each go to another machine is never lost, and what that
-// costs is bounded.
+// TestAlternatingHeartbeats: a server whose heartbeats each go to another machine is never lost.
 func TestAlternatingHeartbeats(t *testing.T) {
 	inFleet(t, Options{Servers: 8, Seed: 2}, func(t *testing.T, f *Fleet) {
 		for _, s := range f.Servers[:3] {
@@ -86,8 +85,8 @@
 var watcherTroubles = []struct {
 	name   string
 	strike func(f *Fleet, m *Machine)
-	// tolerated is how long a server may be unknown: it notices that its machine is silent a second after its
-	// next heartbeat, and counts as lost after 1.9 heartbeats.
+	// tolerated is how long a server may be unknown: it notices that its machine is silent a second after
+	// its next heartbeat, and counts as lost after 1.9 heartbeats.
 	tolerated time.Duration
 }{
 	{name: "killed", strike: func(_ *Fleet, m *Machine) { m.Kill() }},
