A process that starts waits shortly for its disk, and asks hubs often until it follows one

Since the disk is opened beside everything else, a member's first answer to a ping told no view, version or copy, and the next ping came 400 ms later; the same where a member had not reached the others yet. Ruled out: the chain, whose epochs opened at the same times.

Change: a process waits up to 300 ms for its disk before it takes calls; pings are 100 ms apart while it follows nobody, or while a member reaches no majority.

--- a/internal/node/chain_calls.go
+++ b/internal/node/chain_calls.go
@@ -114,11 +114,12 @@
 func (noControlState) leave()                {}
 func (noControlState) close()                {}
 
-func (noControlState) released() <-chan struct{} { return alreadyReleased }
+func (noControlState) opened() <-chan struct{}   { return closedChannel }
+func (noControlState) released() <-chan struct{} { return closedChannel }
 
-// alreadyReleased is the channel of those who hold nothing.
-var alreadyReleased = func() <-chan struct{} {
-	released := make(chan struct{})
-	close(released)
-	return released
+// closedChannel stands for what need not be waited for.
+var closedChannel = func() <-chan struct{} {
+	channel := make(chan struct{})
+	close(channel)
+	return channel
 }()
--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -71,7 +71,7 @@
 	if n.settings.DataDir == "" && !n.founds() {
 		return noControlState{}
 	}
-	return &diskMember{node: n}
+	return newDiskMember(n)
 }
 
 // founds tells whether this process is the one that has the first view agreed on.
@@ -162,6 +162,8 @@
 	}
 }
 
+func (m *chainMember) opened() <-chan struct{} { return closedChannel }
+
 func (m *chainMember) released() <-chan struct{} { return m.free }
 
 func (m *chainMember) leave() { m.post(m.machine.Leave) }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -24,6 +24,8 @@
 	take(peer string, body []byte)
 	// start begins to take part until done closes.
 	start(done <-chan struct{})
+	// opened returns a channel that closes once the disk is open, where there is one.
+	opened() <-chan struct{}
 	// member tells whether this process keeps the control state now.
 	member() bool
 	// leave hands the control state over before this process ends.
--- a/internal/node/disk_member.go
+++ b/internal/node/disk_member.go
@@ -8,16 +8,44 @@
 	"cresshub/internal/peerwire"
 )
 
-// openAgainAfter is the pause between two tries to open the disk.
-const openAgainAfter = 500 * time.Millisecond
+const (
+	// openAgainAfter is the pause between two tries to open the disk.
+	openAgainAfter = 500 * time.Millisecond
+	// diskPatience is how long the process waits for its disk before it takes calls without it: the first
+	// answer to others should tell what the disk holds.
+	diskPatience = 300 * time.Millisecond
+)
+
+// useDisk begins to use the disk, where there is one, and returns once it is open or diskPatience is over.
+func (n *Node) useDisk(done <-chan struct{}) {
+	n.control.start(done)
+	if n.settings.DataDir == "" {
+		return
+	}
+	loaded := make(chan struct{})
+	go n.keepSaved(loaded, done)
+	patience := time.NewTimer(diskPatience)
+	defer patience.Stop()
+	for _, opened := range []<-chan struct{}{loaded, n.control.opened()} {
+		select {
+		case <-opened:
+		case <-patience.C:
+			n.log.Warn().Msg("node: starting without the disk, which is not open yet")
+			return
+		}
+	}
+}
 
 // diskMember is the part of a machine with a disk. The disk is opened beside everything else, because it may
 // hang, be full or hold what can't be read: until it is open, the process serves as one without a disk does.
 type diskMember struct {
-	node   *Node
-	opened atomic.Pointer[chainMember] // nil until the disk is open
+	node    *Node
+	chain   atomic.Pointer[chainMember] // nil until the disk is open
+	isReady chan struct{}               // closed once it is
 }
 
+func newDiskMember(n *Node) *diskMember { return &diskMember{node: n, isReady: make(chan struct{})} }
+
 var _ controlState = (*diskMember)(nil)
 
 // start opens the disk and takes part until done closes.
@@ -29,8 +57,9 @@
 		return
 	}
 	d.node.announceSelf(func(self *directory.Record) { self.Member = member.identity })
-	d.opened.Store(member)
+	d.chain.Store(member)
 	member.start(done)
+	close(d.isReady)
 }
 
 // open tries until the disk could be opened, and returns nil if the process ends before.
@@ -51,7 +80,7 @@
 
 // current returns what takes part: until the disk is open, nothing does.
 func (d *diskMember) current() controlState {
-	if member := d.opened.Load(); member != nil {
+	if member := d.chain.Load(); member != nil {
 		return member
 	}
 	return noControlState{}
@@ -67,6 +96,8 @@
 
 func (d *diskMember) member() bool { return d.current().member() }
 
+func (d *diskMember) opened() <-chan struct{} { return d.isReady }
+
 func (d *diskMember) leave() { d.current().leave() }
 
 func (d *diskMember) released() <-chan struct{} { return d.current().released() }
--- a/internal/node/hub_link.go
+++ b/internal/node/hub_link.go
@@ -10,7 +10,9 @@
 
 const (
 	pingInterval = 400 * time.Millisecond
-	pingTimeout  = time.Second
+	// eagerPingInterval is the same while this process waits for an answer to take its part.
+	eagerPingInterval = 100 * time.Millisecond
+	pingTimeout       = time.Second
 )
 
 // hub is the link to one hub.
@@ -65,8 +67,6 @@
 
 // pingHub keeps the link known to be alive and learns from the answers.
 func (n *Node) pingHub(h *hub, up <-chan struct{}) {
-	ticker := time.NewTicker(pingInterval)
-	defer ticker.Stop()
 	for {
 		frame, err := h.link.Call(peerwire.KindPing, peerwire.Encode(n.demand.own()), pingTimeout)
 		switch err {
@@ -79,11 +79,24 @@
 		case <-h.stop:
 			return
 		case <-up:
-		case <-ticker.C:
+		case <-time.After(n.untilPing()):
 		}
 	}
 }
 
+// untilPing is the pause before the next ping: a short one while this process follows nobody, or is a member
+// that does not reach a majority.
+func (n *Node) untilPing() time.Duration {
+	takesPart := n.follows()
+	if n.isHub() {
+		takesPart = n.reachesFleet()
+	}
+	if takesPart {
+		return pingInterval
+	}
+	return eagerPingInterval
+}
+
 func (n *Node) takeStatus(h *hub, frame peerwire.Frame) {
 	var status peerwire.Status
 	if peerwire.Decode(frame.Body, &status) != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -131,16 +131,13 @@
 		return err
 	}
 	done := make(chan struct{})
-	if n.settings.DataDir != "" {
-		go n.keepSaved(done)
-	}
+	n.useDisk(done)
 	n.announceSelf(func(*directory.Record) {})
 	go n.endpoint.Serve(listeners.inner, n)
 	go n.follow(done)
 	go newIntroducer(n).run(done)
 	go n.watch(done)
 	go n.compareCopies(done)
-	n.control.start(done)
 	go n.demand.measure(done)
 	go n.work.report(done)
 	n.serveCalls(listeners)
--- a/internal/node/saved_directory.go
+++ b/internal/node/saved_directory.go
@@ -31,13 +31,14 @@
 // errSavedDamaged tells that the saved records can't be used; the servers' heartbeats replace them.
 var errSavedDamaged = errors.New("the saved servers are damaged; they are learned anew from heartbeats")
 
-// keepSaved takes in what was saved before the process started, and then saves what changes until done
-// closes. It runs beside everything else, because the disk may hang.
-func (n *Node) keepSaved(done <-chan struct{}) {
+// keepSaved takes in what was saved before the process started, closes loaded, and then saves what changes
+// until done closes. It runs beside everything else, because the disk may hang.
+func (n *Node) keepSaved(loaded chan<- struct{}, done <-chan struct{}) {
 	if n.loadServers() {
 		n.state.markSynced()
 	}
 	n.loadProxies()
+	close(loaded)
 	n.saveServers(done)
 }
 
