Simulate operators that race for a version

Eight writes on one version, half of them under one number, each sent to three machines at once and again until it has a clear answer; half of the answers are lost, machines fail, and disks are lost. In each round one write is acknowledged wherever it is sent and each other one refused; also answers that nobody hears any more are judged, and a late one of an earlier round.

--- /dev/null
+++ b/internal/chain/sim_race_test.go
@@ -0,0 +1,159 @@
+package chain
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+const (
+	// raceSeeds is how many races run without raceSeedsVariable in the environment.
+	raceSeeds         = 40
+	raceSeedsVariable = "CHAIN_RACE_SEEDS"
+	// raceWrites are under way at once, each sent to raceMachines machines and again after raceAgain.
+	raceWrites   = 8
+	raceMachines = 3
+	raceAgain    = 250 * time.Millisecond
+	raceRounds   = 12
+	// raceTime is how long a race may take, its faults end after raceFaults.
+	raceTime   = 60 * time.Second
+	raceFaults = 10 * time.Second
+)
+
+// TestOperatorsRaceForAVersion lets eight writes on one version go to several machines at once, half of them
+// under the same number, while half of the answers are lost and machines fail. Each write is sent until it has
+// a clear answer: one of them is acknowledged wherever it is, and each other one is refused.
+func TestOperatorsRaceForAVersion(t *testing.T) {
+	seeds := fromEnvironment(raceSeedsVariable, raceSeeds)
+	first := fromEnvironment(simFirstVariable, 1)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(int64(seed))
+			if seed%2 == 0 {
+				w.historyLength = simShortHistory
+			}
+			foundWorld(w)
+			r := &raceWorld{simWorld: w, faults: &nemesis{world: w, until: w.now + raceFaults}}
+			r.play()
+			result := w.linearizable()
+			if w.failure != "" || result != porcupine.Ok {
+				trace := w.trace[max(0, len(w.trace)-simTraceLines):]
+				t.Fatalf("seed %d: %s, history %s\n%s", seed, w.failure, result, strings.Join(trace, "\n"))
+			}
+		})
+	}
+}
+
+// raceWorld is a world with rounds of writes on one version.
+type raceWorld struct {
+	*simWorld
+	faults  *nemesis
+	round   int
+	version int64
+	racers  []*racer
+	ended   bool
+}
+
+// racer is one write of a round.
+type racer struct {
+	world  *raceWorld
+	input  simInput
+	called time.Duration
+	// outcome is the first clear answer that arrived; 0 before.
+	outcome Outcome
+}
+
+// play runs all rounds.
+func (w *raceWorld) play() {
+	w.faults.next()
+	w.after(raceFaults, w.faults.healAll)
+	w.begin()
+	w.run(raceTime)
+	if !w.ended && w.failure == "" {
+		w.fail("round %d never ends", w.round)
+	}
+}
+
+// begin sends the writes of the next round.
+func (w *raceWorld) begin() {
+	w.round++
+	w.racers = nil
+	if w.round > raceRounds {
+		w.ended = true
+		return
+	}
+	for i := range raceWrites {
+		r := &racer{world: w, called: w.now}
+		r.input = simInput{write: true, expected: w.version, version: w.version + 1 + int64(max(0, i-raceWrites/2))}
+		r.input.body = fmt.Sprintf("round %d write %d", w.round, i)
+		w.racers = append(w.racers, r)
+		w.simWorld.begin(i, r.input)
+		r.send()
+	}
+}
+
+// send sends the write to some machines, and again as long as there is no clear answer.
+func (r *racer) send() {
+	w := r.world
+	if r.outcome != 0 || w.failure != "" {
+		return
+	}
+	for range raceMachines {
+		m := w.machines[w.addresses[w.random.Intn(len(w.addresses))]]
+		proposal := Proposal{r.input.expected, r.input.version, []byte(r.input.body)}
+		m.request(&proposal, r.answered)
+	}
+	w.after(raceAgain+time.Duration(w.random.Int63n(int64(raceAgain))), r.send)
+}
+
+// answered takes an answer; half of them are lost on their way. Also one that is lost must be right.
+func (r *racer) answered(reply Reply) {
+	w, h := r.world, &r.world.history
+	_, inForce := h.committed[r.input.body]
+	switch reply.Outcome {
+	case Applied:
+		if !inForce || h.refused[r.input.body] {
+			w.fail("%q is acknowledged, in force %v, refused %v", r.input.body, inForce, h.refused[r.input.body])
+		}
+	case Conflict:
+		if reply.Entry.Version <= r.input.expected {
+			w.fail("%q is refused by version %d", r.input.body, reply.Entry.Version)
+		}
+		w.refuse(r.input.body)
+	default:
+		return
+	}
+	if r.outcome != 0 || w.random.Intn(2) == 0 {
+		return
+	}
+	r.outcome = reply.Outcome
+	for i, one := range w.racers {
+		if one == r {
+			w.record(i, r.input, r.called, simOutput{outcome: r.outcome})
+		}
+	}
+	w.endRound()
+}
+
+// endRound begins the next round when each write of this one has a clear answer.
+func (w *raceWorld) endRound() {
+	var winners []*racer
+	for _, r := range w.racers {
+		if r.outcome == 0 {
+			return
+		}
+		if r.outcome == Applied {
+			winners = append(winners, r)
+		}
+	}
+	if len(winners) != 1 {
+		w.fail("round %d has %d winners", w.round, len(winners))
+		return
+	}
+	w.version = winners[0].input.version
+	w.begin()
+}
