The trials with processes play a turnover of the seeds

Cause: the fault of discovery after the loss of all processes had a test in virtual time only. TestAllKilledComeBackToOtherSeeds plays it, serves 200 requests more, and judges all rules.

Not seen by it: introductions to seeds, which the addresses on disk replace, and the 503 to servers before a view is known (registration.go:knowsFleet).

--- a/internal/fleettrial/fleet.go
+++ b/internal/fleettrial/fleet.go
@@ -49,12 +49,14 @@
 	Operator     *fleetstandin.Operator
 	Entry        *fleetstandin.Entry
 
-	options  Options
-	network  *network
-	dir      string
-	requests atomic.Int64 // numbers the requests of all loads
-	stop     context.CancelFunc
-	beside   sync.WaitGroup // goroutines that run beside
+	options Options
+	network *network
+	// seedMachines are those that the settings files name; they change only while no process starts.
+	seedMachines []*Machine
+	dir          string
+	requests     atomic.Int64 // numbers the requests of all loads
+	stop         context.CancelFunc
+	beside       sync.WaitGroup // goroutines that run beside
 
 	logMu sync.Mutex
 
@@ -136,6 +138,7 @@
 		m.dir = filepath.Join(f.dir, m.Name)
 		f.Machines = append(f.Machines, m)
 	}
+	f.seedMachines = f.WithDisk(true)
 }
 
 // StartMachines starts the processes of all machines at the same time.
@@ -157,7 +160,7 @@
 // seeds are the control addresses that every process is told.
 func (f *Fleet) seeds() []string {
 	var seeds []string
-	for _, machine := range f.WithDisk(true) {
+	for _, machine := range f.seedMachines {
 		seeds = append(seeds, machine.Control)
 	}
 	return seeds
--- a/internal/fleettrial/trial_test.go
+++ b/internal/fleettrial/trial_test.go
@@ -156,6 +156,22 @@
 	r.finish()
 }
 
+// The same where the settings files have come to name machines without a disk only: these find the view, the
+// configuration and each other, and no server that reports to them is lost.
+func TestAllKilledComeBackToOtherSeeds(t *testing.T) {
+	long(t)
+	r := newRig(t)
+	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Trouble(r.ctx, Turnover), qt.IsNil)
+	r.Assert(r.AwaitServers(r.ctx), qt.IsNil)
+	r.serve(200) // longer than it takes until a server without a watcher is held to be lost
+	r.Assert(r.AwaitServers(r.ctx), qt.IsNil)
+	r.calm()
+	statuses := r.Probe(r.ctx, joiningKind)
+	r.Assert(maps.Equal(statuses, map[int]int{200: 6}), qt.IsTrue, qt.Commentf("%v", statuses))
+	r.finish()
+}
+
 // Servers that die are replaced by others at their addresses, and what must run once runs once.
 func TestCrashedServersAreReplaced(t *testing.T) {
 	long(t)
--- a/internal/fleettrial/trouble.go
+++ b/internal/fleettrial/trouble.go
@@ -19,10 +19,13 @@
 	Crash  = "crash"  // servers die without a word, and others come at their addresses
 	Herd   = "herd"   // all machines are killed at the same moment and come back
 	Freeze = "freeze" // a machine with a disk and one without stand still for a while
+	// Turnover is the loss of all processes after the settings files have come to name machines without a disk
+	// only, which know nothing of the fleet when they come back.
+	Turnover = "turnover"
 )
 
 // Troubles names all of them.
-var Troubles = []string{Kill, Wipe, Drain, Roll, Crash, Herd, Freeze}
+var Troubles = []string{Kill, Wipe, Drain, Roll, Crash, Herd, Freeze, Turnover}
 
 const (
 	// downTime is how long a machine or server is down.
@@ -68,6 +71,8 @@
 		return f.killAll(ctx)
 	case Freeze:
 		return f.freezeMachines(ctx, f.WithDisk(true)[0], f.WithDisk(false)[0])
+	case Turnover:
+		return f.turnOverSeeds(ctx)
 	}
 	return CheckTrouble(word)
 }
@@ -197,6 +202,13 @@
 	return nil
 }
 
+// turnOverSeeds has the settings files name machines without a disk, and then kills all processes.
+func (f *Fleet) turnOverSeeds(ctx context.Context) error {
+	f.seedMachines = f.WithDisk(false)
+	f.event("the settings name machines without a disk as seeds")
+	return f.killAll(ctx)
+}
+
 // freezeMachines has machines stand still, one after the other.
 func (f *Fleet) freezeMachines(ctx context.Context, machines ...*Machine) error {
 	for _, m := range machines {
