Front: tests of late surplus answers and of requests broken off, byte by byte

Cause: a surplus answer was tested whole, and a request that its server breaks off as a whole; pieces of one may be taken for another message's, and the byte at which a connection ends decides what may be sent again.

Change: tests only. Before an answer stands each number of bytes of the answer before it, or of one to a request that nobody sent, too late for the connection to be seen as used up (16 kinds); each client has its own answer, 502, or 504 where the piece told of a body that never came. A server reads each third number of bytes of a request and closes or resets, on a new connection or one that it has forgotten (16 kinds).

--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -232,7 +233,9 @@
 func (p *person) again(r *rig) {
 	if p.Conn == nil && !p.connect(r.address) {
 		r.Error("nobody listens")
+		return
 	}
+	p.SetDeadline(time.Now().Add(patience))
 }
 
 // post1 posts a request and reads its answer; a connection that ends with it is closed.
--- /dev/null
+++ b/internal/front/surplus_test.go
@@ -0,0 +1,153 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/http1"
+)
+
+// A server that puts any number of bytes of a surplus answer before the next one of the same connection, too
+// late for them to be seen while it was idle: nobody gets another one's answer.
+func TestEveryPieceOfALateSurplusAnswer(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream", "firm"} {
+		for _, framing := range []framing{byLength, byChunks} {
+			for _, own := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, own id %t", route, framing, own), func(t *testing.T) {
+					t.Parallel()
+					everySurplus(t, route, framing, own)
+				})
+			}
+		}
+	}
+}
+
+// everySurplus sends two tries for each number of bytes: before the answer to the second one stands a piece
+// of the answer to the first one, or to a request that nobody sent.
+func everySurplus(t *testing.T, route string, framing framing, own bool) {
+	var mu sync.Mutex
+	surplus := map[io.Writer]string{}
+	point := 0
+	serve := func(q *http1.Request, w io.Writer) bool {
+		try := &faultyTry{id: q.Header.Get(tryIDHeader), route: route, framing: framing}
+		text, _ := try.answer(q)
+		mu.Lock()
+		before := surplus[w]
+		surplus[w] = text
+		if !own {
+			surplus[w] = strings.ReplaceAll(text, try.id, "zzz")
+		}
+		before = before[:min(point, len(before))]
+		mu.Unlock()
+		io.WriteString(w, before+text)
+		return true
+	}
+	r := newRig(t, slack(1e6), lookups(t, serve)...)
+	p := r.dial()
+	length := len((&faultyTry{id: "000", route: route, framing: framing}).text())
+	served := 0
+	for ; point <= length; point++ {
+		for _, half := range []string{"a", "b"} {
+			p.again(r)
+			try := &faultyTry{id: fmt.Sprintf("%s%02x", half, point), route: route, framing: framing}
+			got := p.post1(route, try.id, "80")
+			switch {
+			case got == result{200, try.body(), false}:
+				served++
+			case got.status == 504 && !got.cut: // the piece told of a longer body than ever came
+			case route == "safe" || route == "stream", got.status != 502:
+				t.Errorf("%s behind %d bytes: %+v", try.id, point, got)
+			}
+		}
+		mu.Lock()
+		clear(surplus)
+		mu.Unlock()
+	}
+	r.settled()
+	r.Assert(served > length, qt.IsTrue)
+}
+
+// text is the answer to the try.
+func (f *faultyTry) text() string {
+	text, _ := f.answer(requestOf(f.id))
+	return text
+}
+
+// A server that ends the connection after any number of bytes of a request, on a new connection or on one
+// that it has forgotten: what may run once goes nowhere else, what may be repeated is answered by another one.
+func TestFaultAtEveryByteOfARequest(t *testing.T) {
+	for _, route := range []string{"safe", "unsafe", "stream", "firm"} {
+		for _, reused := range []bool{false, true} {
+			for _, fault := range []fault{closes, resets} {
+				t.Run(fmt.Sprintf("%s, reused %t, %s", route, reused, fault), func(t *testing.T) {
+					t.Parallel()
+					requestFaults(t, route, reused, fault)
+				})
+			}
+		}
+	}
+}
+
+func requestFaults(t *testing.T, route string, reused bool, fault fault) {
+	var mu sync.Mutex
+	point, connections := 0, 0
+	whole := func(q *http1.Request, w io.Writer) bool {
+		try := &faultyTry{id: q.Header.Get(tryIDHeader), route: route, framing: byLength}
+		text, _ := try.answer(q)
+		io.WriteString(w, text)
+		return true
+	}
+	const most = 120 // fewer bytes than a request has
+	bad := newServer(t, "i-1", "lookup", "", whole)
+	bad.listener.Close()
+	bad.listen(t, func(conn net.Conn) {
+		mu.Lock()
+		connections++
+		first, read := connections == 1, point
+		mu.Unlock()
+		if first && reused {
+			q, _, err := http1.ReadRequestHead(bufio.NewReader(conn))
+			if err == nil {
+				whole(q, conn)
+			}
+		} else if !first && !reused {
+			return
+		}
+		io.CopyN(io.Discard, conn, int64(read))
+		if fault == resets {
+			conn.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	good := newServer(t, "i-2", "lookup", "", whole)
+	r := newRig(t, slack(1e6), bad, good)
+	p := r.dial()
+	once := route == "unsafe" || route == "firm"
+	for ; point <= most; point += 3 {
+		mu.Lock()
+		connections = 0
+		mu.Unlock()
+		if reused {
+			p.again(r)
+			p.post1(route, fmt.Sprintf("r%02x", point), "")
+		}
+		p.again(r)
+		before := len(good.got())
+		try := &faultyTry{id: fmt.Sprintf("b%02x", point), route: route, framing: byLength}
+		got := p.post1(route, try.id, "")
+		elsewhere := len(good.got()) - before
+		switch {
+		case got == result{200, try.body(), false} && elsewhere == 1 && (!once || point == 0):
+		case once && got.status == 502 && elsewhere == 0:
+		default:
+			t.Errorf("after %d bytes: %+v, %d calls elsewhere", point, got, elsewhere)
+		}
+	}
+	r.settled()
+}
