Front: no limit denies a request before a configuration is known

Cause: found by reading.

Change: until a configuration is known heads may have 64 kB and bodies what http1 reads (64 MB); a body that the memory does not hold gets 503 as always.

Tests: TestLargeRequestsBeforeAConfiguration, seen to fail with each of the old limits. TestProperRequestsAreNotDenied sends twelve kinds of proper requests, at the edges of the limits too, to a proxy that serves, one without a configuration and one without servers; it fails where the second is left out.

--- /dev/null
+++ b/internal/front/denied_test.go
@@ -0,0 +1,91 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nodesettings"
+)
+
+// properRequests are requests within the limits of testLimits, at their edges too.
+var properRequests = map[string]string{
+	"plain":         requestText("GET", "/safe/x?y=1", ""),
+	"with a body":   requestText("POST", "/unsafe/", "body"),
+	"another verb":  requestText("PATCH", "/unsafe/", "body"),
+	"an old client": "GET /safe/ HTTP/1.0\r\nHost: h\r\nCresshub-Try-Id: a\r\n\r\n",
+	"chunks": "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		chunk("body") + "0\r\n\r\n",
+	"whole target":     "GET http://h/safe/ HTTP/1.1\r\nHost: other\r\nCresshub-Try-Id: a\r\n\r\n",
+	"longest body":     requestText("POST", "/unsafe/", strings.Repeat("x", 200_000)),
+	"longest head":     longestHead(4096),
+	"fields of ours":   requestText("GET", "/safe/", "", "Cresshub-Stage: reading", "Priority: u=1"),
+	"odd model fields": requestText("GET", "/model/", "", "Cresshub-Tokens: x", "Cresshub-Prompt-Prefix: ,:"),
+	"two of a field":   requestText("GET", "/safe/", "", "Cresshub-Model: m", "Cresshub-Model: m"),
+	"no id":            "GET /safe/ HTTP/1.1\r\nHost: h\r\n\r\n",
+}
+
+func requestText(method, target, body string, fields ...string) string {
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: a\r\n", method, target)
+	for _, field := range fields {
+		text += field + "\r\n"
+	}
+	if body == "" {
+		return text + "\r\n"
+	}
+	return text + length(body) + body
+}
+
+// longestHead is a request whose head has that many bytes.
+func longestHead(size int) string {
+	short := requestText("GET", "/safe/", "", "X-Long: ")
+	return requestText("GET", "/safe/", "", "X-Long: "+strings.Repeat("x", size-len(short)))
+}
+
+// No 3xx or 4xx of the proxy's own answers a proper request: not with a configuration, nor without one or
+// without servers, when 503 tells the client when to come again.
+func TestProperRequestsAreNotDenied(t *testing.T) {
+	serve := ok("served")
+	for name, text := range properRequests {
+		for state, change := range map[string]func(*nodesettings.Settings, *fakeState){
+			"serves":           nil,
+			"no configuration": func(_ *nodesettings.Settings, s *fakeState) { s.config = nil },
+			"no servers":       func(_ *nodesettings.Settings, s *fakeState) { s.table = nil },
+		} {
+			t.Run(name+", "+state, func(t *testing.T) {
+				servers := append(lookups(t, serve), newServer(t, "i-w", "language", "writing", serve))
+				r := newRig(t, change, servers...)
+				p := r.dial()
+				io.WriteString(p, text)
+				answer, err := p.read()
+				r.Assert(err, qt.IsNil)
+				if state == "serves" {
+					r.Assert(answer.Status, qt.Equals, 200)
+					return
+				}
+				r.Assert(answer.Status, qt.Equals, 503)
+				r.Assert(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				r.Assert(answer.Header.Get(stampHeader), qt.Equals, "")
+				r.Assert(arrivals(servers), qt.Equals, 0)
+			})
+		}
+	}
+}
+
+// Before a configuration is known no limit of it is either: what a site may allow is refused with 503, too.
+func TestLargeRequestsBeforeAConfiguration(t *testing.T) {
+	large := requestText("POST", "/unsafe/", strings.Repeat("x", 6<<20))
+	for _, text := range []string{longestHead(60 << 10), large} {
+		r := newRig(t, func(_ *nodesettings.Settings, s *fakeState) { s.config = nil })
+		p := r.dial()
+		go io.WriteString(p, text)
+		answer, _, err := http1.ReadResponseHead(p.in, "GET")
+		r.Assert(err, qt.IsNil)
+		r.Assert(answer.Status, qt.Equals, 503)
+		r.Assert(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -16,6 +16,7 @@
 	"cresshub/internal/bodies"
 	"cresshub/internal/catalog"
 	"cresshub/internal/fleetconfig"
+	"cresshub/internal/http1"
 	"cresshub/internal/nodesettings"
 )
 
@@ -100,9 +101,10 @@
 	return limitsBefore
 }
 
-// limitsBefore hold until a configuration is known.
+// limitsBefore hold until a configuration is known. They are wider than any that are likely to be configured:
+// a request that the configuration may allow has to be answered 503, and not 413 or 431.
 var limitsBefore = fleetconfig.Limits{
-	HeaderBytes: 16 << 10, BodyBytes: 4 << 20, HeaderTime: 5 * time.Second, IdleTime: 30 * time.Second,
+	HeaderBytes: 64 << 10, BodyBytes: http1.Largest, HeaderTime: 5 * time.Second, IdleTime: 30 * time.Second,
 }
 
 // Serve accepts clients until the listener is closed, and then returns nil.
--- a/internal/front/surplus_test.go
+++ b/internal/front/surplus_test.go
@@ -81,7 +81,7 @@
 }
 
 // A server that ends the connection after any number of bytes of a request, on a new connection or on one
-// that it has forgotten: what may run once goes nowhere else, what may be repeated is answered by another one.
+// that it has forgotten: what may run once goes nowhere else, what may be repeated is answered elsewhere.
 func TestFaultAtEveryByteOfARequest(t *testing.T) {
 	for _, route := range []string{"safe", "unsafe", "stream", "firm"} {
 		for _, reused := range []bool{false, true} {
