--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -112,7 +112,8 @@
 	case resets:
 		w.(*net.TCPConn).SetLinger(0)
 	case stalls:
-		io.Copy(io.Discard, w.(net.Conn))
+		io.Copy(io.Discard, w.(net.Conn)) // until the proxy has given up
+		io.WriteString(w, text[try.point:])
 	}
 	return false
 }
