--- a/internal/front/faults_test.go
+++ b/internal/front/faults_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -111,7 +112,8 @@
 	case resets:
 		w.(*net.TCPConn).SetLinger(0)
 	case stalls:
-		io.Copy(io.Discard, w.(net.Conn))
+		io.Copy(io.Discard, w.(net.Conn)) // until the proxy has given up
+		io.WriteString(w, text[try.point:])
 	}
 	return false
 }
@@ -232,7 +234,9 @@
 func (p *person) again(r *rig) {
 	if p.Conn == nil && !p.connect(r.address) {
 		r.Error("nobody listens")
+		return
 	}
+	p.SetDeadline(time.Now().Add(patience))
 }
 
 // post1 posts a request and reads its answer; a connection that ends with it is closed.
