--- a/internal/node/control_call.go
+++ b/internal/node/control_call.go
@@ -30,8 +30,8 @@
 // controlTry has one member run a call.
 type controlTry func() *peerwire.Result
 
-// firstClearAnswer starts tries one after the other, each when the one before has no answer after controlHedge
-// or gave none that is clear, and returns the first clear one.
+// firstClearAnswer starts tries one after the other, each when the one before has no answer after
+// controlHedge or gave none that is clear, and returns the first clear one.
 func firstClearAnswer(tries []controlTry) *peerwire.Result {
 	answers := make(chan *peerwire.Result, len(tries))
 	deadline := time.NewTimer(controlTimeout)
--- a/internal/node/control_call_test.go
+++ b/internal/node/control_call_test.go
@@ -19,7 +19,8 @@
 		took    time.Duration
 	}{
 		{"the first answers", []peerwire.Outcome{peerwire.OutcomeTaken, 0}, peerwire.OutcomeTaken, 0},
-		{"the first hangs", []peerwire.Outcome{0, peerwire.OutcomeConflict}, peerwire.OutcomeConflict, controlHedge},
+		{"the first hangs", []peerwire.Outcome{0, peerwire.OutcomeConflict},
+			peerwire.OutcomeConflict, controlHedge},
 		{"two hang", []peerwire.Outcome{0, 0, peerwire.OutcomeTaken}, peerwire.OutcomeTaken, 2 * controlHedge},
 		{"the first can't agree", []peerwire.Outcome{peerwire.OutcomeUnavailable, peerwire.OutcomeTaken},
 			peerwire.OutcomeTaken, 0},
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -72,8 +72,8 @@
 	n.announceSelf(func(self *directory.Record) { self.Watcher = watcher })
 }
 
-// mayStayWith tells whether a hub is still one to follow. One that does not reach a majority may miss what the
-// others acknowledge; it is left once another one can be followed.
+// mayStayWith tells whether a hub is still one to follow. One that does not reach a majority may miss what
+// the others acknowledge; it is left once another one can be followed.
 func (n *Node) mayStayWith(source *hub) bool {
 	state := source.current()
 	return state.holds && state.reachesMajority && source.link.Up() && n.hubAt(source.ip) == source
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -14,7 +14,8 @@
 // ConfigVersion returns the version of the configuration in force, 0 for none.
 func (n *Node) ConfigVersion() int64 { return n.state.version() }
 
-// Epoch returns the number of the newest view of the control state that this process has heard of, 0 for none.
+// Epoch returns the number of the newest view of the control state that this process has heard of, 0 for
+// none.
 func (n *Node) Epoch() int64 { return n.state.currentView().epoch }
 
 // Servers returns the servers that may get new requests.
--- a/internal/nodesim/orders_test.go
+++ b/internal/nodesim/orders_test.go
@@ -129,8 +129,8 @@
 	return count
 }
 
-// checkOrders returns what contradicts that one machine at a time gives orders, a line each. The lease is kept
-// over all servers, though the rule is about each.
+// checkOrders returns what contradicts that one machine at a time gives orders, a line each. The lease is
+// kept over all servers, though the rule is about each.
 func (f *Fleet) checkOrders() []string {
 	var breaks []string
 	var all []Order
@@ -207,8 +207,8 @@
 	})
 }
 
-// orderedTime is how long after an order a server may be out of service: it changes its stage, and tells so with
-// its next heartbeat.
+// orderedTime is how long after an order a server may be out of service: it changes its stage, and tells so
+// with its next heartbeat.
 const orderedTime = stageSwitch + 2*Beat
 
 // TestOrdersNotSentBindNobody cuts the holder off from the other members while servers need orders. What it
--- a/internal/peerwire/messages.go
+++ b/internal/peerwire/messages.go
@@ -29,7 +29,7 @@
 	KindConfigFetch Kind = 14 // no body: the newest configuration in force, packed; answered by KindResult
 	KindWork        Kind = 15 // Work: what the sender has under way, to a hub; or what all others have, from it
 	KindHubWork     Kind = 16 // Work: what a hub and its followers have under way, to another hub
-	KindIntroduce   Kind = 17 // Status of the caller, to a process that may not know the view; answered by KindPong
+	KindIntroduce   Kind = 17 // Status, to a process that may not know the view; answered by KindPong
 
 	Kinds = 18 // how many there are, 0 included
 )
