--- /dev/null
+++ b/internal/emulator/simsetup.go
@@ -0,0 +1,168 @@
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"cresshub/balance"
+)
+
+func (s *Sim) makeServers() {
+	kinds := s.sc.Kinds
+	if len(kinds) == 0 {
+		kinds = []Kind{{Name: "server", Share: 1, Cores: s.sc.Servers.Cores, Slow: 1, Fast: 1}}
+	}
+	given := make([]float64, len(kinds))
+	total := 0.0
+	for _, k := range kinds {
+		total += k.Share
+	}
+	for i := range s.sc.Servers.Count {
+		// The kind that is furthest behind its share comes next, so that shares hold at any count.
+		kind, most := 0, math.Inf(-1)
+		for j, k := range kinds {
+			if behind := k.Share/total*float64(i+1) - given[j]; behind > most {
+				kind, most = j, behind
+			}
+		}
+		given[kind]++
+		s.addServer(kind, kinds[kind])
+	}
+}
+
+func (s *Sim) addServer(kind int, k Kind) int32 {
+	i := len(s.servers)
+	speed := k.Slow + (k.Fast-k.Slow)*s.streams.speeds.Float64()
+	s.servers = append(s.servers, server{
+		kind: int32(kind), hall: int32(i % len(s.halls)), cores: int32(k.Cores), speed: speed, up: true,
+	})
+	return int32(i)
+}
+
+// capacity is the work a second that all servers can do, in seconds of a core of speed 1.
+func (s *Sim) capacity() (c float64) {
+	for i := range s.servers {
+		c += float64(s.servers[i].cores) * s.servers[i].speed
+	}
+	return c
+}
+
+func (s *Sim) makeLoad() {
+	work, classes := 0.0, 0.0
+	for _, c := range s.sc.Classes {
+		classes += c.Share
+		s.cum2.class = append(s.cum2.class, classes)
+		work += c.Share * c.Work.Seconds()
+	}
+	work /= classes
+	tenants := 0.0
+	for _, t := range s.sc.Tenants {
+		tenants += t.Share
+		s.cum2.tenant = append(s.cum2.tenant, tenants)
+	}
+	cores := 0
+	for i := range s.servers {
+		cores += int(s.servers[i].cores)
+	}
+	s.serv = work / (s.capacity() / float64(cores)) * 1e9
+	s.rate = s.sc.Load.Rate
+	if s.rate <= 0 {
+		s.rate = s.sc.Load.Utilisation * s.capacity() / work
+	}
+	if r := &s.sc.Reports; r.Model == "on-access" && r.Delay > 0 {
+		// As many proxies as ask once in that time, each.
+		copied := *s.sc
+		copied.Proxies.Count = max(1, int(s.rate*s.serv/1e9/r.Delay+0.5))
+		s.sc = &copied
+	}
+	total := 0.0
+	for i := range s.sc.Proxies.Count {
+		total += math.Pow(float64(i+1), -s.sc.Proxies.Skew)
+		s.cum = append(s.cum, total)
+	}
+	if s.sc.Load.Keys > 0 {
+		s.zipf = rand.NewZipf(s.streams.keys, s.sc.Load.Skew, 4, uint64(s.sc.Load.Keys-1))
+	}
+}
+
+func (s *Sim) makeProxies(o Options) error {
+	s.registry.init(s)
+	s.pairs = make([]pair, s.sc.Proxies.Count*s.registry.most)
+	s.proxies = make([]proxy, s.sc.Proxies.Count)
+	total := s.cum[len(s.cum)-1]
+	for i := range s.proxies {
+		p := &s.proxies[i]
+		p.hall, p.module = int32(i%len(s.halls)), o.Policy == "module"
+		before := 0.0
+		if i > 0 {
+			before = s.cum[i-1]
+		}
+		p.gap = 1e9 / (s.rate * (s.cum[i] - before) / total)
+		if err := s.startProxy(int32(i), o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startProxy starts a proxy that knows nothing but the list as it is.
+func (s *Sim) startProxy(i int32, o Options) error {
+	p := &s.proxies[i]
+	p.alive, p.watching, p.told = true, s.registry.push, nil
+	p.version = s.registry.version()
+	rng := stream(o.Seed+uint64(i)*0x9e3779b97f4a7c15+uint64(p.life), "policy")
+	if p.module {
+		make := o.Module
+		if make == nil {
+			make = func(set balance.Settings, now time.Duration) (Agent, error) { return balance.New(set, now) }
+		}
+		var err error
+		if p.agent, err = make(s.settings(i, rng.Uint64()), time.Duration(s.now)); err != nil {
+			return err
+		}
+	} else {
+		p.agent = newRival(s, i, o, rng)
+	}
+	kind := balance.ListCached
+	if s.registry.push {
+		kind = balance.ListFull
+	}
+	s.do(i, p.agent.List(time.Duration(s.now), kind, s.registry.whole(), s.acts[:0]))
+	return nil
+}
+
+// settings is what the module is told.
+func (s *Sim) settings(rank int32, seed uint64) balance.Settings {
+	sc := s.sc
+	set := balance.Settings{
+		Seed: seed, Rank: int(rank), Peers: sc.Proxies.Count, Zone: int(s.proxies[rank].hall),
+		Tick:   time.Millisecond,
+		Report: []balance.Field{balance.FieldHeld, balance.FieldWaiting, balance.FieldUtil},
+		Prices: balance.Prices{CrossZone: sc.Prices.CrossHall, Probe: sc.Prices.Probe, Waste: sc.Prices.Waste,
+			LateFail: sc.Prices.LateFail},
+		OverShareWorth: sc.Prices.OverShare, MustFollow: !s.registry.push, AskWithin: sc.Discovery.Within,
+		DrainGrace: sc.Rules.Grace, AnswerSlack: sc.Rules.Slack, ColdStart: sc.Servers.ColdStart,
+		ColdFor: sc.Servers.ColdFor, FallMultiple: sc.Rules.Multiple, FallAfter: sc.Rules.After,
+		MaxAttempts: sc.Rules.Attempts, MayProbe: true, MayCancel: true, MayDuplicate: true,
+		TellsBackoff: sc.Clients.Honour > 0, MaxBackoff: time.Second, DialTimeout: sc.Network.Dial,
+		WarmKeys: sc.Servers.WarmFor > 0,
+	}
+	for _, c := range sc.Classes {
+		b := balance.Class{Aim: c.Aim, Deadline: c.Deadline, Worth: c.Worth}
+		if c.Unsafe {
+			b.Effect = balance.AtMostOnce
+		}
+		if b.Aim == 0 { // far off, but not so far that the first guess of a service time, a fifth, lasts
+			b.Aim = 100 * c.Work
+		}
+		if b.Deadline == 0 {
+			b.Deadline = forever
+		}
+		set.Classes = append(set.Classes, b)
+	}
+	for _, t := range sc.Tenants {
+		set.Tenants = append(set.Tenants, balance.Tenant{Share: t.Share, QuotaPerSec: t.Quota})
+	}
+	return set
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -11,10 +11,8 @@
 package ledger
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 )
 
@@ -111,24 +109,6 @@
 	Refused   = "refused"
 )
 
-// period is one period's state.
-type period struct {
-	ID          uint64
-	ClosedMS    int64 // 0 while open
-	ClosedAt    uint64
-	Sums        map[Key]*Sum
-	Corrections map[Key]*Sum
-	Fixed       map[string]bool // ids of corrections
-	ids         map[uint64]bool
-	order       []uint64 // the ids as they came, which a snapshot holds as they are
-	tenants     map[string]bool
-}
-
-func newPeriod(id uint64) *period {
-	return &period{ID: id, Sums: map[Key]*Sum{}, Corrections: map[Key]*Sum{}, Fixed: map[string]bool{},
-		ids: map[uint64]bool{}, tenants: map[string]bool{}}
-}
-
 type member struct {
 	Incarnation, Seq, Index uint64
 }
@@ -257,67 +237,6 @@
 	}
 }
 
-// first is the period in which a request of that id was answered first, nil where none is remembered.
-func (l *Ledger) first(id uint64) *period {
-	for i := len(l.periods) - 1; i >= 0 && i >= len(l.periods)-l.set.Remember; i-- {
-		if l.periods[i].ids[id] {
-			return l.periods[i]
-		}
-	}
-	return nil
-}
-
-// remember keeps an id. Where there is no room the oldest period's ids go.
-func (l *Ledger) remember(p *period, id uint64) {
-	if p.ids[id] || l.set.IDs == 0 {
-		return
-	}
-	for l.held >= l.set.IDs {
-		oldest := slices.IndexFunc(l.periods, func(p *period) bool { return len(p.ids) > 0 })
-		n := len(l.periods[oldest].ids)
-		l.figures.Forgot += int64(n)
-		l.held -= n
-		l.periods[oldest].forget()
-	}
-	p.ids[id] = true
-	p.order = append(p.order, id)
-	l.held++
-}
-
-func (p *period) forget() { p.ids, p.order = map[uint64]bool{}, nil }
-
-func (p *period) count(k Key, s Sum) {
-	if p.Sums[k] == nil {
-		p.Sums[k] = &Sum{}
-	}
-	p.Sums[k].Add(s)
-}
-
-// key is where a key counts in a period: as itself, or as Other where the period has too many tenants.
-func (l *Ledger) key(p *period, k Key) Key {
-	if !p.tenants[k.Tenant] {
-		if len(p.tenants) >= l.set.Tenants {
-			k.Tenant = Other
-		}
-		p.tenants[k.Tenant] = true
-	}
-	return k
-}
-
-// roomForMember drops the member heard of longest ago where there are too many.
-func (l *Ledger) roomForMember() {
-	if len(l.members) < l.set.Members {
-		return
-	}
-	oldest := ""
-	for _, name := range slices.Sorted(maps.Keys(l.members)) {
-		if oldest == "" || l.members[name].Index < l.members[oldest].Index {
-			oldest = name
-		}
-	}
-	delete(l.members, oldest)
-}
-
 // Close applies a close.
 func (l *Ledger) Close(index uint64, c *Close) Result {
 	l.index = index
@@ -360,73 +279,6 @@
 	return r
 }
 
-// Period is what is read of one period.
-type Period struct {
-	ID       uint64 `json:"period"`
-	ClosedMS int64  `json:"closed_ms,omitempty"` // 0 while open
-	Rows     []Row  `json:"rows"`
-}
-
-// View is what is read of the ledger.
-type View struct {
-	Index   uint64   `json:"index"`
-	Open    uint64   `json:"open"`
-	Periods []Period `json:"periods"`
-	Figures Figures  `json:"figures"`
-	IDs     int      `json:"ids"`
-}
-
-// Query says what to read: a tenant, or "" for all; a period, or 0 for all that are kept.
-type Query struct {
-	Tenant string `json:"tenant,omitempty"`
-	Period uint64 `json:"period,omitempty"`
-}
-
-// Read returns what the query asks for.
-func (l *Ledger) Read(q Query) View {
-	v := View{Index: l.index, Open: l.Open(), Figures: l.figures, IDs: l.held, Periods: []Period{}}
-	for _, p := range l.periods {
-		if q.Period == 0 || q.Period == p.ID {
-			v.Periods = append(v.Periods, Period{ID: p.ID, ClosedMS: p.ClosedMS, Rows: p.rows(q.Tenant)})
-		}
-	}
-	return v
-}
-
-func (p *period) rows(tenant string) []Row {
-	all := map[Key]Row{}
-	for k, s := range p.Sums {
-		all[k] = Row{Key: k, Sum: *s}
-	}
-	for k, s := range p.Corrections {
-		r := all[k]
-		r.Key, r.Corrections = k, *s
-		all[k] = r
-	}
-	rows := []Row{}
-	for _, r := range all {
-		if tenant == "" || tenant == r.Tenant {
-			rows = append(rows, r)
-		}
-	}
-	slices.SortFunc(rows, func(a, b Row) int { return compareKeys(a.Key, b.Key) })
-	return rows
-}
-
-func compareKeys(a, b Key) int {
-	return cmp.Or(cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(a.Class, b.Class),
-		cmp.Compare(a.Answer, b.Answer))
-}
-
-// Total is the sum over rows, corrections included.
-func (p *Period) Total() (s Sum) {
-	for _, r := range p.Rows {
-		s.Add(r.Sum)
-		s.Add(r.Corrections)
-	}
-	return s
-}
-
 // String is for messages.
 func (r Result) String() string {
 	return fmt.Sprintf("%s at %d in period %d", r.Status, r.Index, r.Period)
--- a/internal/promise/recorder.go
+++ b/internal/promise/recorder.go
@@ -45,23 +45,6 @@
 	Propose func(ctx context.Context, batch []byte) (ledger.Result, error)
 }
 
-// Figures say how much is promised and how much is not.
-type Figures struct {
-	Counted     int64   `json:"counted"`       // answers since the start, with what waited from an earlier life
-	Promised    int64   `json:"promised"`      // of them committed
-	Waiting     int64   `json:"waiting"`       // in the file, not committed: lost with this machine's disk
-	InMemory    int64   `json:"in_memory"`     // since the last flush: lost with this process
-	OldestMS    int64   `json:"oldest_ms"`     // how long the oldest count is unpromised
-	Batches     int64   `json:"batches"`       // committed
-	Tries       int64   `json:"tries"`         // calls on the group
-	Again       int64   `json:"again"`         // batches that the group had counted before
-	Lost        int64   `json:"lost"`          // answers whose batch the group will never count
-	FileErrors  int64   `json:"file_errors"`   // flushes that the disk did not take
-	CommitP50MS float64 `json:"commit_p50_ms"` // from a batch's first try to its commit
-	CommitP99MS float64 `json:"commit_p99_ms"`
-	CommitMaxMS float64 `json:"commit_max_ms"`
-}
-
 // waiting is a batch that is not committed yet.
 type waiting struct {
 	key  uint64 // in the file
@@ -200,107 +183,6 @@
 	go r.sending()
 }
 
-func (r *Recorder) flushing() {
-	defer r.done.Done()
-	tick := time.NewTicker(r.opt.Flush)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			r.flush()
-		case <-r.stop:
-			r.flush()
-			return
-		}
-	}
-}
-
-// flush makes a batch of what was counted, writes it to the file, and drops there what has been committed.
-// Where the file does not take it, or too much waits, the counts stay in memory, summed up.
-func (r *Recorder) flush() {
-	r.mu.Lock()
-	acked := r.acked
-	var w waiting
-	if full := r.bytes >= r.opt.Most || len(r.queue) >= batchesMost; r.n > 0 && !full {
-		w = r.take()
-	} else if full {
-		r.sumUp()
-	}
-	r.mu.Unlock()
-	if w.raw == nil && len(acked) == 0 {
-		return
-	}
-	err := r.write(w, acked)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if err != nil {
-		if r.fig.FileErrors++; r.fig.FileErrors == 1 {
-			r.opt.Log.Error("ledger: counts are not written to the file of those that wait; they wait in memory",
-				"err", err)
-		}
-		if w.raw == nil {
-			return
-		}
-		// Without the file the batch is sent all the same: committed, it is as safe as any.
-		w.key = 0
-	} else {
-		r.acked = r.acked[len(acked):]
-	}
-	if w.raw != nil {
-		r.queue = append(r.queue, w)
-		r.bytes += int64(len(w.raw))
-		r.fig.Waiting += w.n
-		select {
-		case r.wake <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// take makes a batch of what was counted since the last; r.mu is held.
-func (r *Recorder) take() waiting {
-	r.seq++
-	r.key++
-	b := ledger.Batch{Member: r.opt.Member, Incarnation: r.inc, Seq: r.seq}
-	for _, a := range r.now {
-		b.Answers = append(b.Answers, *a)
-	}
-	w := waiting{key: r.key, raw: b.Encode(), n: r.n, born: r.since}
-	r.now, r.n, r.ids = map[ledger.Key]*ledger.Answers{}, 0, 0
-	return w
-}
-
-// sumUp drops the ids of what was counted: what is left is bounded by the number of keys; r.mu is held.
-func (r *Recorder) sumUp() {
-	for _, a := range r.now {
-		for i := range a.IDs {
-			a.Add(ledger.Sum{N: 1, In: a.Ins[i], Out: a.Outs[i]})
-		}
-		a.IDs, a.Ins, a.Outs = nil, nil, nil
-	}
-	r.ids = idsMost // none until the next batch
-}
-
-func (r *Recorder) write(w waiting, acked []uint64) error {
-	if r.opt.Faults != nil {
-		if err := r.opt.Faults.Sync(); err != nil {
-			return err
-		}
-	}
-	return r.db.Update(func(tx *bolt.Tx) error {
-		b := tx.Bucket(batches)
-		for _, k := range acked {
-			if err := b.Delete(binary.BigEndian.AppendUint64(nil, k)); err != nil {
-				return err
-			}
-		}
-		if w.raw == nil {
-			return nil
-		}
-		return b.Put(binary.BigEndian.AppendUint64(nil, w.key), w.raw)
-	})
-}
-
 // sending sends the batches in their order, each until the group has committed it.
 func (r *Recorder) sending() {
 	defer r.done.Done()
@@ -378,27 +260,6 @@
 	}
 }
 
-// Figures are as of now.
-func (r *Recorder) Figures() Figures {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f := r.fig
-	f.InMemory = r.n
-	oldest := time.Time{}
-	if len(r.queue) > 0 {
-		oldest = r.queue[0].born
-	} else if r.n > 0 {
-		oldest = r.since
-	}
-	if !oldest.IsZero() {
-		f.OldestMS = time.Since(oldest).Milliseconds()
-	}
-	ms := func(us int64) float64 { return float64(us) / 1000 }
-	f.CommitP50MS, f.CommitP99MS = ms(r.commit.ValueAtQuantile(50)), ms(r.commit.ValueAtQuantile(99))
-	f.CommitMaxMS = ms(r.commit.Max())
-	return f
-}
-
 // Settle waits until all that was counted is committed, no longer than most.
 func (r *Recorder) Settle(most time.Duration) bool {
 	for end := time.Now().Add(most); ; time.Sleep(5 * time.Millisecond) {
