Front: a silent server is waited for where the repeats have been used up meanwhile

Cause: found by reading. Whether a silent server may be given up was decided when its call began. Where the retry budget was spent by the time that its patience was over, the call was ended all the same, nobody else was asked, and the client got 502 or a cut stream while its server may still have been at work.

Change: when the time has passed the call asks once more (call.waitOn): without a repeat left, or where the stream can't be taken up, the read goes on to the request's end. Reading servers are given up as before, as the request goes on without them.

--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -93,7 +93,10 @@
 	c.delivery.front.stats.calls.Add(1)
 	if unsent == nil {
 		c.conn.rest()
-		c.conn.await() // what it sees, be it that time is over, is met again by reading
+		if c.conn.await() == nothing && c.waitOn() {
+			c.conn.await() // what it sees, be it that time is over, is met again by reading
+		}
+		c.conn.waiter = c
 	}
 	head, body, f := c.readHead()
 	if f != nil && unsent != nil {
@@ -172,6 +175,18 @@
 	return c.started.Add(servePatience(d.request.route.Target, expected, d.request.end.Sub(c.started)))
 }
 
+// waitOn tells whether a server that has been silent for too long is waited for all the same, until the
+// request's end: nobody else could go on, as the repeats have been used up meanwhile.
+func (c *call) waitOn() bool {
+	d := c.delivery
+	over := d.reason() != goingOn || !time.Now().Before(d.request.end)
+	if over || c.role == pairing.Read || d.mayTryAgain() && d.relay.mayGoOn() {
+		return false
+	}
+	c.conn.SetReadDeadline(d.request.end)
+	return true
+}
+
 // wholeUntil is when an answer counts as broken that has begun and is held until it is whole.
 func (c *call) wholeUntil() time.Time {
 	d := c.delivery
--- a/internal/front/connect.go
+++ b/internal/front/connect.go
@@ -22,6 +22,7 @@
 		return
 	}
 	c.delivery.attach(nil)
+	c.conn.waiter = nil
 	pool := c.delivery.front.pool
 	if c.tainted || c.delivery.reason() != goingOn {
 		pool.drop(c.conn)
--- a/internal/front/socket.go
+++ b/internal/front/socket.go
@@ -37,6 +37,14 @@
 	out *bufio.Writer // likewise
 
 	sent int64 // bytes that the system has taken of the present message
+
+	waiter waiter // asked when the read deadline has passed; may be nil
+}
+
+// waiter decides on what to do about silence.
+type waiter interface {
+	// waitOn tells whether to read on; then it has set a later deadline.
+	waitOn() bool
 }
 
 func newSocket(conn net.Conn) (*socket, error) {
@@ -58,11 +66,20 @@
 	return n, err
 }
 
+// Read reads, and goes on after its deadline as long as its waiter wants it to.
+func (s *socket) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p)
+	for err != nil && s.waiter != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.waiter.waitOn() {
+		n, err = s.Conn.Read(p)
+	}
+	return n, err
+}
+
 // reader lends the socket a buffer to read through.
 func (s *socket) reader() *bufio.Reader {
 	if s.in == nil {
 		s.in = readers.Get().(*bufio.Reader)
-		s.in.Reset(s.Conn)
+		s.in.Reset(s)
 	}
 	return s.in
 }
