Front: tests of surplus answers and broken requests keep their place under a lock

Cause: the race detector, in a run over the whole package: the number of bytes at which the servers of these tests break off was changed without the lock that the servers read it under. The checks are the same.

--- a/internal/front/surplus_test.go
+++ b/internal/front/surplus_test.go
@@ -53,22 +53,23 @@
 	p := r.dial()
 	length := len((&faultyTry{id: "000", route: route, framing: framing}).text())
 	served := 0
-	for ; point <= length; point++ {
+	for at := range length + 1 {
+		mu.Lock()
+		point = at
+		clear(surplus)
+		mu.Unlock()
 		for _, half := range []string{"a", "b"} {
 			p.again(r)
-			try := &faultyTry{id: fmt.Sprintf("%s%02x", half, point), route: route, framing: framing}
+			try := &faultyTry{id: fmt.Sprintf("%s%02x", half, at), route: route, framing: framing}
 			got := p.post1(route, try.id, "80")
 			switch {
 			case got == result{200, try.body(), false}:
 				served++
 			case got.status == 504 && !got.cut: // the piece told of a longer body than ever came
 			case route == "safe" || route == "stream", got.status != 502:
-				t.Errorf("%s behind %d bytes: %+v", try.id, point, got)
+				t.Errorf("%s behind %d bytes: %+v", try.id, at, got)
 			}
 		}
-		mu.Lock()
-		clear(surplus)
-		mu.Unlock()
 	}
 	r.settled()
 	r.Assert(served > length, qt.IsTrue)
@@ -129,24 +130,24 @@
 	r := newRig(t, slack(1e6), bad, good)
 	p := r.dial()
 	once := route == "unsafe" || route == "firm"
-	for ; point <= most; point += 3 {
+	for at := 0; at <= most; at += 3 {
 		mu.Lock()
-		connections = 0
+		point, connections = at, 0
 		mu.Unlock()
 		if reused {
 			p.again(r)
-			p.post1(route, fmt.Sprintf("r%02x", point), "")
+			p.post1(route, fmt.Sprintf("r%02x", at), "")
 		}
 		p.again(r)
 		before := len(good.got())
-		try := &faultyTry{id: fmt.Sprintf("b%02x", point), route: route, framing: byLength}
+		try := &faultyTry{id: fmt.Sprintf("b%02x", at), route: route, framing: byLength}
 		got := p.post1(route, try.id, "")
 		elsewhere := len(good.got()) - before
 		switch {
-		case got == result{200, try.body(), false} && elsewhere == 1 && (!once || point == 0):
+		case got == result{200, try.body(), false} && elsewhere == 1 && (!once || at == 0):
 		case once && got.status == 502 && elsewhere == 0:
 		default:
-			t.Errorf("after %d bytes: %+v, %d calls elsewhere", point, got, elsewhere)
+			t.Errorf("after %d bytes: %+v, %d calls elsewhere", at, got, elsewhere)
 		}
 	}
 	r.settled()
