--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/callserver"
 )
 
 // neededMember keeps a part of the control state that others do not hold until needed closes.
@@ -44,3 +46,22 @@
 		})
 	}
 }
+
+// TestAProcessThatEndsIsNotReadyAtOnce: the platform counts as ready whoever still says so four seconds after
+// the signal to end, so the next question has to be answered with no, while clients are still served.
+func TestAProcessThatEndsIsNotReadyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newTestNode(t)
+		ready := &callserver.Call{Method: "GET", Path: "/api/ready"}
+		ended := make(chan struct{})
+		go func() {
+			n.end(&listeners{})
+			close(ended)
+		}()
+		synctest.Wait()
+		answer := n.handleReady(ready)
+		qt.Check(t, answer.Status, qt.Equals, 503)
+		qt.Check(t, string(answer.Body), qt.Equals, "ending\n")
+		<-ended
+	})
+}
