--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -1,11 +1,6 @@
 package node
 
 import (
-	"fmt"
-	"math/rand"
-	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,17 +15,10 @@
 	chainTick      = 50 * time.Millisecond
 	chainHeartbeat = 150 * time.Millisecond
 	chainQueue     = 256 // events that wait for the goroutine of the chain
-	chainFolder    = "chain"
-	folderMode     = 0o700
-	// compactPart of the disk is the size at which the log is begun anew with a snapshot.
-	compactPart = 0.25
 	// foundAfter and foundCalm are how long the founder of the fleet waits for machines with a disk: since its
 	// start, and since the last new one was heard of.
 	foundAfter = 1500 * time.Millisecond
 	foundCalm  = 800 * time.Millisecond
-	// leastMembers is how many machines keep the control state at least, where there are as many with a disk.
-	// A majority has to be left when as many are lost as the settings tolerate.
-	leastMembers = 3
 	// closeTimeout bounds how long the end of the process waits for the disk.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -65,93 +53,6 @@
 	calmSince  time.Duration // when the last of them was heard of
 }
 
-// newControlState returns this process's part in the control state: none without a disk, unless it is the one
-// that founds it.
-func newControlState(n *Node) controlState {
-	if n.settings.DataDir == "" && !n.founds() {
-		return noControlState{}
-	}
-	return newDiskMember(n)
-}
-
-// founds tells whether this process is the one that has the first view agreed on.
-func (n *Node) founds() bool {
-	return n.settings.FirstStart && len(n.settings.Seeds) > 0 && hostOf(n.settings.Seeds[0]) == n.settings.IP
-}
-
-// openChainMember opens the disk, where there is one, and the state machine with what the disk holds.
-func openChainMember(n *Node) (*chainMember, error) {
-	m := newChainMember(n)
-	var records [][]byte
-	var err error
-	if n.settings.DataDir != "" {
-		m.log, records, err = openLog(n)
-	}
-	if err == nil {
-		err = m.openMachine(records)
-	}
-	if err != nil {
-		m.closeLog()
-		return nil, fmt.Errorf("control state: %w", err)
-	}
-	return m, nil
-}
-
-func newChainMember(n *Node) *chainMember {
-	return &chainMember{
-		node: n, founder: n.founds(), links: map[string]*peerlink.Link{},
-		events: make(chan func(time.Duration) chain.Effects, chainQueue),
-		ended:  make(chan struct{}), free: make(chan struct{}),
-		waiters: map[uint64]chan chain.Reply{}, committed: make(chan []byte, 1),
-		last: uint64(rand.Int63()), // requests of an earlier process must not be taken for this one's
-	}
-}
-
-// openMachine makes the state machine of the records that the disk holds.
-func (m *chainMember) openMachine(records [][]byte) error {
-	settings := m.node.settings
-	config := chain.Config{
-		Self:           chain.Member{ID: chain.MemberID(randomID()), Address: settings.IP},
-		HasDisk:        settings.DataDir != "",
-		FirstStart:     settings.FirstStart,
-		RequiredCopies: settings.TolerateMachines + 1,
-		TargetMembers:  max(leastMembers, 2*settings.TolerateMachines+1),
-		Random:         rand.New(rand.NewSource(rand.Int63())), HeartbeatInterval: chainHeartbeat,
-	}
-	machine, effects, err := chain.Open(config, m.node.now(), records)
-	if err != nil {
-		return err
-	}
-	m.machine, m.identity = machine, string(machine.Self().ID)
-	if err := m.persist(effects.Persist); err != nil {
-		return err
-	}
-	m.perform(effects)
-	return nil
-}
-
-// openLog opens the log of the control state. A damaged one is begun anew: the machine comes back under
-// another identity, which has promised nothing, and is taken in like one with an empty disk.
-func openLog(n *Node) (*segmentlog.Log, [][]byte, error) {
-	folder := filepath.Join(n.settings.DataDir, chainFolder)
-	if err := os.MkdirAll(folder, folderMode); err != nil {
-		return nil, nil, err
-	}
-	if err := syncFolder(n.settings.DataDir); err != nil { // else a loss of power may take the folder away
-		return nil, nil, err
-	}
-	log, records, damage, err := segmentlog.OpenAnew(segmentlog.OSFS{}, folder, segmentlog.Options{})
-	if damage != nil {
-		n.log.Error().Err(damage).Msg("chain: the log is damaged; this machine begins anew")
-	}
-	return log, records, err
-}
-
-func hostOf(address string) string {
-	host, _, _ := net.SplitHostPort(address)
-	return host
-}
-
 func (m *chainMember) member() bool { return m.inChain.Load() }
 
 func (m *chainMember) start(done <-chan struct{}) {
@@ -193,15 +94,6 @@
 	m.closeLog()
 }
 
-func (m *chainMember) closeLog() {
-	if m.log == nil {
-		return
-	}
-	if err := m.log.Close(); err != nil {
-		m.node.log.Warn().Err(err).Msg("chain: the log can't be closed")
-	}
-}
-
 func (m *chainMember) run(done <-chan struct{}) {
 	defer close(m.ended)
 	ticker := time.NewTicker(chainTick)
@@ -236,22 +128,6 @@
 	m.perform(effects)
 }
 
-func (m *chainMember) persist(records [][]byte) error {
-	if len(records) == 0 || m.log == nil {
-		return nil
-	}
-	if err := m.log.Append(records...); err != nil {
-		return err
-	}
-	limit := int64(compactPart * float64(m.node.settings.DiskBytes))
-	if m.log.Size() > max(limit, 1<<20) {
-		if err := m.log.Compact(m.machine.SnapshotRecords()); err != nil {
-			m.node.log.Warn().Err(err).Msg("chain: the log can't be begun anew")
-		}
-	}
-	return nil
-}
-
 // perform sends the messages and gives the replies of a step whose records are durable.
 func (m *chainMember) perform(effects chain.Effects) {
 	for i := range effects.Messages {
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -14,8 +14,8 @@
 	demandLife = 3 * time.Second
 )
 
-// demandBook holds what each proxy has under way at services with model servers.
-type demandBook struct {
+// demandTable holds what each proxy has under way at services with model servers.
+type demandTable struct {
 	node *Node
 
 	mu      sync.Mutex
@@ -28,12 +28,12 @@
 	demands *peerwire.Demands
 }
 
-func newDemandBook(n *Node) *demandBook {
-	return &demandBook{node: n, mine: &peerwire.Demands{}, proxies: map[string]toldDemand{}}
+func newDemandTable(n *Node) *demandTable {
+	return &demandTable{node: n, mine: &peerwire.Demands{}, proxies: map[string]toldDemand{}}
 }
 
 // measure follows this proxy's own demand until done closes.
-func (b *demandBook) measure(done <-chan struct{}) {
+func (b *demandTable) measure(done <-chan struct{}) {
 	ticker := time.NewTicker(demandInterval)
 	defer ticker.Stop()
 	for {
@@ -54,14 +54,14 @@
 	}
 }
 
-func (b *demandBook) own() *peerwire.Demands {
+func (b *demandTable) own() *peerwire.Demands {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.mine
 }
 
 // take notes what another proxy told.
-func (b *demandBook) take(peer string, now time.Duration, body []byte) {
+func (b *demandTable) take(peer string, now time.Duration, body []byte) {
 	var demands peerwire.Demands
 	if peerwire.Decode(body, &demands) != nil {
 		return
@@ -72,7 +72,7 @@
 }
 
 // of sums up the demand for a service over the proxies that were heard of lately.
-func (b *demandBook) of(service string, now time.Duration) stageplan.Demand {
+func (b *demandTable) of(service string, now time.Duration) stageplan.Demand {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var sum stageplan.Demand
--- a/internal/node/front_state.go
+++ b/internal/node/front_state.go
@@ -25,7 +25,7 @@
 // Suspect notes that a server's machine does not answer. The next heartbeat of the server contradicts it.
 func (s *frontState) Suspect(server string) {
 	n := (*Node)(s)
-	if !n.isLonely() { // else it is this machine that is cut off
+	if !n.isIsolated() { // else it is this machine that is cut off
 		n.reportLost(server, "its machine does not answer")
 	}
 }
--- a/internal/node/hubs.go
+++ b/internal/node/hubs.go
@@ -12,8 +12,8 @@
 // The hubs are the processes that all others report to and follow: those that keep the control state, and the
 // seeds until a view of the control state is known or while none of its members can be reached.
 
-// lonelyAfter is how long no hub answers until any known process will do.
-const lonelyAfter = 1500 * time.Millisecond
+// isolatedAfter is how long no hub answers until any known process will do.
+const isolatedAfter = 1500 * time.Millisecond
 
 // innerAddress returns where the process of a machine takes calls of others.
 func (n *Node) innerAddress(ip string) string {
@@ -31,7 +31,7 @@
 	for _, member := range n.state.currentView().members {
 		add(member.Address)
 	}
-	if len(ips) > 0 && !n.isLonely() {
+	if len(ips) > 0 && !n.isIsolated() {
 		return ips
 	}
 	for _, seed := range n.seeds() {
@@ -39,7 +39,7 @@
 			add(ip)
 		}
 	}
-	if n.isLonely() {
+	if n.isIsolated() {
 		n.state.read(func(d *directory.Directory) {
 			for i, proxy := range d.Proxies() {
 				if i < 3 {
@@ -63,11 +63,11 @@
 	return view.hasMember(n.settings.IP)
 }
 
-// isLonely tells whether no hub has answered for long.
-func (n *Node) isLonely() bool {
+// isIsolated tells whether no hub has answered for long.
+func (n *Node) isIsolated() bool {
 	n.hubsMu.Lock()
 	defer n.hubsMu.Unlock()
-	return n.now()-n.reachedAt > lonelyAfter
+	return n.now()-n.reachedAt > isolatedAfter
 }
 
 // currentHubs returns the links to all hubs, sorted by address.
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -16,8 +16,8 @@
 	acceptAfterEnd = 2300 * time.Millisecond
 	// endReserve is the part of the grace that stays free for the process to end by itself.
 	endReserve = time.Second
-	// farewellTimeout bounds how long the others are told that this process ends.
-	farewellTimeout = 300 * time.Millisecond
+	// endNoticeTimeout bounds how long the others are told that this process ends.
+	endNoticeTimeout = 300 * time.Millisecond
 )
 
 // handleReady tells the platform whether clients are to be sent here.
@@ -68,7 +68,7 @@
 		n.front.Wait(deadline)
 	}
 	n.awaitRelease(deadline)
-	n.sayFarewell()
+	n.announceEnd()
 	for _, listener := range []interface{ Close() error }{l.inner, l.control, l.ready} {
 		if listener != nil {
 			listener.Close()
@@ -89,10 +89,10 @@
 	}
 }
 
-// sayFarewell tells the hubs that this process has ended.
-func (n *Node) sayFarewell() {
+// announceEnd tells the hubs that this process has ended.
+func (n *Node) announceEnd() {
 	n.announceSelf(func(self *directory.Record) { self.State = directory.Ended })
 	var place uint64
 	n.state.read(func(d *directory.Directory) { place = d.Number() })
-	n.awaitMajority(place, farewellTimeout)
+	n.awaitMajority(place, endNoticeTimeout)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,8 +38,8 @@
 	workload Workload     // the front where there is one
 	// ordersStages tells that model servers get their stages from this process while it has that duty.
 	ordersStages bool
-	demand       *demandBook
-	work         *workBook
+	demand       *demandTable
+	work         *workTable
 	ending       atomic.Bool
 	fetching     atomic.Bool // a configuration is being fetched from a hub
 
@@ -96,8 +96,8 @@
 		Name: settings.Name, Control: settings.Control,
 	}
 	n.control = newControlState(n)
-	n.demand = newDemandBook(n)
-	n.work = newWorkBook(n)
+	n.demand = newDemandTable(n)
+	n.work = newWorkTable(n)
 	if settings.Front != "" {
 		n.front = front.New(settings, (*frontState)(n), log)
 		if settings.FirstStart {
--- a/internal/node/registration.go
+++ b/internal/node/registration.go
@@ -19,7 +19,7 @@
 	drainAckTimeout = 800 * time.Millisecond
 )
 
-// callServers answers heartbeats and farewells of servers.
+// callServers answers heartbeats and deregistrations of servers.
 func (n *Node) callServers(call *callserver.Call) *http1.Response {
 	id := strings.TrimPrefix(call.Path, serversPath)
 	if id == "" || strings.Contains(id, "/") {
@@ -33,7 +33,7 @@
 		}
 		return n.takeHeartbeat(record)
 	case "DELETE":
-		return n.takeFarewell(id)
+		return n.deregister(id)
 	}
 	return callserver.Text(405, "use PUT for a heartbeat and DELETE for the end")
 }
@@ -116,7 +116,7 @@
 	return place, late
 }
 
-func (n *Node) takeFarewell(id string) *http1.Response {
+func (n *Node) deregister(id string) *http1.Response {
 	now := n.now()
 	var place uint64
 	n.state.change(now, func(d *directory.Directory) {
--- a/internal/node/work.go
+++ b/internal/node/work.go
@@ -39,8 +39,8 @@
 	}
 }
 
-// workBook holds what this process and those that report to it have under way.
-type workBook struct {
+// workTable holds what this process and those that report to it have under way.
+type workTable struct {
 	node *Node
 
 	mu        sync.Mutex
@@ -53,13 +53,13 @@
 	localPrompts, hubPrompts []peerwire.PromptsAtOne
 }
 
-func newWorkBook(n *Node) *workBook {
-	return &workBook{node: n, own: workSum{}, followers: map[*peerlink.Conn]workSum{},
+func newWorkTable(n *Node) *workTable {
+	return &workTable{node: n, own: workSum{}, followers: map[*peerlink.Conn]workSum{},
 		hubs: map[*peerlink.Conn]workSum{}, changed: map[string]bool{}}
 }
 
 // report tells what this process has under way whenever that changes, until done closes.
-func (b *workBook) report(done <-chan struct{}) {
+func (b *workTable) report(done <-chan struct{}) {
 	n := b.node
 	var last time.Duration
 	for {
@@ -160,20 +160,22 @@
 	c.Send(peerwire.Frame{Kind: peerwire.KindWork, Body: peerwire.Encode(work)})
 }
 
-func (b *workBook) takeOwn(work *peerwire.Work) {
+func (b *workTable) takeOwn(work *peerwire.Work) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.note(b.own, work)
 	b.localPrompts = append(b.localPrompts, work.Prompts...)
 }
 
-func (b *workBook) fromFollower(c *peerlink.Conn, body []byte) {
+func (b *workTable) fromFollower(c *peerlink.Conn, body []byte) {
 	b.takeFrom(b.followers, &b.localPrompts, c, body)
 }
 
-func (b *workBook) fromHub(c *peerlink.Conn, body []byte) { b.takeFrom(b.hubs, &b.hubPrompts, c, body) }
+func (b *workTable) fromHub(c *peerlink.Conn, body []byte) {
+	b.takeFrom(b.hubs, &b.hubPrompts, c, body)
+}
 
-func (b *workBook) takeFrom(sums map[*peerlink.Conn]workSum, prompts *[]peerwire.PromptsAtOne,
+func (b *workTable) takeFrom(sums map[*peerlink.Conn]workSum, prompts *[]peerwire.PromptsAtOne,
 	c *peerlink.Conn, body []byte) {
 	var work peerwire.Work
 	if peerwire.Decode(body, &work) != nil {
@@ -190,7 +192,7 @@
 }
 
 // note puts changes into a sum and remembers what to distribute; the lock is held.
-func (b *workBook) note(sum workSum, work *peerwire.Work) {
+func (b *workTable) note(sum workSum, work *peerwire.Work) {
 	if work.Whole {
 		for server := range sum {
 			b.changed[server] = true
@@ -203,7 +205,7 @@
 }
 
 // forget drops what a process had under way whose connection has ended.
-func (b *workBook) forget(c *peerlink.Conn) {
+func (b *workTable) forget(c *peerlink.Conn) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, sums := range []map[*peerlink.Conn]workSum{b.followers, b.hubs} {
@@ -215,7 +217,7 @@
 }
 
 // distribute tells followers, other hubs and this process itself what the others have under way.
-func (b *workBook) distribute(whole bool) {
+func (b *workTable) distribute(whole bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.changed)+len(b.localPrompts)+len(b.hubPrompts) == 0 && !whole {
@@ -241,7 +243,7 @@
 }
 
 // sumLocal sums up what this process and its followers have under way.
-func (b *workBook) sumLocal() workSum {
+func (b *workTable) sumLocal() workSum {
 	sum := workSum{}
 	sum.add(b.own)
 	for _, follower := range b.followers {
@@ -251,7 +253,7 @@
 }
 
 // sumHubs adds to a sum what the other hubs told of theirs.
-func (b *workBook) sumHubs(local workSum) workSum {
+func (b *workTable) sumHubs(local workSum) workSum {
 	sum := workSum{}
 	sum.add(local)
 	for _, hub := range b.hubs {
@@ -269,7 +271,7 @@
 }
 
 // selected returns a sum less what one process has itself, at all servers or at those that have changed.
-func (b *workBook) selected(sum, without workSum, whole bool) []peerwire.WorkAtOne {
+func (b *workTable) selected(sum, without workSum, whole bool) []peerwire.WorkAtOne {
 	servers := []peerwire.WorkAtOne{}
 	add := func(server string) {
 		at, less := sum[server], without[server]
