--- a/internal/chain/plan.go
+++ b/internal/chain/plan.go
@@ -66,13 +66,13 @@
 // that the epoch isn't open at promised never to open it.
 func SealNeeded(view View, seen Observation, rules Rules) bool {
 	p := planner{view: &view, seen: seen, rules: rules}
-	if _, possible := p.viewOf(view.Members); possible {
-		return false
-	}
 	canSeal := func(id MemberID) bool { return p.directly(id) && seen.Peers[id].EntryEpoch < view.Epoch }
 	if !slices.ContainsFunc(view.Chain, canSeal) {
 		return false
 	}
+	if _, possible := p.viewOf(view.Members); possible {
+		return false
+	}
 	p.assumeSealed = true
 	_, possible := p.viewOf(view.Members)
 	return possible
--- a/internal/chain/sim_loss_test.go
+++ b/internal/chain/sim_loss_test.go
@@ -43,8 +43,8 @@
 	tolerate int
 }
 
-// TestLossesAtEachPointOfAReplacement takes as many disks as are tolerated, the first member included unless it
-// leaves as planned, at numbered points of its replacement: also while all others lose power. What was
+// TestLossesAtEachPointOfAReplacement takes as many disks as are tolerated, the first member included unless
+// it leaves as planned, at numbered points of its replacement: also while all others lose power. What was
 // acknowledged is kept, and all machines serve.
 func TestLossesAtEachPointOfAReplacement(t *testing.T) {
 	step := fromEnvironment(lossStepVariable, lossStep)
@@ -158,8 +158,8 @@
 	w.after(simTick, check)
 }
 
-// mustServeWhatIsKept checks that all machines that are there read the same, that it is what was acknowledged,
-// and that a write goes through.
+// mustServeWhatIsKept checks that all machines that are there read the same, that it is what was
+// acknowledged, and that a write goes through.
 func (w *lossWorld) mustServeWhatIsKept(c *qt.C, label string) {
 	comment := qt.Commentf("%s", label)
 	two := w.writeAt("10.0.0.9", 1, 2, "two") // sent again
@@ -182,8 +182,8 @@
 	c.Assert(w.failure, qt.Equals, "", comment)
 }
 
-// TestLossRightAfterARepair takes a second disk as soon as the first loss is repaired: the successor is in the
-// view and the chain is open at all of its replicas.
+// TestLossRightAfterARepair takes a second disk as soon as the first loss is repaired: the successor is in
+// the view and the chain is open at all of its replicas.
 func TestLossRightAfterARepair(t *testing.T) {
 	c := qt.New(t)
 	for _, first := range firstLosses {
--- a/internal/chain/sim_machine_test.go
+++ b/internal/chain/sim_machine_test.go
@@ -26,6 +26,8 @@
 	node  *Node
 	// life counts starts, so that events of an earlier life are dropped.
 	life int
+	// sync is how long the disk takes for one step's records.
+	sync time.Duration
 	// busyUntil is when the machine takes the next event: a sync or a pause ends then.
 	busyUntil time.Duration
 	// gone says that the machine never comes back.
@@ -36,7 +38,9 @@
 
 // addMachine makes a machine with an empty disk and starts it.
 func (w *simWorld) addMachine(address string, hasDisk, first bool) *simMachine {
-	m := &simMachine{world: w, address: address, hasDisk: hasDisk, first: first, disk: faultfs.New()}
+	m := &simMachine{
+		world: w, address: address, hasDisk: hasDisk, first: first, disk: faultfs.New(), sync: simSync,
+	}
 	w.machines[address] = m
 	w.addresses = append(w.addresses, address)
 	m.boot()
@@ -174,8 +178,8 @@
 		return
 	}
 	life := m.life
-	m.busyUntil = m.world.now + simSync
-	m.world.after(simSync, func() {
+	m.busyUntil = m.world.now + m.sync
+	m.world.after(m.sync, func() {
 		if m.life == life && m.up() {
 			m.release(effects)
 		}
--- a/internal/chain/sim_race_test.go
+++ b/internal/chain/sim_race_test.go
@@ -24,8 +24,8 @@
 )
 
 // TestOperatorsRaceForAVersion lets eight writes on one version go to several machines at once, half of them
-// under the same number, while half of the answers are lost and machines fail. Each write is sent until it has
-// a clear answer: one of them is acknowledged wherever it is, and each other one is refused.
+// under the same number, while half of the answers are lost and machines fail. Each write is sent until it
+// has a clear answer: one of them is acknowledged wherever it is, and each other one is refused.
 func TestOperatorsRaceForAVersion(t *testing.T) {
 	seeds := fromEnvironment(raceSeedsVariable, raceSeeds)
 	first := fromEnvironment(simFirstVariable, 1)
--- a/internal/chain/sim_world_test.go
+++ b/internal/chain/sim_world_test.go
@@ -41,6 +41,14 @@
 	cut   bool
 	loss  float64
 	delay time.Duration
+	// freeAt is when a link of limited rate has sent what it was given.
+	freeAt time.Duration
+}
+
+// messageSize is about how many bytes a message takes on the wire.
+func messageSize(m *Message) int {
+	const header, past = 200, 45
+	return header + len(m.Body) + past*len(m.History)
 }
 
 // simWorld is a fleet in virtual time: machines, network, and what was observed.
@@ -55,6 +63,10 @@
 	links     map[[2]string]*simLink
 	// duplicates is the chance that a message comes twice.
 	duplicates float64
+	// rate is how many bytes a link carries in a second, one message behind the other; 0 is no limit.
+	rate int
+	// caughtUp counts the bytes of entries that were sent with their whole history, by address.
+	caughtUp map[string]int
 	// members is how many members there shall be, copies how many replicas a write needs.
 	members, copies int
 	// historyLength is how many earlier entries an entry names.
@@ -80,6 +92,7 @@
 		copies:   2,
 		machines: map[string]*simMachine{},
 		links:    map[[2]string]*simLink{},
+		caughtUp: map[string]int{},
 		growth:   simGrowth,
 
 		historyLength: defaultHistoryLength,
@@ -132,6 +145,15 @@
 	if link.cut || w.random.Float64() < link.loss {
 		return
 	}
+	if m := &envelope.Message; m.Kind == Append && m.Resend && m.HasBody {
+		w.caughtUp[envelope.To.Address] += messageSize(m)
+	}
+	if w.rate > 0 {
+		onWire := time.Duration(messageSize(&envelope.Message)) * time.Second / time.Duration(w.rate)
+		link.freeAt = max(link.freeAt, w.now) + onWire
+		w.after(link.freeAt-w.now, func() { w.deliver(from, envelope) })
+		return
+	}
 	copies := 1
 	kind := envelope.Message.Kind
 	if kind != Forward && kind != ForwardRead && w.random.Float64() < w.duplicates {
