A member whose disk is full stays one until others hold what it holds

The disk of one of two replicas was full for 1.2 s, and a view under way put a candidate in its place that held nothing, with the other replica as the only holder. When the disk of that one was lost the state was on the full disk alone, whose machine was no member any more.

Change: a failing replica is replaced as a member only when as many others as a write needs hold the state, as one that leaves is. A chain with more holders comes first.

Seen to fail: the case "candidate replaces no replica whose disk fails before others hold the state" of TestPlan without othersHold.

--- a/internal/chain/plan.go
+++ b/internal/chain/plan.go
@@ -217,14 +217,14 @@
 	return max(place, 0), place >= 0
 }
 
-// goneFor returns how long a member has been silent to all or unfit. A silent one that the chain still names
-// may hold a copy that the others lack: a view without it in the chain comes first.
+// goneFor returns how long a member has been silent to all, or its disk has failed. A silent one that the
+// chain still names may hold a copy that the others lack: a view without it in the chain comes first. So does
+// one with more holders before a failing disk is given up, which still has what it holds.
 func (p *planner) goneFor(id MemberID) time.Duration {
 	known := p.seen.Peers[id]
-	if known.Unfit && !known.Leaving {
-		return max(known.UnfitFor, known.Silence)
-	}
 	switch {
+	case known.Unfit && !known.Leaving && p.othersHold(id):
+		return max(known.UnfitFor, known.Silence)
 	case p.view.inChain(id):
 		return 0
 	case known.Behind > p.rules.SuspectAfter:
@@ -237,13 +237,15 @@
 }
 
 // mayLeave tells whether a member wants to leave and enough others hold what it holds.
-func (p *planner) mayLeave(id MemberID) bool {
-	staying := func(other MemberID) bool {
-		return other != id && p.alive(other) && !p.seen.Peers[other].Unfit
-	}
-	others := slices.DeleteFunc(slices.Clone(p.view.Chain), func(other MemberID) bool { return !staying(other) })
-	enough := p.holders(others) >= copiesNeeded(p.view.Members, p.rules.RequiredCopies)
-	return p.seen.Peers[id].Leaving && (enough || !p.view.inChain(id))
+func (p *planner) mayLeave(id MemberID) bool { return p.seen.Peers[id].Leaving && p.othersHold(id) }
+
+// othersHold tells whether a member isn't in the chain, or as many other replicas as a write needs hold the
+// state.
+func (p *planner) othersHold(id MemberID) bool {
+	others := slices.DeleteFunc(slices.Clone(p.view.Chain), func(other MemberID) bool {
+		return other == id || !p.alive(other) || p.seen.Peers[other].Unfit
+	})
+	return !p.view.inChain(id) || p.holders(others) >= copiesNeeded(p.view.Members, p.rules.RequiredCopies)
 }
 
 // holders counts those of the chain's replicas that hold every committed entry.
