--- a/internal/nodesim/absence.go
+++ b/internal/nodesim/absence.go
@@ -65,15 +65,16 @@
 
 func (a *Absences) look() {
 	for _, m := range a.fleet.Running() {
-		for _, s := range a.fleet.Servers {
+		for _, s := range a.fleet.allServers() {
 			a.note(absence{m.Name, s.ID}, a.lacks(m, s))
 		}
 	}
 }
 
 func (a *Absences) lacks(m *Machine, s *Server) bool {
-	return a.about(m, s) && s.Calls() && s.known(newServerTime) && m.process.node.Servers().ByID(s.ID) == nil &&
-		a.fleet.Network.Reaches(m.IP, s.IP)
+	p := m.process.Load()
+	return p != nil && a.about(m, s) && s.Calls() && s.known(newServerTime) &&
+		p.node.Servers().ByID(s.ID) == nil && a.fleet.Network.Reaches(m.IP, s.IP)
 }
 
 func (a *Absences) note(each absence, lacks bool) {
--- a/internal/nodesim/fleet.go
+++ b/internal/nodesim/fleet.go
@@ -52,6 +52,8 @@
 	Servers  []*Server
 	Random   *rand.Rand // of the goroutine of the test
 
+	mu sync.Mutex // guards Machines and Servers where others than the goroutine of the test read them
+
 	began  time.Time
 	folder string // of all disks
 	log    *eventLog
@@ -91,6 +93,20 @@
 	}
 }
 
+// allMachines returns a copy of Machines, for any goroutine.
+func (f *Fleet) allMachines() []*Machine {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.Machines)
+}
+
+// allServers returns a copy of Servers, for any goroutine.
+func (f *Fleet) allServers() []*Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.Servers)
+}
+
 // Now returns the time since the fleet began.
 func (f *Fleet) Now() time.Duration { return time.Since(f.began) }
 
@@ -145,7 +161,7 @@
 
 // Running returns the machines whose processes run.
 func (f *Fleet) Running() []*Machine {
-	return slices.DeleteFunc(slices.Clone(f.Machines), func(m *Machine) bool { return !m.Runs() })
+	return slices.DeleteFunc(f.allMachines(), func(m *Machine) bool { return !m.Runs() })
 }
 
 // Whole returns "" where all running machines agree on the view, know the newest configuration that any of
@@ -156,14 +172,14 @@
 func (f *Fleet) Agree(machines []*Machine) string {
 	epoch, version := int64(0), int64(0)
 	for _, m := range machines {
-		epoch, version = max(epoch, m.process.node.Epoch()), max(version, m.process.node.ConfigVersion())
+		epoch, version = max(epoch, m.Node().Epoch()), max(version, m.Node().ConfigVersion())
 	}
 	if epoch == 0 {
 		return "no machine knows a view"
 	}
 	wanted := f.callingServers()
 	for _, m := range machines {
-		n := m.process.node
+		n := m.Node()
 		if n.Epoch() != epoch || n.ConfigVersion() != version {
 			return fmt.Sprintf("%s knows epoch %d and version %d, others %d and %d", m.Name, n.Epoch(),
 				n.ConfigVersion(), epoch, version)
--- a/internal/nodesim/machine.go
+++ b/internal/nodesim/machine.go
@@ -27,9 +27,9 @@
 
 	fleet   *Fleet
 	host    *simnet.Host
-	disk    string   // folder; each process gets a copy of what the one before left
-	runs    int      // processes started
-	process *process // nil before the first start and while none runs
+	disk    string                  // folder; each process gets a copy of what the one before left
+	runs    int                     // processes started
+	process atomic.Pointer[process] // nil before the first start and after a kill
 }
 
 // process is one run of the program on a machine.
@@ -47,7 +47,9 @@
 	ip := fmt.Sprintf("10.0.0.%d", number+1)
 	m := &Machine{Name: fmt.Sprintf("m%02d", number), IP: ip, Zone: fmt.Sprintf("zone-%d", number%zoneCount),
 		HasDisk: disk, fleet: f, host: f.Network.Host(ip)}
+	f.mu.Lock()
 	f.Machines = append(f.Machines, m)
+	f.mu.Unlock()
 	f.SetSeeds(f.Machines[:min(len(f.Machines), seedCount)]...)
 	return m
 }
@@ -59,6 +61,8 @@
 	for _, each := range f.Machines {
 		each.Seeds = seeds
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.Machines = slices.Insert(f.Machines[:len(f.Machines)-1], f.Options.Disks, m)
 	f.Options.Disks++
 	return m
@@ -79,10 +83,13 @@
 func (m *Machine) Control() string { return m.IP + ":" + strconv.Itoa(controlPort) }
 
 // Node returns the process that runs.
-func (m *Machine) Node() *node.Node { return m.process.node }
+func (m *Machine) Node() *node.Node { return m.process.Load().node }
 
 // Runs tells whether a process runs.
-func (m *Machine) Runs() bool { return m.process != nil && !m.process.stopped.Load() }
+func (m *Machine) Runs() bool {
+	p := m.process.Load()
+	return p != nil && !p.stopped.Load()
+}
 
 func (m *Machine) settings(first bool) *nodesettings.Settings {
 	s := &nodesettings.Settings{
@@ -124,7 +131,7 @@
 	if p.node, err = node.New(p.settings, log, options...); err != nil {
 		m.fleet.TB.Fatalf("%s: %v", m.Name, err)
 	}
-	m.process = p
+	m.process.Store(p)
 	m.fleet.Note("%s starts, seeds %v", m.Name, m.Seeds)
 	m.fleet.processes.Go(func() {
 		defer close(p.ended)
@@ -178,7 +185,7 @@
 func (f *Fleet) kill(machines ...*Machine) {
 	synctest.Wait()
 	for _, m := range machines {
-		p := m.process
+		p := m.process.Load()
 		if p == nil {
 			continue
 		}
@@ -189,7 +196,7 @@
 		if !p.stopped.Swap(true) {
 			close(p.stop)
 		}
-		m.process = nil
+		m.process.Store(nil)
 	}
 }
 
@@ -206,7 +213,7 @@
 // Terminate sends SIGTERM and returns a channel that closes when the process has ended.
 func (m *Machine) Terminate() <-chan struct{} {
 	m.fleet.Note("%s gets SIGTERM", m.Name)
-	p := m.process
+	p := m.process.Load()
 	if !p.stopped.Swap(true) {
 		close(p.stop)
 	}
@@ -215,13 +222,13 @@
 
 // Reload sends SIGHUP: the process reads its settings file again.
 func (m *Machine) Reload() {
-	m.process.node.Reload(m.settings(false))
+	m.Node().Reload(m.settings(false))
 }
 
 // KnownServers returns the ids of the servers that may get new requests, sorted.
 func (m *Machine) KnownServers() []string {
 	var known []string
-	for _, server := range m.process.node.Servers().Service(serviceName) {
+	for _, server := range m.Node().Servers().Service(serviceName) {
 		known = append(known, server.ID)
 	}
 	slices.Sort(known)
--- a/internal/nodesim/server.go
+++ b/internal/nodesim/server.go
@@ -48,11 +48,11 @@
 
 	fleet   *Fleet
 	network *simnet.Process
-	random  *rand.Rand // of the goroutine that beats
 	end     chan struct{}
 	ended   sync.Once
 
 	mu         sync.Mutex
+	random     *rand.Rand
 	state      serverState
 	postmark   int64
 	forward    string
@@ -101,7 +101,9 @@
 	if len(first) > 0 {
 		s.forward = first[0]
 	}
+	f.mu.Lock()
 	f.Servers = append(f.Servers, s)
+	f.mu.Unlock()
 	f.others.Go(s.run)
 	return s
 }
@@ -155,7 +157,7 @@
 }
 
 func (f *Fleet) serverByID(id string) *Server {
-	for _, s := range f.Servers {
+	for _, s := range f.allServers() {
 		if s.ID == id {
 			return s
 		}
@@ -176,22 +178,28 @@
 }
 
 func (s *Server) run() {
-	time.Sleep(time.Duration(s.random.Int63n(int64(Beat))))
+	time.Sleep(s.draw(Beat))
 	for {
 		if state := s.told(); state != "" {
 			s.beat(s.heartbeat(state))
 		}
-		jitter := time.Duration(s.random.Int63n(int64(Beat / 10)))
 		select {
 		case <-s.fleet.over:
 			return
 		case <-s.end:
 			return
-		case <-time.After(Beat - Beat/20 + jitter):
+		case <-time.After(Beat - Beat/20 + s.draw(Beat/10)):
 		}
 	}
 }
 
+// draw returns a random time up to a bound.
+func (s *Server) draw(most time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.random.Int63n(int64(most)))
+}
+
 // heartbeat returns the next heartbeat.
 func (s *Server) heartbeat(state string) *heartbeat {
 	s.mu.Lock()
@@ -222,8 +230,12 @@
 		targets = append(targets, s.forward)
 	}
 	s.mu.Unlock()
-	for _, i := range s.random.Perm(len(s.fleet.Machines)) {
-		targets = append(targets, s.fleet.Machines[i].Control())
+	machines := s.fleet.allMachines()
+	s.mu.Lock()
+	order := s.random.Perm(len(machines))
+	s.mu.Unlock()
+	for _, i := range order {
+		targets = append(targets, machines[i].Control())
 	}
 	for _, target := range targets {
 		if s.call(target, call) {
