--- a/internal/nodesim/hunt_test.go
+++ b/internal/nodesim/hunt_test.go
@@ -25,8 +25,8 @@
 	huntPause = 3 * time.Second
 )
 
-// hunt draws troubles at random: one machine that keeps the configuration at a time, as tolerated, together with
-// any of the others.
+// hunt draws troubles at random: one machine that keeps the configuration at a time, as tolerated, together
+// with any of the others.
 type hunt struct {
 	f       *Fleet
 	random  *rand.Rand
@@ -34,8 +34,8 @@
 	version int64 // of the last change that was sent
 }
 
-// TestHunt strikes a fleet at random while an operator changes the configuration: nothing that was acknowledged
-// is lost or refused, changes go on, and all agree soon after each trouble.
+// TestHunt strikes a fleet at random while an operator changes the configuration: nothing that was
+// acknowledged is lost or refused, changes go on, and all agree soon after each trouble.
 func TestHunt(t *testing.T) {
 	for seed := *huntFirst; seed < *huntFirst+*huntSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
