Rot in the format of a segment is damage, not a newer release

A flipped bit in the version that stands in a segment's header was told as a newer format, which the log refuses for good, so the machine never came back.

Change: the header's checksum is compared first. Each later format has to keep the header's layout.

TestNewerFormatIsRefused changed the version alone, which is what rot does; it now makes a header that a newer release would write. TestEachByteOfDamageIsTold takes only damage for an answer.

--- a/internal/segmentlog/format.go
+++ b/internal/segmentlog/format.go
@@ -8,7 +8,8 @@
 	"strings"
 )
 
-// The layout of a segment: a header, then frames. All numbers are little-endian.
+// The layout of a segment: a header, then frames. All numbers are little-endian. The header is the same in each
+// format, so that rot in its version isn't taken for a newer one.
 const (
 	magic         = "CHSEGLOG"
 	formatVersion = 1
@@ -60,13 +61,13 @@
 	if len(data) < headerSize || string(data[:len(magic)]) != magic {
 		return &Damaged{File: file, Reason: "no header of a segment"}
 	}
-	if version := binary.LittleEndian.Uint32(data[len(magic):]); version > formatVersion {
-		return &NewerFormat{File: file, Version: version}
-	}
 	sum := binary.LittleEndian.Uint32(data[headerSize-4:])
 	if crc32.Checksum(data[:headerSize-4], castagnoli) != sum {
 		return &Damaged{File: file, Reason: "the header's checksum differs"}
 	}
+	if version := binary.LittleEndian.Uint32(data[len(magic):]); version > formatVersion {
+		return &NewerFormat{File: file, Version: version}
+	}
 	if binary.LittleEndian.Uint64(data[len(magic)+4:]) != number {
 		return &Damaged{File: file, Reason: "the header names another segment"}
 	}
--- a/internal/segmentlog/log_test.go
+++ b/internal/segmentlog/log_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"math/rand"
 	"os"
 	"path/filepath"
@@ -191,6 +193,9 @@
 	return folder, filepath.Join(folder, "0000000000000001.segment")
 }
 
+// headerSize is how long a segment's header is; a newer release has the same.
+const headerSize = 8 + 4 + 8 + 4
+
 // markSize is how long the mark behind the last frame is.
 const markSize = 20
 
@@ -217,9 +222,7 @@
 				continue
 			}
 			var damaged *segmentlog.Damaged
-			var newer *segmentlog.NewerFormat
-			told := errors.As(err, &damaged) || errors.As(err, &newer)
-			c.Assert(told, qt.IsTrue, qt.Commentf("%d: %v", offset, err))
+			c.Assert(errors.As(err, &damaged), qt.IsTrue, qt.Commentf("%d: %v", offset, err))
 			c.Assert(reports[0].Problem.Error(), qt.Equals, err.Error())
 		}
 	}
@@ -417,6 +420,8 @@
 	data, err := os.ReadFile(file)
 	c.Assert(err, qt.IsNil)
 	data[len("CHSEGLOG")] = 2
+	sum := crc32.Checksum(data[:headerSize-4], crc32.MakeTable(crc32.Castagnoli))
+	binary.LittleEndian.PutUint32(data[headerSize-4:], sum)
 	c.Assert(os.WriteFile(file, data, 0o600), qt.IsNil)
 	_, _, err = segmentlog.Open(segmentlog.OSFS{}, folder, segmentlog.Options{})
 	c.Assert(err, qt.ErrorMatches, ".*has format 2 and this release reads up to 1; start the newer release.*")
