Rot in the header of the last frame is told also before half a mark

The mark behind the last frame had been written in part, as the disk failed once, and a bit of that frame's header flipped. Since a frame whose last byte is zero counts as torn (inside a sector), and by a bad header all that is left was taken for the frame, the zeros of the half mark made it a torn end, and the member went back behind an entry that it had acknowledged.

Change: the length in the header says where the frame ends also if the header is bad; a header whose checksum was never written is torn. Not told is rot in the length itself before half a mark.

--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -164,7 +164,7 @@
 
 // TestSeedsThatBrokeOnce plays seeds that earlier states of the package didn't stand.
 func TestSeedsThatBrokeOnce(t *testing.T) {
-	for _, seed := range []int64{225, 1378, 1502, 8599, 21082, 22937, 24419} {
+	for _, seed := range []int64{225, 1378, 1502, 8599, 21082, 22937, 24419, 28549} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			simulate(t, seed)
--- a/internal/segmentlog/log_test.go
+++ b/internal/segmentlog/log_test.go
@@ -228,6 +228,23 @@
 	}
 }
 
+// TestRotBeforeHalfAMarkIsTold flips each byte of the last frame, behind which the mark was written in part.
+func TestRotBeforeHalfAMarkIsTold(t *testing.T) {
+	c := qt.New(t)
+	_, file := written(c)
+	whole, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	frames := len(whole) - markSize
+	last := frames - 20 - 4 - len("three")
+	for offset := last + 4; offset < frames; offset++ { // by a bad length the frame's end isn't known
+		bad := append([]byte(nil), whole[:frames+markSize/2]...)
+		bad[offset] ^= 1
+		_, _, err = openContent(c, bad)
+		var damaged *segmentlog.Damaged
+		c.Assert(errors.As(err, &damaged), qt.IsTrue, qt.Commentf("%d: %v", offset-last, err))
+	}
+}
+
 func TestEachCutOfTheLastFrameIsATornEnd(t *testing.T) {
 	c := qt.New(t)
 	folder, file := written(c)
--- a/internal/segmentlog/scan.go
+++ b/internal/segmentlog/scan.go
@@ -87,15 +87,19 @@
 		return true // the mark is still there, or is all that is bad
 	}
 	end := int64(len(data))
-	if size, good := frameExtent(rest, number); good {
-		if size > int64(len(rest)) {
-			return true
-		}
-		end = result.good + size
+	size, good := frameExtent(rest, number)
+	switch {
+	case size <= int64(len(rest)):
+		end = result.good + size // also by a bad header: half a mark may stand behind the frame
+	case good:
+		return true
 	}
-	if missesAnEnd(data[result.good:end]) {
+	if missesAnEnd(data[result.good:end]) || !good && missesHeaderEnd(rest) {
 		return true
 	}
+	if !good {
+		end = int64(len(data))
+	}
 	before := make([]byte, len(rest))
 	copy(before, syncMark(number, result.next))
 	for start := result.good; start < end; {
@@ -116,6 +120,11 @@
 	return binary.LittleEndian.Uint32(frame) == 0 || frame[len(frame)-1] == 0
 }
 
+// missesHeaderEnd tells whether the checksum at the end of a frame's header was not written.
+func missesHeaderEnd(frame []byte) bool {
+	return binary.LittleEndian.Uint32(frame[frameHeaderSize-4:]) == 0
+}
+
 // goodFrameBehind looks for a good frame with a later sequence anywhere behind the first byte.
 func goodFrameBehind(rest []byte, number, sequence uint64) bool {
 	for offset := 1; offset+frameHeaderSize <= len(rest); offset++ {
