--- a/internal/segmentlog/format.go
+++ b/internal/segmentlog/format.go
@@ -8,8 +8,8 @@
 	"strings"
 )
 
-// The layout of a segment: a header, then frames. All numbers are little-endian. The header is the same in each
-// format, so that rot in its version isn't taken for a newer one.
+// The layout of a segment: a header, then frames. All numbers are little-endian. The header is the same in
+// each format, so that rot in its version isn't taken for a newer one.
 const (
 	magic         = "CHSEGLOG"
 	formatVersion = 1
