--- a/internal/chain/sim_test.go
+++ b/internal/chain/sim_test.go
@@ -14,7 +14,7 @@
 
 const (
 	// simSeeds is how many seeds run without simSeedsVariable in the environment.
-	simSeeds         = 200
+	simSeeds         = 600
 	simSeedsVariable = "CHAIN_SIM_SEEDS"
 	simFirstVariable = "CHAIN_SIM_FIRST"
 	// simShortHistory is the history's length in some seeds, so that writes are forgotten.
