Readers stay readers while prompts wait to be read

From 16 s on ever more servers were told to make tokens, up to the bound, while prompts waited at the few readers that were left; calls that wait for the next stage count as demand for writers, so that the plan fed itself.

Change: no reader is taken away while each has 1.5 calls on average.

Test: TestBusyReadersStayReaders.

--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -22,6 +22,9 @@
 	// changingMost is the part of the servers that may be out of service for a change at the same time while
 	// requests come.
 	changingMost = 0.12
+	// readersBusy is how many calls a reader has on average, waiting ones included, from which on no reader is
+	// taken away: prompts that wait to be read hold up the tokens that more writers were to make.
+	readersBusy = 1.5
 	// tolerance is by how many servers the parts may miss what is wanted while requests come.
 	tolerance = 1
 )
@@ -76,6 +79,9 @@
 	surplus := writers - Writers(len(servers), servers[0].Slots, d)
 	from, to := catalog.Writing, catalog.Reading
 	if surplus < 0 {
+		if readers := len(servers) - writers; d.Reading > readersBusy*float64(readers) {
+			return nil
+		}
 		surplus, from, to = -surplus, catalog.Reading, catalog.Writing
 	}
 	room := len(servers)
--- a/internal/stageplan/stageplan_test.go
+++ b/internal/stageplan/stageplan_test.go
@@ -75,3 +75,14 @@
 	}
 	qt.Assert(t, left, qt.DeepEquals, map[string]int{"0": 2, "1": 2, "2": 2})
 }
+
+// TestBusyReadersStayReaders: while prompts wait to be read no reader becomes a writer, however many tokens
+// are asked for; a writer may become a reader.
+func TestBusyReadersStayReaders(t *testing.T) {
+	servers := fleet(60, 80)
+	wanting := Demand{Known: true, Writing: 1e6, Reading: 100}
+	qt.Assert(t, len(Plan(servers, wanting)) > 0, qt.IsTrue)
+	wanting.Reading = readersBusy*80 + 1
+	qt.Assert(t, Plan(servers, wanting), qt.HasLen, 0)
+	qt.Assert(t, len(Plan(servers, Demand{Known: true, Reading: wanting.Reading})) > 0, qt.IsTrue)
+}
