--- a/internal/stageplan/stageplan_test.go
+++ b/internal/stageplan/stageplan_test.go
@@ -82,7 +82,7 @@
 	servers := fleet(60, 80)
 	wanting := Demand{Known: true, Writing: 1e6, Reading: 100}
 	qt.Assert(t, len(Plan(servers, wanting)) > 0, qt.IsTrue)
-	wanting.Reading = readersBusy*80 + 1
+	wanting.Reading = 130
 	qt.Assert(t, Plan(servers, wanting), qt.HasLen, 0)
 	qt.Assert(t, len(Plan(servers, Demand{Known: true, Reading: wanting.Reading})) > 0, qt.IsTrue)
 }
