--- /dev/null
+++ b/internal/callserver/callserver_test.go
@@ -0,0 +1,57 @@
+package callserver
+
+import (
+	"errors"
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/nettest"
+	"cresshub/internal/ring"
+)
+
+// TestServeOutlivesAFailedAccept: servers and operators reach a process again that was short of descriptors
+// for a moment, and one whose listener is closed ends.
+func TestServeOutlivesAFailedAccept(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	short := nettest.NewShortOfDescriptors(listener, 3)
+	server := &Server{Handle: func(call *Call) *http1.Response { return Text(200, call.Path) }}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(short) }()
+	answered := make(chan int, 1)
+	go func() { answered <- get(c, listener.Addr().String(), "/here") }()
+	select {
+	case status := <-answered:
+		c.Assert(status, qt.Equals, 200)
+	case err := <-served:
+		listener.Close()
+		c.Fatalf("no connection is accepted any more: %v", err)
+	}
+	listener.Close()
+	c.Assert(errors.Is(<-served, net.ErrClosed), qt.IsTrue)
+}
+
+// get returns the status of an answer, 0 for none.
+func get(c *qt.C, address, path string) int {
+	dialled, err := net.Dial("tcp4", address)
+	c.Check(err, qt.IsNil)
+	if err != nil {
+		return 0
+	}
+	defer dialled.Close()
+	conn := ring.NewConn(dialled)
+	request := http1.Request{Method: "GET", Target: path, Close: true,
+		Header: http1.Header{{Name: "Host", Value: address}}}
+	if request.Write(conn.Out) != nil || conn.Flush() != nil {
+		return 0
+	}
+	head, _, err := http1.ReadResponseHead(conn.In, "GET")
+	if err != nil {
+		return 0
+	}
+	return head.Status
+}
--- /dev/null
+++ b/internal/faultinject/faults_test.go
@@ -0,0 +1,140 @@
+package faultinject
+
+import (
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const (
+	here  = "127.0.0.1"
+	there = "127.0.0.2"
+)
+
+// pair returns both ends of a connection between two machines with faults of their own.
+func pair(c *qt.C, dialler, listener *Faults) (dialled, accepted net.Conn) {
+	l, err := listener.Network(there, "").Listen(there + ":0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	dialled, err = dialler.Network(here, "").Dial(l.Addr().String(), time.Second)
+	c.Assert(err, qt.IsNil)
+	accepted, err = l.Accept()
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { dialled.Close(); accepted.Close() })
+	return dialled, accepted
+}
+
+// TestCutWithholds: what is sent through a cut comes once it has ended, and a read ends at its deadline
+// meanwhile.
+func TestCutWithholds(t *testing.T) {
+	c := qt.New(t)
+	ours, theirs := New(), New()
+	dialled, accepted := pair(c, ours, theirs)
+	c.Assert(theirs.Do(CommandDeaf+" "+here), qt.IsNil)
+	_, err := dialled.Write([]byte("a"))
+	c.Assert(err, qt.IsNil)
+	accepted.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+	one := make([]byte, 1)
+	_, err = accepted.Read(one)
+	c.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	accepted.SetReadDeadline(time.Time{})
+	c.Assert(theirs.Do(CommandHear), qt.IsNil)
+	_, err = io.ReadFull(accepted, one)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(one), qt.Equals, "a")
+}
+
+// TestLongCutResets: a connection that was cut for longer than the system waits ends with a reset.
+func TestLongCutResets(t *testing.T) {
+	c := qt.New(t)
+	ours, theirs := New(), New()
+	dialled, accepted := pair(c, ours, theirs)
+	theirs.deaf[here] = time.Now().Add(-2 * userTimeout)
+	c.Assert(theirs.Do(CommandHear), qt.IsNil)
+	_, err := dialled.Read(make([]byte, 1))
+	c.Assert(err, qt.Not(qt.IsNil))
+	_, err = accepted.Read(make([]byte, 1))
+	c.Assert(err, qt.Not(qt.IsNil))
+}
+
+// TestCutKeepsConnectionsFromComingAbout in both directions.
+func TestCutKeepsConnectionsFromComingAbout(t *testing.T) {
+	for _, command := range []string{CommandDeaf, CommandMute} {
+		faults := New()
+		qt.Assert(t, faults.Do(command+" "+there), qt.IsNil)
+		_, err := faults.Network(here, "").Dial(there+":1", time.Millisecond)
+		qt.Assert(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	}
+}
+
+// TestRefusedAccept fails as often as it was told to.
+func TestRefusedAccept(t *testing.T) {
+	c := qt.New(t)
+	faults := New()
+	l, err := faults.Network(here, "").Listen(here + ":0")
+	c.Assert(err, qt.IsNil)
+	defer l.Close()
+	c.Assert(faults.Do(CommandRefuse+" 1"), qt.IsNil)
+	for range 2 {
+		dialled, err := net.Dial("tcp4", l.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer dialled.Close()
+	}
+	_, err = l.Accept()
+	c.Assert(err, qt.ErrorIs, syscall.EMFILE)
+	accepted, err := l.Accept()
+	c.Assert(err, qt.IsNil)
+	accepted.Close()
+}
+
+// TestDiskModes: a full disk refuses writes and lets reads pass, and one that hung goes on.
+func TestDiskModes(t *testing.T) {
+	c := qt.New(t)
+	faults := New()
+	disk, name := faults.Files(), filepath.Join(t.TempDir(), "file")
+	file, err := disk.Create(name)
+	c.Assert(err, qt.IsNil)
+	defer file.Close()
+	c.Assert(faults.Do("disk full"), qt.IsNil)
+	n, err := file.WriteAt([]byte("abcd"), 0)
+	c.Assert(err, qt.ErrorIs, syscall.ENOSPC)
+	c.Assert(n, qt.Equals, 2)
+	raw, err := disk.ReadFile(name)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(raw), qt.Equals, "ab")
+	c.Assert(faults.Do("disk hang"), qt.IsNil)
+	done := make(chan error)
+	go func() { done <- file.Sync() }()
+	select {
+	case <-done:
+		t.Fatal("a hanging disk answered")
+	default:
+	}
+	c.Assert(faults.Do("disk ok"), qt.IsNil)
+	c.Assert(<-done, qt.IsNil)
+}
+
+// TestEndAtANumberedPoint ends the process at each point of a write in turn.
+func TestEndAtANumberedPoint(t *testing.T) {
+	c := qt.New(t)
+	for point := 1; point <= 3; point++ {
+		faults, ended := New(), 0
+		faults.exit = func() { ended++ }
+		file, err := faults.Files().Create(filepath.Join(t.TempDir(), "file"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(faults.Do("end "+string(rune('0'+point))), qt.IsNil)
+		_, err = file.WriteAt([]byte("a"), 0)
+		c.Assert(err, qt.IsNil)
+		c.Assert(ended == 1, qt.Equals, point <= 2)
+		c.Assert(file.Sync(), qt.IsNil)
+		c.Assert(ended, qt.Equals, 1)
+		file.Close()
+	}
+	c.Assert(New().Do("nonsense"), qt.ErrorAs, new(*UnknownCommand))
+}
--- /dev/null
+++ b/internal/faultinject/files.go
@@ -0,0 +1,147 @@
+package faultinject
+
+import (
+	"os"
+	"syscall"
+	"time"
+
+	"cresshub/internal/segmentlog"
+)
+
+// files is the machine's file system with the faults of a process. Each operation that changes something is a
+// numbered point before it begins and when it is done.
+type files struct {
+	faults *Faults
+	under  segmentlog.OSFS
+}
+
+var _ segmentlog.FS = (*files)(nil)
+
+// Files returns the file system of the process.
+func (f *Faults) Files() segmentlog.FS { return &files{faults: f} }
+
+// begin waits as long as the disk hangs, and refuses what a full disk refuses.
+func (f *files) begin(op, name string, writes bool) error {
+	f.faults.point()
+	for f.faults.diskMode() == DiskHang {
+		time.Sleep(lookInterval)
+	}
+	switch mode := f.faults.diskMode(); {
+	case mode == DiskSlow:
+		time.Sleep(slowDisk)
+	case mode == DiskFull && writes:
+		return &os.PathError{Op: op, Path: name, Err: syscall.ENOSPC}
+	}
+	return nil
+}
+
+// MakeDir implements segmentlog.FS.
+func (f *files) MakeDir(dir string) error {
+	if err := f.begin("mkdir", dir, false); err != nil {
+		return err
+	}
+	return f.under.MakeDir(dir)
+}
+
+// List implements segmentlog.FS.
+func (f *files) List(dir string) ([]string, error) {
+	if err := f.begin("list", dir, false); err != nil {
+		return nil, err
+	}
+	return f.under.List(dir)
+}
+
+// ReadFile implements segmentlog.FS.
+func (f *files) ReadFile(name string) ([]byte, error) {
+	if err := f.begin("read", name, false); err != nil {
+		return nil, err
+	}
+	return f.under.ReadFile(name)
+}
+
+// Create implements segmentlog.FS.
+func (f *files) Create(name string) (segmentlog.File, error) {
+	if err := f.begin("create", name, true); err != nil {
+		return nil, err
+	}
+	return f.wrap(name)(f.under.Create(name))
+}
+
+// Open implements segmentlog.FS.
+func (f *files) Open(name string) (segmentlog.File, error) {
+	if err := f.begin("open", name, false); err != nil {
+		return nil, err
+	}
+	return f.wrap(name)(f.under.Open(name))
+}
+
+// Rename implements segmentlog.FS.
+func (f *files) Rename(from, to string) error {
+	if err := f.begin("rename", from, true); err != nil {
+		return err
+	}
+	defer f.faults.point()
+	return f.under.Rename(from, to)
+}
+
+// Remove implements segmentlog.FS.
+func (f *files) Remove(name string) error {
+	if err := f.begin("remove", name, false); err != nil {
+		return err
+	}
+	defer f.faults.point()
+	return f.under.Remove(name)
+}
+
+// SyncDir implements segmentlog.FS.
+func (f *files) SyncDir(dir string) error {
+	if err := f.begin("sync", dir, false); err != nil {
+		return err
+	}
+	defer f.faults.point()
+	return f.under.SyncDir(dir)
+}
+
+func (f *files) wrap(name string) func(segmentlog.File, error) (segmentlog.File, error) {
+	return func(under segmentlog.File, err error) (segmentlog.File, error) {
+		if err != nil {
+			return nil, err
+		}
+		return &file{File: under, files: f, name: name}, nil
+	}
+}
+
+// file is an open file.
+type file struct {
+	segmentlog.File
+	files *files
+	name  string
+}
+
+// WriteAt implements segmentlog.File. A full disk takes half of what is written.
+func (f *file) WriteAt(data []byte, offset int64) (int, error) {
+	if err := f.files.begin("write", f.name, true); err != nil {
+		n, _ := f.File.WriteAt(data[:len(data)/2], offset)
+		return n, err
+	}
+	defer f.files.faults.point()
+	return f.File.WriteAt(data, offset)
+}
+
+// Truncate implements segmentlog.File.
+func (f *file) Truncate(size int64) error {
+	if err := f.files.begin("truncate", f.name, false); err != nil {
+		return err
+	}
+	defer f.files.faults.point()
+	return f.File.Truncate(size)
+}
+
+// Sync implements segmentlog.File.
+func (f *file) Sync() error {
+	if err := f.files.begin("sync", f.name, true); err != nil {
+		return err
+	}
+	defer f.files.faults.point()
+	return f.File.Sync()
+}
--- /dev/null
+++ b/internal/faultinject/network.go
@@ -0,0 +1,179 @@
+package faultinject
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"cresshub/internal/peerlink"
+)
+
+// Network is the machine's network with the faults of a process. Connections come from the machine's own IP,
+// so that the other side's faults can tell who calls.
+type Network struct {
+	faults *Faults
+	ip     string
+	plain  string // address whose connections have no faults: that of clients
+}
+
+var _ peerlink.Network = (*Network)(nil)
+
+// Network returns the network of a machine. Connections accepted at the plain address have no faults, but
+// accepting them may fail.
+func (f *Faults) Network(ip, plain string) *Network { return &Network{faults: f, ip: ip, plain: plain} }
+
+// Dial connects to an address. Through a cut it takes all its time in vain.
+func (n *Network) Dial(address string, timeout time.Duration) (net.Conn, error) {
+	host, _, _ := net.SplitHostPort(address)
+	if n.faults.isCut(host) {
+		time.Sleep(timeout)
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	}
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, LocalAddr: &net.TCPAddr{IP: net.ParseIP(n.ip)}}
+	c, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return n.faults.wrap(c.(*net.TCPConn), host), nil
+}
+
+// Listen accepts connections at an address.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: l, faults: n.faults, plain: address == n.plain}, nil
+}
+
+type listener struct {
+	net.Listener
+	faults *Faults
+	plain  bool
+}
+
+// Accept accepts a connection, or fails as it does without descriptors; the connection is lost then.
+func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if l.faults.takeRefusal() {
+		c.Close()
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	if l.plain {
+		return c, nil
+	}
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	return l.faults.wrap(c.(*net.TCPConn), host), nil
+}
+
+// conn withholds what comes from a machine that is not heard.
+type conn struct {
+	*net.TCPConn
+	faults *Faults
+	peer   string // IP of the other machine
+
+	reading sync.Mutex
+	held    []byte // read, and withheld
+	heldErr error
+
+	mu       sync.Mutex
+	deadline time.Time // of reading
+	closed   bool
+}
+
+func (f *Faults) wrap(c *net.TCPConn, peer string) *conn {
+	wrapped := &conn{TCPConn: c, faults: f, peer: peer}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.conns[wrapped] = struct{}{}
+	return wrapped
+}
+
+// Read reads, and holds what it has read as long as the other machine is not heard.
+func (c *conn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	for {
+		if err := c.awaitHearing(); err != nil {
+			return 0, err
+		}
+		if len(c.held) == 0 && c.heldErr == nil {
+			n, err := c.TCPConn.Read(p)
+			if err != nil && n == 0 && os.IsTimeout(err) {
+				return 0, err
+			}
+			c.held, c.heldErr = append(c.held, p[:n]...), err
+			continue
+		}
+		n := copy(p, c.held)
+		c.held = c.held[n:]
+		if n > 0 {
+			return n, nil
+		}
+		return 0, c.heldErr
+	}
+}
+
+// awaitHearing returns once the other machine is heard, or with the error of the read deadline or of a closed
+// connection.
+func (c *conn) awaitHearing() error {
+	for c.faults.isDeaf(c.peer) {
+		c.mu.Lock()
+		closed, deadline := c.closed, c.deadline
+		c.mu.Unlock()
+		switch {
+		case closed:
+			return net.ErrClosed
+		case !deadline.IsZero() && !time.Now().Before(deadline):
+			return os.ErrDeadlineExceeded
+		}
+		time.Sleep(lookInterval)
+	}
+	return nil
+}
+
+// Write passes on: what a cut withholds is withheld by the machine that should hear it.
+func (c *conn) Write(p []byte) (int, error) {
+	c.faults.point()
+	return c.TCPConn.Write(p)
+}
+
+// ReadFrom hides that of the system's connection, which would not call Write.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+// SetDeadline sets both deadlines.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.noteDeadline(t)
+	return c.TCPConn.SetDeadline(t)
+}
+
+// SetReadDeadline sets the deadline of reading.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.noteDeadline(t)
+	return c.TCPConn.SetReadDeadline(t)
+}
+
+func (c *conn) noteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+}
+
+// Close ends the connection.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.faults.mu.Lock()
+	delete(c.faults.conns, c)
+	c.faults.mu.Unlock()
+	return c.TCPConn.Close()
+}
--- a/internal/fleetcli/router.go
+++ b/internal/fleetcli/router.go
@@ -30,7 +30,12 @@
 }
 
 // Run serves until SIGTERM or SIGINT.
-func (c *routerCommand) Run(o *output) error {
+func (c *routerCommand) Run(o *output) error { return c.serve(o, noOptions) }
+
+func noOptions(*nodesettings.Settings) []node.Option { return nil }
+
+// serve runs a process with options that may depend on its settings.
+func (c *routerCommand) serve(o *output, more func(*nodesettings.Settings) []node.Option) error {
 	settings, err := nodesettings.Load()
 	if err != nil {
 		o.code = exitSettings
@@ -44,7 +49,8 @@
 	}
 	log := zerolog.New(o.err).Level(level)
 	logViolations(log)
-	process, err := node.New(settings, log, node.WithMetricsPort(c.MetricsPort))
+	options := append(more(settings), node.WithMetricsPort(c.MetricsPort))
+	process, err := node.New(settings, log, options...)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleetcli/signals_test.go
@@ -0,0 +1,40 @@
+//go:build !router_only
+
+package fleetcli
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/nodesettings"
+)
+
+// TestHangupAtTheStartEndsNoProcess: SIGHUP may come while a process is still reading its settings. The
+// settings come through a pipe here, so that the process stands at that place until the signal has come.
+func TestHangupAtTheStartEndsNoProcess(t *testing.T) {
+	c := qt.New(t)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	c.Assert(syscall.Mkfifo(path, 0o600), qt.IsNil)
+	command := exec.Command(os.Args[0], "router")
+	command.Env = append(os.Environ(), asProgram+"=1", nodesettings.PathVariable+"="+path)
+	var problem strings.Builder
+	command.Stderr = &problem
+	c.Assert(command.Start(), qt.IsNil)
+	watchdog := time.AfterFunc(patience, func() { command.Process.Kill() })
+	defer watchdog.Stop()
+	settings, err := os.OpenFile(path, os.O_WRONLY, 0) // returns once the process has opened it to read
+	c.Assert(err, qt.IsNil)
+	c.Assert(command.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	settings.WriteString("{}") // which names every mistake, and the process ends with a code of its own
+	settings.Close()
+	command.Wait()
+	c.Assert(command.ProcessState.ExitCode(), qt.Equals, exitSettings, qt.Commentf("%v: %s",
+		command.ProcessState, problem.String()))
+}
--- /dev/null
+++ b/internal/fleetcli/soak.go
@@ -0,0 +1,116 @@
+//go:build !router_only
+
+package fleetcli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+
+	"cresshub/internal/fleettrial"
+)
+
+// soakCommand soaks a small fleet on loopback.
+type soakCommand struct {
+	Seeds   int      `help:"How many soaks, each with a seed of its own." default:"1"`
+	First   uint64   `help:"Seed of the first; the same seed draws the same troubles." default:"1"`
+	Rounds  int      `help:"Rounds of overlapping troubles of each soak." default:"4"`
+	Rate    float64  `help:"Requests a second of all clients together." default:"60"`
+	Only    []string `help:"Draw only these troubles: ${soak_troubles}."`
+	Logs    string   `help:"Folder for the logs of the processes, a file for each seed." placeholder:"DIR"`
+	Level   string   `help:"Least level that the processes log." default:"info" enum:"debug,info"`
+	JSON    bool     `help:"Print one JSON document a soak."`
+	Program string   `help:"Program that has the router role." hidden:""`
+}
+
+// SoaksBroken says how many soaks broke rules.
+type SoaksBroken struct{ Broken, All int }
+
+func (e *SoaksBroken) Error() string {
+	return fmt.Sprintf("%d of %d soaks broke rules or could not be played; play one again with --first SEED, "+
+		"--seeds 1 and --logs DIR", e.Broken, e.All)
+}
+
+// Run plays the soaks one after the other.
+func (c *soakCommand) Run(o *output) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer stop()
+	if c.Program == "" {
+		var err error
+		if c.Program, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	broken := 0
+	for i := range c.Seeds {
+		report, err := c.soak(ctx, c.First+uint64(i))
+		if ctx.Err() != nil {
+			return &Interrupted{}
+		}
+		if err != nil || report.Broken() > 0 {
+			broken++
+		}
+		if problem := c.print(o.out, c.First+uint64(i), report, err); problem != nil {
+			return problem
+		}
+	}
+	if broken > 0 {
+		return &SoaksBroken{broken, c.Seeds}
+	}
+	return nil
+}
+
+func (c *soakCommand) soak(ctx context.Context, seed uint64) (*fleettrial.SoakReport, error) {
+	options := fleettrial.SoakOptions{Program: c.Program, Seed: seed, Rounds: c.Rounds, Rate: c.Rate,
+		Only: c.Only, LogLevel: c.Level}
+	if c.Logs != "" {
+		file, err := os.Create(filepath.Join(c.Logs, fmt.Sprintf("soak-%d.log", seed)))
+		if err != nil {
+			return nil, err
+		}
+		defer file.Close()
+		options.Log = file
+	}
+	return fleettrial.Soak(ctx, options)
+}
+
+func (c *soakCommand) print(out io.Writer, seed uint64, report *fleettrial.SoakReport, failure error) error {
+	if c.JSON && report != nil {
+		document, err := json.Marshal(report)
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "%s\n", document)
+		return errors.Join(err, failure)
+	}
+	if report == nil {
+		_, err := fmt.Fprintf(out, "seed %d: not played: %v\n", seed, failure)
+		return err
+	}
+	var played []string
+	for _, name := range slices.Sorted(maps.Keys(report.Played)) {
+		played = append(played, fmt.Sprintf("%s %d", name, report.Played[name]))
+	}
+	total := &report.Total
+	fmt.Fprintf(out, "seed %d: %.0f s, asked %d, served %d, refused %d, failed %d; %s\n", seed, report.Seconds,
+		total.Asked, total.Served(), total.Refused, total.Failed, strings.Join(played, ", "))
+	if failure == nil && report.Broken() == 0 {
+		return nil
+	}
+	if failure != nil {
+		fmt.Fprintf(out, "  not played to its end: %v\n", failure)
+	}
+	for _, event := range report.Events {
+		fmt.Fprintln(out, "  "+event)
+	}
+	return rulesTable(report.Rules).print(out)
+}
--- a/internal/fleetcli/try.go
+++ b/internal/fleetcli/try.go
@@ -28,7 +28,10 @@
 
 // trialCommands are the commands that a program of the router alone (tag router_only) does not have.
 type trialCommands struct {
-	Try tryCommand `cmd:"" help:"Try a small fleet on this machine, between stand-ins, and check the rules."`
+	Try  tryCommand  `cmd:"" help:"Try a small fleet on this machine, between stand-ins, and check the rules."`
+	Soak soakCommand `cmd:"" help:"Soak a small fleet on this machine in overlapping troubles drawn by lot."`
+
+	FaultyRouter faultyRouterCommand `cmd:"" hidden:""`
 }
 
 // tryCommand tries a small fleet on loopback.
@@ -47,7 +50,10 @@
 
 // trialVars are the words that --trouble takes.
 func trialVars() kong.Vars {
-	return kong.Vars{"troubles": strings.Join(append([]string{noTrouble}, fleettrial.Troubles...), ",")}
+	return kong.Vars{
+		"troubles":      strings.Join(append([]string{noTrouble}, fleettrial.Troubles...), ","),
+		"soak_troubles": strings.Join(fleettrial.TroubleNames(), ", "),
+	}
 }
 
 // Interrupted says that a trial was ended by a signal.
--- a/internal/fleetstandin/configs.go
+++ b/internal/fleetstandin/configs.go
@@ -1,6 +1,7 @@
 package fleetstandin
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 // configVersion is a configuration that an operator sent.
 type configVersion struct {
 	config  *fleetconfig.Config
+	base    int64 // the version that it builds on
 	sentAt  time.Time
 	ackedAt time.Time // zero where it was not acknowledged
 	refused bool
@@ -22,10 +24,10 @@
 }
 
 // configSent notes a valid configuration before it is sent.
-func (o *Observations) configSent(config *fleetconfig.Config) *configVersion {
+func (o *Observations) configSent(config *fleetconfig.Config, base int64) *configVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	v := &configVersion{config: config, sentAt: time.Now()}
+	v := &configVersion{config: config, base: base, sentAt: time.Now()}
 	o.configs = append(o.configs, v)
 	return v
 }
@@ -35,6 +37,12 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v.ackedAt = time.Now()
+	for _, other := range o.configs {
+		if other != v && !other.ackedAt.IsZero() && other.base == v.base && !other.same(v) {
+			o.verdicts.broken(Config, "editions %d and %d were both acknowledged on top of edition %d",
+				other.config.Version, v.config.Version, v.base)
+		}
+	}
 	allowed := o.bounds.Ack + time.Duration(len(v.config.Routes))*orderMargin
 	took := v.ackedAt.Sub(v.sentAt)
 	if took > allowed && o.coreStable(v.sentAt, v.sentAt.Add(allowed)) {
@@ -43,6 +51,37 @@
 	}
 }
 
+// same tells whether two that were sent are one configuration, sent twice.
+func (v *configVersion) same(other *configVersion) bool {
+	return v.config.Version == other.config.Version && bytes.Equal(v.config.Raw(), other.config.Raw())
+}
+
+// CheckRead checks a configuration that a machine showed to someone who asked at a time: nothing older than
+// what was acknowledged before, nothing that was refused, and nothing that nobody sent.
+func (o *Observations) CheckRead(machine string, asked time.Time, raw []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	shown, err := fleetconfig.Parse(raw)
+	if err != nil {
+		o.verdicts.broken(Config, "%s showed what is no configuration: %v", machine, err)
+		return
+	}
+	known := false
+	for _, v := range o.configs {
+		if !v.ackedAt.IsZero() && v.ackedAt.Before(asked) && v.config.Version > shown.Version {
+			o.verdicts.broken(Config, "%s showed edition %d, and %d had been acknowledged %v before", machine,
+				shown.Version, v.config.Version, asked.Sub(v.ackedAt).Round(time.Millisecond))
+		}
+		if v.config.Version == shown.Version && bytes.Equal(v.config.Raw(), raw) {
+			known = known || !v.refused
+		}
+	}
+	if !known {
+		o.verdicts.broken(Config, "%s showed edition %d, which was refused or never sent so", machine,
+			shown.Version)
+	}
+}
+
 // orderMargin is the time that an operator allows more for each route.
 const orderMargin = 3 * time.Millisecond
 
--- a/internal/fleetstandin/controlcaller.go
+++ b/internal/fleetstandin/controlcaller.go
@@ -21,6 +21,8 @@
 	controls func() []string
 	chosen   string
 	pause    time.Duration
+	// loses tells whether the next answer is lost on its way; nil for never.
+	loses func() bool
 }
 
 // call makes one call at the address that is chosen now. It returns nil where there is no clear answer; then
@@ -33,6 +35,10 @@
 	bounded, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	answer, err := callclient.Do(bounded, c.chosen, call)
+	if c.loses != nil && c.loses() {
+		c.choose(c.chosen)
+		return nil
+	}
 	if err == nil && answer.Status < 500 && answer.Status != 408 && answer.Status != 429 {
 		c.pause = 0
 		return answer
--- a/internal/fleetstandin/exchange.go
+++ b/internal/fleetstandin/exchange.go
@@ -16,9 +16,11 @@
 	request  *http1.Request
 	arrival  *arrival
 	deadline time.Time
-	closes   bool          // the connection ends with the answer
-	gone     chan struct{} // closed when the caller has closed the connection
-	watched  chan struct{} // closed when nobody watches the connection any more
+	closes   bool // the connection ends with the answer
+	// treatment is how a server in trouble treats the request.
+	treatment Misbehaviour
+	gone      chan struct{} // closed when the caller has closed the connection
+	watched   chan struct{} // closed when nobody watches the connection any more
 }
 
 // longAgo is a deadline that has passed.
@@ -26,7 +28,7 @@
 
 func newExchange(s *Server, conn *ring.Conn, request *http1.Request) *exchange {
 	x := &exchange{server: s, conn: conn, request: request, gone: make(chan struct{}),
-		watched: make(chan struct{}), closes: s.isLeaving()}
+		watched: make(chan struct{}), closes: s.isLeaving(), treatment: s.treatment()}
 	if left, err := strconv.Atoi(request.Header.Get(deadlineHeader)); err == nil {
 		x.deadline = time.Now().Add(time.Duration(left) * time.Millisecond)
 	}
--- a/internal/fleetstandin/heartbeat.go
+++ b/internal/fleetstandin/heartbeat.go
@@ -53,7 +53,7 @@
 func (s *Server) sendHeartbeats() {
 	ctx, cancel := s.untilEnded()
 	defer cancel()
-	caller := &controlCaller{controls: s.options.Controls}
+	caller := &controlCaller{controls: s.options.Controls, loses: s.options.LosesAnswers}
 	for ctx.Err() == nil && !s.hasDeparted() {
 		wait := s.options.Beat
 		if !s.beat(ctx, caller) {
--- a/internal/fleetstandin/operator.go
+++ b/internal/fleetstandin/operator.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"sync"
@@ -40,6 +41,23 @@
 	o.current = document.Clone()
 }
 
+// LoseAnswers has each answer of the fleet lost on its way for which loses tells so.
+func (o *Operator) LoseAnswers(loses func() bool) { o.caller.loses = loses }
+
+// Refresh has the next change build on the configuration that the fleet shows now.
+func (o *Operator) Refresh(ctx context.Context) error {
+	answer, err := o.callUntilClear(ctx, operatorTimeout, callclient.Call{Method: "GET", Target: configPath})
+	if err != nil {
+		return err
+	}
+	var document Document
+	if err := json.Unmarshal(answer.Body, &document); err != nil {
+		return fmt.Errorf("reading the current edition: %w; look at what the fleet answers", err)
+	}
+	o.BuildOn(&document)
+	return nil
+}
+
 // Rejected says that the fleet refused a change for good.
 type Rejected struct {
 	Version int64
@@ -77,7 +95,7 @@
 	if current := o.Current(); current != nil {
 		base = current.Version
 	}
-	sent := o.observations.configSent(config)
+	sent := o.observations.configSent(config, base)
 	call := callclient.Call{Method: "PUT", Target: configPath, Body: raw,
 		Header: http1.Header{jsonType(), field("If-Match", strconv.FormatInt(base, 10))}}
 	answer, err := o.callUntilClear(ctx, document.patience(), call)
--- a/internal/fleetstandin/rules.go
+++ b/internal/fleetstandin/rules.go
@@ -23,12 +23,14 @@
 	Tries   Rule = "TRIES"   // one try is sent to more servers than its route allows
 	Acks    Rule = "ACKS"    // a proper change or departure is not acknowledged in time
 	Fault   Rule = "FAULT"   // a process of the fleet ended by itself
+	// Invariant: a process of the fleet saw a promise broken.
+	Invariant Rule = "INVARIANT"
 )
 
 // Rules lists all rules in the order in which they are shown.
 var Rules = []Rule{
 	Mixed, Unasked, Twice, Refused, Denied, Route, Drain, Lost, Config, Budget, Order, Recover, One, Tries, Acks,
-	Fault,
+	Fault, Invariant,
 }
 
 // mostDetails is how many breaks of a rule are told in words.
--- a/internal/fleetstandin/server.go
+++ b/internal/fleetstandin/server.go
@@ -40,6 +40,8 @@
 	Beat         time.Duration   // between heartbeats
 	Controls     func() []string // the control addresses that an operator's list holds now
 	Observations *Observations
+	// LosesAnswers tells whether the fleet's next answer to the server is lost on its way; nil for never.
+	LosesAnswers func() bool
 }
 
 // Engine describes what a model server does.
@@ -76,6 +78,9 @@
 	acknowledgedAt time.Time // of its departure
 	acknowledgedBy string    // IP of the machine that did
 	postmark       int64     // of the last heartbeat
+
+	misbehaviour   Misbehaviour
+	misbehavedPart float64 // of the requests
 }
 
 // ServerTally is what a server has done.
--- /dev/null
+++ b/internal/fleettrial/logstands_test.go
@@ -0,0 +1,28 @@
+package fleettrial
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/fleetstandin"
+)
+
+// A process whose log nobody reads serves on: whoever collects logs must not hold up clients, servers or the
+// other processes.
+func TestLogThatNobodyReadsHoldsNothingUp(t *testing.T) {
+	long(t)
+	r := newRigOf(t, Options{Faulty: true, LogLevel: "debug"})
+	m := r.WithDisk(false)[0]
+	process := m.running()
+	process.HoldLog()
+	defer process.ReleaseLog()
+	client := fleetstandin.NewClient(0, "", r.Entry, r.Observations)
+	client.Keeps = false
+	for range 200 {
+		began := time.Now()
+		status := client.Probe(r.ctx, m.proxy(), fleetstandin.NewRequest(leavingKind, int(r.requests.Add(1))))
+		r.Assert(status, qt.Equals, 200, qt.Commentf("after %v", time.Since(began)))
+	}
+}
--- /dev/null
+++ b/internal/fleettrial/machine_faults.go
@@ -0,0 +1,87 @@
+package fleettrial
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"cresshub/internal/faultinject"
+	"cresshub/internal/program"
+)
+
+// running returns the machine's process, nil while none runs.
+func (m *Machine) running() *program.Process {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.process
+}
+
+// send sends a command to the process, where one runs. One that has just ended gets none.
+func (m *Machine) send(format string, args ...any) {
+	if process := m.running(); process != nil {
+		_ = process.Send(fmt.Sprintf(format, args...))
+	}
+}
+
+// setFaults has commands hold from now on, in place of those that held, for the next process too.
+func (m *Machine) setFaults(commands []string) {
+	m.mu.Lock()
+	m.faults = commands
+	process := m.process
+	m.mu.Unlock()
+	if process == nil {
+		return
+	}
+	_ = process.Send(faultinject.CommandHear)
+	_ = process.Send(faultinject.CommandDisk + " " + string(faultinject.DiskOK))
+	m.putFaults(process)
+}
+
+// putFaults puts the faults that hold into a process.
+func (m *Machine) putFaults(process *program.Process) {
+	m.mu.Lock()
+	commands := slices.Clone(m.faults)
+	m.mu.Unlock()
+	for _, command := range commands {
+		_ = process.Send(command)
+	}
+}
+
+// EndAtPoint has the process kill itself at the numbered point, and kills it where it does not get there.
+func (m *Machine) EndAtPoint(ctx context.Context, point int, patience time.Duration) (ended bool) {
+	process := m.running()
+	if process == nil {
+		return false
+	}
+	m.mu.Lock()
+	m.ending = true
+	m.mu.Unlock()
+	m.fleet.Observations.Troubled(m.IP, m.HasDisk)
+	m.send("%s %d", faultinject.CommandEnd, point)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-process.Ended():
+		ended = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	m.Kill()
+	return ended
+}
+
+// keepTroubled notes that a machine is in trouble until ctx ends.
+func (f *Fleet) keepTroubled(ctx context.Context, machines ...*Machine) {
+	for {
+		for _, m := range machines {
+			f.Observations.Troubled(m.IP, m.HasDisk)
+		}
+		if !sleepFor(ctx, troubleInterval) {
+			return
+		}
+	}
+}
+
+// troubleInterval is how often a trouble that goes on is noted.
+const troubleInterval = 200 * time.Millisecond
--- /dev/null
+++ b/internal/fleettrial/rules_test.go
@@ -0,0 +1,19 @@
+package fleettrial
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/fleetstandin"
+)
+
+// checkRules checks that no rule was broken.
+func checkRules(t testing.TB, rules []fleetstandin.Verdict) {
+	t.Helper()
+	for _, verdict := range rules {
+		qt.Check(t, verdict.Breaks, qt.Equals, 0,
+			qt.Commentf("%s: %s", verdict.Rule, strings.Join(verdict.Details, "\n")))
+	}
+}
--- a/internal/fleettrial/servers.go
+++ b/internal/fleettrial/servers.go
@@ -21,6 +21,7 @@
 			Service: planned.service, Address: f.network.serverAddress(i), Zone: zones[i%len(zones)], Version: "v1",
 			Slots: lookupSlots, Queue: lookupQueue, Lines: lookupLines, HealthPath: healthPath, TellsLoad: true,
 			Work: lookupWork, Beat: beat, Controls: f.controls, Observations: f.Observations,
+			LosesAnswers: f.losesAnswer,
 		}
 		if planned.service == modelService {
 			stage := engine
--- /dev/null
+++ b/internal/fleettrial/soak.go
@@ -0,0 +1,219 @@
+package fleettrial
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cresshub/internal/fleetstandin"
+)
+
+const (
+	// The troubles of a round, and the time within which they begin.
+	leastTroubles  = 2
+	mostTroubles   = 4
+	roundSpread    = 1200 * time.Millisecond
+	betweenRounds  = 300 * time.Millisecond
+	recoverPart    = 4 // one round in so many begins only when the core has caught up
+	settledRequest = 60
+	// settleBound is how long after the end of all troubles every machine must be ready and know every server;
+	// the platform needs up to two seconds of it to ask.
+	settleBound = 12 * time.Second
+	rudePause   = 60 * time.Millisecond
+	readPause   = 40 * time.Millisecond
+)
+
+// SoakOptions are what is soaked.
+type SoakOptions struct {
+	Program  string // path of the program that has the faulty router role
+	Seed     uint64
+	Rounds   int     // of troubles that overlap
+	Rate     float64 // requests a second of all clients together
+	Only     []string
+	Log      io.Writer
+	LogLevel string
+}
+
+// SoakReport is what came of a soak.
+type SoakReport struct {
+	Seed    uint64                 `json:"seed"`
+	Seconds float64                `json:"seconds"`
+	Played  map[string]int         `json:"played"` // troubles by name
+	Total   fleetstandin.KindTally `json:"total"`
+	Rules   []fleetstandin.Verdict `json:"rules"`
+	Events  []string               `json:"events"`
+}
+
+// Broken is how many breaks of rules there were.
+func (r *SoakReport) Broken() int {
+	sum := 0
+	for _, rule := range r.Rules {
+		sum += rule.Breaks
+	}
+	return sum
+}
+
+// soak is one soak under way.
+type soak struct {
+	*Fleet
+	options  SoakOptions
+	random   *rand.Rand // of the goroutine that draws
+	troubles []soakTrouble
+	cuts     cuts
+
+	mu       sync.Mutex
+	busy     map[*Machine]bool // in a trouble that ends or stops the process
+	coreBusy int               // of those that count
+	wipedAt  time.Time         // when a machine last came back without its disk
+	wiping   bool
+	played   map[string]int
+
+	operating sync.Mutex // held while somebody changes the configuration
+}
+
+// Soak plays rounds of overlapping troubles on a small fleet of real processes, while clients of all manners
+// send, and checks the rules. The error tells what kept the soak from being played to its end.
+func Soak(ctx context.Context, options SoakOptions) (*SoakReport, error) {
+	fleet, err := StartFleet(ctx, Options{Program: options.Program, Rate: options.Rate, Seed: options.Seed,
+		Log: options.Log, Faulty: true, LogLevel: options.LogLevel})
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Close()
+	s := &soak{Fleet: fleet, options: options, random: rand.New(rand.NewPCG(options.Seed, 77)),
+		busy: map[*Machine]bool{}, played: map[string]int{}, cuts: newCuts(fleet)}
+	s.troubles = selectTroubles(options.Only)
+	if len(s.troubles) == 0 {
+		return nil, fmt.Errorf("no trouble is called %v; name some of %v", options.Only, TroubleNames())
+	}
+	return s.play(ctx)
+}
+
+// play runs the rounds beside the clients, and judges.
+func (s *soak) play(ctx context.Context) (*SoakReport, error) {
+	s.begin()
+	load := s.NewLoad()
+	sending := make(chan struct{})
+	beside, stop := context.WithCancel(ctx)
+	defer stop()
+	var under sync.WaitGroup
+	under.Go(func() { load.Run(ctx, sending) })
+	under.Go(func() { s.readConfigurations(beside) })
+	under.Go(func() { s.watchFigures(beside) })
+	rude := fleetstandin.NewRudeClient(s.Entry, s.Observations, kinds, s.options.Seed, s.nextNumber)
+	under.Go(func() { rude.Run(beside, rudePause) })
+	problem := s.playRounds(ctx)
+	if problem == nil {
+		problem = s.serveCalmly(ctx, load)
+	}
+	close(sending)
+	stop()
+	under.Wait()
+	if problem == nil {
+		problem = s.readBackEverywhere(ctx)
+	}
+	report := &SoakReport{Seed: s.options.Seed, Seconds: s.elapsed().Seconds(), Played: s.played,
+		Total: load.Tally().Total(), Rules: s.Observations.Judge(), Events: s.Events()}
+	return report, errors.Join(ctx.Err(), problem)
+}
+
+func (s *soak) nextNumber() int { return int(s.requests.Add(1)) }
+
+func (s *soak) playRounds(ctx context.Context) error {
+	for round := range s.options.Rounds {
+		s.event("round %d", round+1)
+		if err := s.playRound(ctx); err != nil {
+			return err
+		}
+		if err := s.settle(ctx); err != nil {
+			return err
+		}
+		pause := betweenRounds
+		if s.random.IntN(recoverPart) == 0 {
+			pause = catchUp
+		}
+		if !sleepFor(ctx, pause) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// playRound plays some troubles that begin at almost the same time.
+func (s *soak) playRound(ctx context.Context) error {
+	count := leastTroubles + s.random.IntN(mostTroubles-leastTroubles+1)
+	problems := make([]error, count)
+	var playing sync.WaitGroup
+	for i := range count {
+		trouble := s.troubles[s.random.IntN(len(s.troubles))]
+		lot := rand.New(rand.NewPCG(s.random.Uint64(), 1))
+		delay := time.Duration(s.random.Int64N(int64(roundSpread)))
+		playing.Go(func() {
+			if sleepFor(ctx, delay) {
+				problems[i] = trouble.play(ctx, s, lot)
+			}
+		})
+		s.played[trouble.name]++
+	}
+	playing.Wait()
+	return errors.Join(problems...)
+}
+
+// settle waits until every machine is ready and knows every server again, which must not take long.
+func (s *soak) settle(ctx context.Context) error {
+	began := time.Now()
+	err := s.AwaitReady(ctx)
+	took := time.Since(began).Round(10 * time.Millisecond)
+	s.event("ready again after %v", took)
+	if took > settleBound {
+		s.Observations.Broken(fleetstandin.Recover, "the fleet was ready again only %v after the last trouble",
+			took)
+	}
+	var late *NotReady
+	if errors.As(err, &late) {
+		s.Observations.Broken(fleetstandin.Recover, "%v", err)
+	}
+	return err
+}
+
+// serveCalmly checks that, with nothing in trouble any more, a change is taken and requests are served.
+func (s *soak) serveCalmly(ctx context.Context, load *fleetstandin.Load) error {
+	if !sleepFor(ctx, bounds.Touch) {
+		return ctx.Err()
+	}
+	if err := s.change(ctx); err != nil {
+		return err
+	}
+	before := load.Tally().Total()
+	return await(ctx, "requests are served", readyTime, func() string {
+		now := load.Tally().Total()
+		if served := now.Served() - before.Served(); served < settledRequest {
+			return fmt.Sprintf("%d served, %d refused, %d failed", served, now.Refused-before.Refused,
+				now.Failed-before.Failed)
+		}
+		return ""
+	})
+}
+
+// change has the operator make one more change of what the fleet shows now.
+func (s *soak) change(ctx context.Context) error {
+	s.operating.Lock()
+	defer s.operating.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := s.Operator.Refresh(bounded); err != nil {
+		return err
+	}
+	next := nextConfiguration(s.Operator.Current())
+	err := s.Operator.Put(bounded, next)
+	var rejected *fleetstandin.Rejected
+	if errors.As(err, &rejected) {
+		s.Observations.Broken(fleetstandin.Config, "a change that nobody raced with was refused: %v", err)
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleettrial/soak_checks.go
@@ -0,0 +1,84 @@
+package fleettrial
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cresshub/internal/callclient"
+	"cresshub/internal/fleetstandin"
+)
+
+const (
+	figuresPause = 400 * time.Millisecond
+	askTime      = time.Second
+)
+
+// readConfigurations asks machines drawn by lot for the configuration, whatever trouble they are in, and
+// checks what they show.
+func (s *soak) readConfigurations(ctx context.Context) {
+	for sleepFor(ctx, readPause) {
+		s.readFrom(ctx, s.Machines[rand.IntN(len(s.Machines))])
+	}
+}
+
+// readFrom asks one machine, and tells whether it showed a configuration.
+func (s *soak) readFrom(ctx context.Context, m *Machine) bool {
+	asked := time.Now()
+	answer := m.ask(ctx, "/api/config")
+	if answer == nil {
+		return false
+	}
+	s.Observations.CheckRead(m.Name, asked, answer)
+	return true
+}
+
+// ask returns what a machine answers to a call for a path at its control address, nil where it is no 200.
+func (m *Machine) ask(ctx context.Context, path string) []byte {
+	bounded, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	answer, err := callclient.Do(bounded, m.Control, callclient.Call{Method: "GET", Target: path})
+	if err != nil || answer.Status != 200 {
+		return nil
+	}
+	return answer.Body
+}
+
+// readBackEverywhere checks that each machine shows the newest configuration at the end.
+func (s *soak) readBackEverywhere(ctx context.Context) error {
+	for _, m := range s.Machines {
+		err := await(ctx, m.Name+" shows the configuration", settleBound, func() string {
+			if !s.readFrom(ctx, m) {
+				return "no clear answer"
+			}
+			return ""
+		})
+		if err != nil {
+			s.Observations.Broken(fleetstandin.Config, "%v", err)
+			return err
+		}
+	}
+	return s.Operator.ReadBack(ctx)
+}
+
+// watchFigures looks for broken invariants in the figures of all machines.
+func (s *soak) watchFigures(ctx context.Context) {
+	for sleepFor(ctx, figuresPause) {
+		for _, m := range s.Machines {
+			s.checkFigures(m, m.ask(ctx, "/metrics"))
+		}
+	}
+}
+
+// violationsName is the figure that counts broken invariants.
+const violationsName = "cresshub_invariant_violations_total{"
+
+func (s *soak) checkFigures(m *Machine, page []byte) {
+	for line := range bytes.Lines(page) {
+		line = bytes.TrimSpace(line)
+		if bytes.HasPrefix(line, []byte(violationsName)) && !bytes.HasSuffix(line, []byte(" 0")) {
+			s.Observations.Broken(fleetstandin.Invariant, "%s tells %s", m.Name, line)
+		}
+	}
+}
--- a/internal/node/chain_open.go
+++ b/internal/node/chain_open.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand"
 	"net"
-	"os"
 	"path/filepath"
 	"time"
 
@@ -15,7 +14,6 @@
 
 const (
 	chainFolder = "chain"
-	folderMode  = 0o700
 	// compactPart of the disk is the size at which the log is begun anew with a snapshot.
 	compactPart = 0.25
 	// leastMembers is how many machines keep the control state at least, where there are as many with a disk.
@@ -92,13 +90,13 @@
 // another identity, which has promised nothing, and is taken in like one with an empty disk.
 func openLog(n *Node) (*segmentlog.Log, [][]byte, error) {
 	folder := filepath.Join(n.settings.DataDir, chainFolder)
-	if err := os.MkdirAll(folder, folderMode); err != nil {
+	if err := n.files.MakeDir(folder); err != nil {
 		return nil, nil, err
 	}
-	if err := syncFolder(n.settings.DataDir); err != nil { // else a loss of power may take the folder away
+	if err := n.files.SyncDir(n.settings.DataDir); err != nil { // else a loss of power may take the folder away
 		return nil, nil, err
 	}
-	log, records, damage, err := segmentlog.OpenAnew(segmentlog.OSFS{}, folder, segmentlog.Options{})
+	log, records, damage, err := segmentlog.OpenAnew(n.files, folder, segmentlog.Options{})
 	if damage != nil {
 		n.log.Error().Err(damage).Msg("chain: the log is damaged; this machine begins anew")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"cresshub/internal/front"
 	"cresshub/internal/nodesettings"
 	"cresshub/internal/peerlink"
+	"cresshub/internal/segmentlog"
 )
 
 // maxCallBody bounds the body of a call at the control address, in bytes; a configuration may be that large.
@@ -29,6 +30,7 @@
 	settings *nodesettings.Settings
 	log      zerolog.Logger
 	network  peerlink.Network
+	files    segmentlog.FS
 	endpoint *peerlink.Endpoint
 	id       string // of this process's record in the directory
 	started  time.Time
@@ -83,8 +85,8 @@
 // New returns a process that does nothing yet.
 func New(settings *nodesettings.Settings, log zerolog.Logger, options ...Option) (*Node, error) {
 	n := &Node{
-		settings: settings, log: log, network: peerlink.HostNetwork{}, workload: noWorkload{},
-		id: settings.IP + "-" + randomID(), started: time.Now(), state: newState(),
+		settings: settings, log: log, network: peerlink.HostNetwork{}, files: segmentlog.OSFS{},
+		workload: noWorkload{}, id: settings.IP + "-" + randomID(), started: time.Now(), state: newState(),
 		hubs: map[string]*hub{}, progress: make(chan struct{}), followers: map[*peerlink.Conn]chan struct{}{},
 		heard: map[string]time.Duration{}, knownProxies: newKnownProxies(),
 		askedOrphans: map[string]bool{},
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -6,6 +6,7 @@
 	"cresshub/internal/front"
 	"cresshub/internal/pairing"
 	"cresshub/internal/peerlink"
+	"cresshub/internal/segmentlog"
 )
 
 // Workload is what a process carries for clients, as far as the others need to know.
@@ -51,6 +52,9 @@
 // WithNetwork lets a process use another network than the machine's.
 func WithNetwork(network peerlink.Network) Option { return func(n *Node) { n.network = network } }
 
+// WithFiles lets a process keep its disk in another file system than the machine's.
+func WithFiles(files segmentlog.FS) Option { return func(n *Node) { n.files = files } }
+
 // WithMetricsPort has a process tell its figures at a port of its own too.
 func WithMetricsPort(port int) Option { return func(n *Node) { n.metricsPort = port } }
 
--- a/internal/node/saved_directory.go
+++ b/internal/node/saved_directory.go
@@ -1,16 +1,10 @@
 package node
 
 import (
-	"encoding/binary"
 	"errors"
-	"fmt"
 	"io/fs"
-	"os"
-	"path/filepath"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cresshub/internal/directory"
 	"cresshub/internal/peerwire"
 )
@@ -25,12 +19,8 @@
 	savedPrompts = "prompts"
 	// saveInterval is the least time between two savings.
 	saveInterval = time.Second
-	savedHeader  = 8 // bytes of the checksum in front of the records
 )
 
-// errSavedDamaged tells that the saved records can't be used; the servers' heartbeats replace them.
-var errSavedDamaged = errors.New("the saved servers are damaged; they are learned anew from heartbeats")
-
 // keepSaved takes in what was saved before the process started, closes loaded, and then saves what changes
 // until done closes. It runs beside everything else, because the disk may hang.
 func (n *Node) keepSaved(loaded chan<- struct{}, done <-chan struct{}) {
@@ -44,7 +34,7 @@
 
 // loadServers takes in which servers were live, and tells whether there were any.
 func (n *Node) loadServers() bool {
-	records, err := readRecords(filepath.Join(n.settings.DataDir, savedName))
+	records, err := n.saved().readRecords(savedName)
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
 			n.log.Warn().Err(err).Msg("servers: not loaded")
@@ -59,7 +49,7 @@
 
 // loadProxies takes in which proxies were known before the process started.
 func (n *Node) loadProxies() {
-	records, err := readRecords(filepath.Join(n.settings.DataDir, savedProxies))
+	records, err := n.saved().readRecords(savedProxies)
 	if err != nil {
 		if !errors.Is(err, fs.ErrNotExist) {
 			n.log.Warn().Err(err).Msg("proxies: not loaded")
@@ -85,7 +75,7 @@
 	for _, address := range n.knownProxies.addresses() {
 		records = append(records, directory.Record{Kind: directory.KindProxy, Address: address})
 	}
-	if err := writeSaved(n.settings.DataDir, savedProxies, encodeRecords(records)); err != nil {
+	if err := n.saved().writeRecords(savedProxies, records); err != nil {
 		n.knownProxies.markChanged()
 		n.log.Debug().Err(err).Msg("proxies: not saved; tried again")
 	}
@@ -119,7 +109,7 @@
 		}
 		var records []directory.Record
 		n.state.read(func(d *directory.Directory) { records = valuesOf(d.LiveServers()) })
-		if err := writeRecords(n.settings.DataDir, records); err != nil {
+		if err := n.saved().writeRecords(savedName, records); err != nil {
 			n.log.Debug().Err(err).Msg("servers: not saved; tried again")
 			continue
 		}
@@ -129,7 +119,7 @@
 
 // loadPrompts takes in what was known of which servers hold what.
 func (n *Node) loadPrompts() {
-	body, err := readSaved(filepath.Join(n.settings.DataDir, savedPrompts))
+	body, err := n.saved().read(savedPrompts)
 	var work peerwire.Work
 	if err != nil || n.front == nil || peerwire.Decode(body, &work) != nil {
 		return
@@ -151,73 +141,7 @@
 		return
 	}
 	body := peerwire.Encode(&peerwire.Work{Known: true, Prompts: encodePrompts(known)})
-	if writeSaved(n.settings.DataDir, savedPrompts, body) == nil {
+	if n.saved().write(savedPrompts, body) == nil {
 		n.promptsSaved = count
 	}
 }
-
-func readRecords(path string) ([]directory.Record, error) {
-	body, err := readSaved(path)
-	if err != nil {
-		return nil, err
-	}
-	var records peerwire.Records
-	if err := peerwire.Decode(body, &records); err != nil {
-		return nil, fmt.Errorf("%w (%v)", errSavedDamaged, err)
-	}
-	return records.Records, nil
-}
-
-func writeRecords(dir string, records []directory.Record) error {
-	return writeSaved(dir, savedName, encodeRecords(records))
-}
-
-func encodeRecords(records []directory.Record) []byte {
-	return peerwire.Encode(&peerwire.Records{Records: records})
-}
-
-func readSaved(path string) ([]byte, error) {
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	if len(raw) < savedHeader || binary.LittleEndian.Uint64(raw) != xxhash.Sum64(raw[savedHeader:]) {
-		return nil, errSavedDamaged
-	}
-	return raw[savedHeader:], nil
-}
-
-// writeSaved replaces a file whole: a new one is made durable before it takes the name.
-func writeSaved(dir, name string, body []byte) error {
-	raw := binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(body))
-	raw = append(raw, body...)
-	temporary := filepath.Join(dir, name+".new")
-	if err := writeSynced(temporary, raw); err != nil {
-		return err
-	}
-	if err := os.Rename(temporary, filepath.Join(dir, name)); err != nil {
-		return err
-	}
-	return syncFolder(dir)
-}
-
-func writeSynced(path string, raw []byte) error {
-	file, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	defer file.Close()
-	if _, err := file.Write(raw); err != nil {
-		return err
-	}
-	return file.Sync()
-}
-
-func syncFolder(dir string) error {
-	folder, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	return folder.Sync()
-}
--- /dev/null
+++ b/internal/node/saved_files.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cresshub/internal/directory"
+	"cresshub/internal/peerwire"
+	"cresshub/internal/segmentlog"
+)
+
+// savedHeader is the length of the checksum in front of a saved file's content, in bytes.
+const savedHeader = 8
+
+// errSavedDamaged tells that a saved file can't be used; what it held is learned anew.
+var errSavedDamaged = errors.New("the saved servers are damaged; they are learned anew from heartbeats")
+
+// savedFiles are small files of one folder that are replaced whole.
+type savedFiles struct {
+	files segmentlog.FS
+	dir   string
+}
+
+func (n *Node) saved() savedFiles { return savedFiles{n.files, n.settings.DataDir} }
+
+func (s savedFiles) path(name string) string { return s.dir + "/" + name }
+
+func (s savedFiles) readRecords(name string) ([]directory.Record, error) {
+	body, err := s.read(name)
+	if err != nil {
+		return nil, err
+	}
+	var records peerwire.Records
+	if err := peerwire.Decode(body, &records); err != nil {
+		return nil, fmt.Errorf("%w (%v)", errSavedDamaged, err)
+	}
+	return records.Records, nil
+}
+
+func (s savedFiles) writeRecords(name string, records []directory.Record) error {
+	return s.write(name, peerwire.Encode(&peerwire.Records{Records: records}))
+}
+
+// read returns the content of a file.
+func (s savedFiles) read(name string) ([]byte, error) {
+	raw, err := s.files.ReadFile(s.path(name))
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) < savedHeader || binary.LittleEndian.Uint64(raw) != xxhash.Sum64(raw[savedHeader:]) {
+		return nil, errSavedDamaged
+	}
+	return raw[savedHeader:], nil
+}
+
+// write replaces a file whole: a new one is made durable before it takes the name.
+func (s savedFiles) write(name string, body []byte) error {
+	raw := binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(body))
+	raw = append(raw, body...)
+	temporary := s.path(name + ".new")
+	if err := s.writeSynced(temporary, raw); err != nil {
+		return err
+	}
+	if err := s.files.Rename(temporary, s.path(name)); err != nil {
+		return err
+	}
+	return s.files.SyncDir(s.dir)
+}
+
+func (s savedFiles) writeSynced(path string, raw []byte) error {
+	file, err := s.files.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	if _, err := file.WriteAt(raw, 0); err != nil {
+		return err
+	}
+	return file.Sync()
+}
--- /dev/null
+++ b/internal/peerlink/accept_test.go
@@ -0,0 +1,46 @@
+package peerlink
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/nettest"
+	"cresshub/internal/peerwire"
+)
+
+// TestServeOutlivesAFailedAccept: a process that is short of descriptors for a moment is reached by the
+// others afterwards, and one whose listener is closed ends.
+func TestServeOutlivesAFailedAccept(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	short := nettest.NewShortOfDescriptors(listener, 3)
+	handler := &echo{peerwire.KindPing, make(chan string, 100), make(chan string, 100)}
+	endpoint := NewEndpoint(HostNetwork{})
+	served := make(chan error, 1)
+	go func() { served <- endpoint.Serve(short, handler) }()
+	states := make(chan bool, 100)
+	hello := func() []byte { return peerwire.Encode(&peerwire.Hello{ID: "caller"}) }
+	link := endpoint.NewLink(listener.Addr().String(), hello, func(peerwire.Frame) {},
+		func(up bool) { states <- up })
+	defer link.Stop()
+	c.Assert(<-states, qt.IsTrue)
+	select {
+	case peer := <-answered(link, handler):
+		c.Assert(peer, qt.Equals, "caller")
+	case err := <-served:
+		c.Fatalf("no connection is accepted any more: %v", err)
+	}
+	listener.Close()
+	c.Assert(errors.Is(<-served, net.ErrClosed), qt.IsTrue)
+}
+
+// answered calls until the other process has heard a call, and returns who called.
+func answered(link *Link, handler *echo) <-chan string {
+	go link.Call(peerwire.KindUpsert, nil, time.Minute)
+	return handler.peers
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Process is the program as a child.
@@ -21,6 +23,9 @@
 	cmd   *exec.Cmd
 	ended chan struct{}
 	err   error
+	input io.WriteCloser // of its standard input, nil where it has none
+
+	reading sync.Mutex // held while nobody reads the log
 
 	mu     sync.Mutex
 	tail   []string          // last lines of its log
@@ -37,6 +42,10 @@
 	Env   []string  // KEY=VALUE beside what is inherited
 	Ready string    // text of the log line that says that it is ready
 	Log   io.Writer // gets its log too, if set
+	// Input lets lines be sent to its standard input.
+	Input bool
+	// LogBuffer is how much of its log the system holds while nobody reads it, in bytes; 0 for the usual.
+	LogBuffer int
 }
 
 // Start starts the proxy at path with a configuration file and keys set beside it (KEY=VALUE), and waits
@@ -66,10 +75,20 @@
 	if err != nil {
 		return nil, err
 	}
+	p := &Process{cmd: cmd, ended: make(chan struct{}), fields: map[string]string{}}
+	if command.Input {
+		if p.input, err = cmd.StdinPipe(); err != nil {
+			return nil, err
+		}
+	}
+	if file, ok := out.(*os.File); ok && command.LogBuffer > 0 {
+		if _, err := unix.FcntlInt(file.Fd(), unix.F_SETPIPE_SZ, command.LogBuffer); err != nil {
+			return nil, err
+		}
+	}
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	p := &Process{cmd: cmd, ended: make(chan struct{}), fields: map[string]string{}}
 	ready := make(chan struct{})
 	go p.follow(out, command, ready)
 	select {
@@ -88,6 +107,7 @@
 	lines := bufio.NewScanner(out)
 	for lines.Scan() {
 		line := lines.Text()
+		p.awaitReader()
 		if command.Log != nil {
 			fmt.Fprintln(command.Log, line)
 		}
@@ -130,6 +150,24 @@
 // Signal sends it a signal.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Send sends a line to its standard input.
+func (p *Process) Send(line string) error {
+	_, err := io.WriteString(p.input, line+"\n")
+	return err
+}
+
+// awaitReader waits as long as nobody is to read the log.
+func (p *Process) awaitReader() {
+	p.reading.Lock()
+	defer p.reading.Unlock()
+}
+
+// HoldLog has nobody read its log until ReleaseLog, as when a collector of logs stands still.
+func (p *Process) HoldLog() { p.reading.Lock() }
+
+// ReleaseLog has its log read again.
+func (p *Process) ReleaseLog() { p.reading.Unlock() }
+
 // ID is its process id.
 func (p *Process) ID() int { return p.cmd.Process.Pid }
 
