--- a/internal/callserver/callserver.go
+++ b/internal/callserver/callserver.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"cresshub/internal/acceptloop"
 	"cresshub/internal/http1"
 	"cresshub/internal/ring"
 )
@@ -33,17 +34,13 @@
 type Server struct {
 	MaxBody int64 // of a call, in bytes
 	Handle  Handler
+	// Failed is told of each connection that could not be accepted; it may be nil.
+	Failed func(error)
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections until the listener closes, and then returns net.ErrClosed.
 func (s *Server) Serve(listener net.Listener) error {
-	for {
-		c, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		go s.serve(c)
-	}
+	return acceptloop.Run(listener, s.Failed, func(c net.Conn) { go s.serve(c) })
 }
 
 func (s *Server) serve(c net.Conn) {
--- a/internal/callserver/callserver_test.go
+++ b/internal/callserver/callserver_test.go
@@ -7,8 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cresshub/internal/acceptloop/faultylistener"
 	"cresshub/internal/http1"
-	"cresshub/internal/nettest"
 	"cresshub/internal/ring"
 )
 
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	short := nettest.NewShortOfDescriptors(listener, 3)
+	short := faultylistener.New(listener, 3)
 	server := &Server{Handle: func(call *Call) *http1.Response { return Text(200, call.Path) }}
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(short) }()
--- a/internal/connserver/connserver.go
+++ b/internal/connserver/connserver.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 
+	"cresshub/internal/acceptloop"
 	"cresshub/internal/ring"
 )
 
@@ -38,21 +39,19 @@
 
 func (l *Listener) accept() {
 	defer l.all.Done()
-	for {
-		c, err := l.l.Accept()
-		if err != nil {
-			return
-		}
-		if !l.hold(c) {
-			c.Close()
-			continue
-		}
-		go func() {
-			defer l.all.Done()
-			defer l.drop(c)
-			l.serve(ring.NewConn(c))
-		}()
+	_ = acceptloop.Run(l.l, nil, l.take) // it ends with the listener
+}
+
+func (l *Listener) take(c net.Conn) {
+	if !l.hold(c) {
+		c.Close()
+		return
 	}
+	go func() {
+		defer l.all.Done()
+		defer l.drop(c)
+		l.serve(ring.NewConn(c))
+	}()
 }
 
 func (l *Listener) hold(c net.Conn) bool {
--- /dev/null
+++ b/internal/fleettrial/soak_test.go
@@ -0,0 +1,60 @@
+package fleettrial
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// The long soak is played on demand: go test ./internal/fleettrial -run TestSoak -soak 50 -timeout 2h
+var (
+	soakSeeds = flag.Int("soak", 2, "soaks of overlapping troubles drawn at random")
+	soakFirst = flag.Uint64("soak-first", 1, "seed of the first of these soaks")
+)
+
+// soakRounds is how many rounds of troubles a soak of the tests has.
+const soakRounds = 3
+
+// Real processes in overlapping troubles break no rule and no invariant, and the fleet is ready again soon
+// after the last trouble.
+func TestSoak(t *testing.T) {
+	long(t)
+	for i := range *soakSeeds {
+		playSoak(t, SoakOptions{Seed: *soakFirst + uint64(i), Rounds: soakRounds})
+	}
+}
+
+// Each trouble of the soak is played once by itself, so that each of them is known to work.
+func TestEachTroubleOfTheSoak(t *testing.T) {
+	long(t)
+	for at, name := range TroubleNames() {
+		playSoak(t, SoakOptions{Seed: uint64(at), Rounds: 1, Only: []string{name}})
+	}
+}
+
+func playSoak(t *testing.T, options SoakOptions) {
+	options.Program, options.Rate = binary, testRate
+	name := fmt.Sprintf("seed=%d %s", options.Seed, strings.Join(options.Only, ","))
+	t.Run(name, func(t *testing.T) {
+		t.Parallel()
+		running <- struct{}{}
+		defer func() { <-running }()
+		ctx, cancel := context.WithTimeout(context.Background(), soakPatience)
+		defer cancel()
+		log := &tailLog{}
+		options.Log = log
+		report, err := Soak(ctx, options)
+		qt.Check(t, err, qt.IsNil)
+		if report != nil {
+			checkRules(t, report.Rules)
+		}
+		if t.Failed() {
+			t.Log(strings.Join(report.Events, "\n"))
+			log.print(t)
+		}
+	})
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -5,7 +5,6 @@
 package front
 
 import (
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"cresshub/internal/acceptloop"
 	"cresshub/internal/bodies"
 	"cresshub/internal/catalog"
 	"cresshub/internal/fleetconfig"
@@ -26,8 +26,6 @@
 	// reservedDescriptors are left to files; clients may have half of the others, servers the rest.
 	reservedDescriptors  = 200
 	leastDescriptorShare = 16
-	// acceptPause is how long nothing is accepted after the system refused, as it does without descriptors.
-	acceptPause = 20 * time.Millisecond
 )
 
 // State is what the data plane reads for each request: immutable snapshots.
@@ -112,18 +110,11 @@
 
 // Serve accepts clients until the listener is closed, and then returns nil.
 func (f *Front) Serve(listener net.Listener) error {
-	for {
-		conn, err := listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed):
-			return nil
-		case err != nil:
-			f.log.Warn().Err(err).Msg("front: cannot accept a client, trying again shortly")
-			time.Sleep(acceptPause)
-		default:
-			f.accept(conn)
-		}
+	failed := func(err error) {
+		f.observer.failures.Warn().Err(err).Msg("front: cannot accept a client, trying again shortly")
 	}
+	_ = acceptloop.Run(listener, failed, f.accept) // it ends with the listener
+	return nil
 }
 
 func (f *Front) accept(conn net.Conn) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,19 +25,23 @@
 // maxCallBody bounds the body of a call at the control address, in bytes; a configuration may be that large.
 const maxCallBody = 8 << 20
 
+// mostAcceptLines is how many lines a second tell of connections that could not be accepted.
+const mostAcceptLines = 2
+
 // Node is one process of the fleet.
 type Node struct {
-	settings *nodesettings.Settings
-	log      zerolog.Logger
-	network  peerlink.Network
-	files    segmentlog.FS
-	endpoint *peerlink.Endpoint
-	id       string // of this process's record in the directory
-	started  time.Time
-	state    *state
-	control  controlState
-	front    *front.Front // nil where the role does not serve clients
-	workload Workload     // the front where there is one
+	settings  *nodesettings.Settings
+	log       zerolog.Logger
+	acceptLog zerolog.Logger // bounded in its lines
+	network   peerlink.Network
+	files     segmentlog.FS
+	endpoint  *peerlink.Endpoint
+	id        string // of this process's record in the directory
+	started   time.Time
+	state     *state
+	control   controlState
+	front     *front.Front // nil where the role does not serve clients
+	workload  Workload     // the front where there is one
 	// ordersStages tells that model servers get their stages from this process while it has that duty.
 	ordersStages bool
 	demand       *demandTable
@@ -86,7 +90,8 @@
 func New(settings *nodesettings.Settings, log zerolog.Logger, options ...Option) (*Node, error) {
 	n := &Node{
 		settings: settings, log: log, network: peerlink.HostNetwork{}, files: segmentlog.OSFS{},
-		workload: noWorkload{}, id: settings.IP + "-" + randomID(), started: time.Now(), state: newState(),
+		acceptLog: log.Sample(&zerolog.BurstSampler{Burst: mostAcceptLines, Period: time.Second}),
+		workload:  noWorkload{}, id: settings.IP + "-" + randomID(), started: time.Now(), state: newState(),
 		hubs: map[string]*hub{}, progress: make(chan struct{}), followers: map[*peerlink.Conn]chan struct{}{},
 		heard: map[string]time.Duration{}, knownProxies: newKnownProxies(),
 		askedOrphans: map[string]bool{},
@@ -95,6 +100,7 @@
 		option(n)
 	}
 	n.endpoint = peerlink.NewEndpoint(n.network)
+	n.endpoint.AcceptFailed = n.acceptFailed
 	n.seedList.Store(&settings.Seeds)
 	n.self = directory.Record{
 		Kind: directory.KindProxy, ID: n.id, State: directory.Ready, Address: settings.IP, Zone: settings.Zone,
@@ -187,10 +193,10 @@
 
 func (n *Node) serveCalls(l *listeners) {
 	if l.control != nil {
-		go (&callserver.Server{MaxBody: maxCallBody, Handle: n.handleCall}).Serve(l.control)
+		go (&callserver.Server{MaxBody: maxCallBody, Handle: n.handleCall, Failed: n.acceptFailed}).Serve(l.control)
 	}
 	if l.ready != nil {
-		go (&callserver.Server{MaxBody: 0, Handle: n.handleReady}).Serve(l.ready)
+		go (&callserver.Server{Handle: n.handleReady, Failed: n.acceptFailed}).Serve(l.ready)
 	}
 }
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -29,6 +29,7 @@
 	diskOpenings  metrics.Counter // that failed
 	droppedEvents metrics.Counter
 	reloadErrors  metrics.Counter
+	acceptErrors  metrics.Counter
 	persisted     metrics.Histogram
 	lastFence     atomic.Uint64 // of the last order sent
 }
@@ -72,6 +73,12 @@
 	}
 }
 
+// acceptFailed notes a connection of another process, a server or an operator that could not be accepted.
+func (n *Node) acceptFailed(err error) {
+	n.figures.acceptErrors.Add(1)
+	n.acceptLog.Warn().Err(err).Msg("node: cannot accept a connection, trying again shortly")
+}
+
 // serveMetrics tells the figures at their own port, where one is wanted, and returns what ends that. A
 // process that can't have the port carries on without.
 func (n *Node) serveMetrics() (end func()) {
@@ -83,7 +90,7 @@
 		n.log.Warn().Err(err).Msg("metrics: the port can't be had; call /metrics at the control address")
 		return func() {}
 	}
-	go (&callserver.Server{MaxBody: 0, Handle: n.showMetrics}).Serve(listener)
+	go (&callserver.Server{Handle: n.showMetrics, Failed: n.acceptFailed}).Serve(listener)
 	return func() { listener.Close() }
 }
 
@@ -155,6 +162,8 @@
 		f.droppedEvents.Value())
 	page.Counter("cresshub_reload_errors_total", "Changed settings that could not be read.",
 		f.reloadErrors.Value())
+	page.Counter("cresshub_accept_errors_total", "Connections that could not be accepted, but for clients'.",
+		f.acceptErrors.Value())
 	page.Histogram("cresshub_disk_write_duration_seconds", "Writes of the control state, synced.", &f.persisted)
 	traffic := n.endpoint.Traffic()
 	for kind, volume := range traffic.Sent {
--- a/internal/peerlink/accept_test.go
+++ b/internal/peerlink/accept_test.go
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"cresshub/internal/nettest"
+	"cresshub/internal/acceptloop/faultylistener"
 	"cresshub/internal/peerwire"
 )
 
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	short := nettest.NewShortOfDescriptors(listener, 3)
+	short := faultylistener.New(listener, 3)
 	handler := &echo{peerwire.KindPing, make(chan string, 100), make(chan string, 100)}
 	endpoint := NewEndpoint(HostNetwork{})
 	served := make(chan error, 1)
--- a/internal/peerlink/endpoint.go
+++ b/internal/peerlink/endpoint.go
@@ -4,6 +4,7 @@
 	"net"
 	"time"
 
+	"cresshub/internal/acceptloop"
 	"cresshub/internal/peerwire"
 )
 
@@ -28,6 +29,9 @@
 // Endpoint is one process among those of the fleet: its links, the connections that it accepts, and a count
 // of what they carry.
 type Endpoint struct {
+	// AcceptFailed is told of each connection that could not be accepted; it may be nil.
+	AcceptFailed func(error)
+
 	network Network
 	traffic counters
 }
@@ -47,13 +51,8 @@
 	return l
 }
 
-// Serve accepts connections until the listener closes.
+// Serve accepts connections until the listener closes, and then returns net.ErrClosed.
 func (e *Endpoint) Serve(listener net.Listener, handler Handler) error {
-	for {
-		c, err := listener.Accept()
-		if err != nil {
-			return err
-		}
-		go serveConn(newConn(c, &e.traffic), handler)
-	}
+	take := func(c net.Conn) { go serveConn(newConn(c, &e.traffic), handler) }
+	return acceptloop.Run(listener, e.AcceptFailed, take)
 }
