--- a/internal/fleetcli/fleetcli.go
+++ b/internal/fleetcli/fleetcli.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/alecthomas/kong"
 )
@@ -33,7 +34,7 @@
 // commandsFor returns the commands that the arguments are parsed by. A process of the fleet knows its own
 // only, for the others would cost it memory.
 func commandsFor(arguments []string) any {
-	if len(arguments) > 0 && arguments[0] == "router" {
+	if len(arguments) > 0 && arguments[0] == routerName {
 		return &struct {
 			Router routerCommand `cmd:"" help:"Run a process of the fleet; CRESSHUB_NODE_FILE names its settings."`
 		}{}
@@ -41,14 +42,28 @@
 	return &commands{}
 }
 
+// isRouter tells whether a command runs a process of the fleet.
+func isRouter(command string) bool { return command == routerName || command == faultyRouterName }
+
+// The names of the commands that run a process of the fleet.
+const (
+	routerName       = "router"
+	faultyRouterName = "faulty-router"
+)
+
 // output is where commands print, and the exit code they chose.
 type output struct {
 	out, err io.Writer
 	code     int
+	signals  <-chan os.Signal // of a process of the fleet, nil for other commands
 }
 
 // Main runs the command that the arguments name and returns the exit code.
 func Main(arguments []string, out, err io.Writer) int {
+	result := &output{out: out, err: err}
+	if len(arguments) > 0 && isRouter(arguments[0]) {
+		result.signals = listenForSignals()
+	}
 	exited := -1
 	parser, problem := kong.New(commandsFor(arguments), kong.Name("cresshub-fleet"), kong.Writers(out, err),
 		trialVars(),
@@ -66,7 +81,6 @@
 		fmt.Fprintln(err, problem)
 		return exitMisused
 	}
-	result := &output{out: out, err: err}
 	if problem := context.Run(result); problem != nil {
 		fmt.Fprintln(err, problem)
 		return max(result.code, exitFailed)
--- a/internal/fleetcli/router.go
+++ b/internal/fleetcli/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -55,7 +54,7 @@
 		return err
 	}
 	stop := make(chan struct{})
-	go minded(process, stop)
+	go mind(process, o.signals, stop)
 	return process.Run(stop)
 }
 
@@ -70,13 +69,11 @@
 	})
 }
 
-// minded reloads settings that changed and closes stop at the first signal to end.
-func minded(process *node.Node, stop chan<- struct{}) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+// mind reloads settings that changed and closes stop at the first signal to end.
+func mind(process *node.Node, signals <-chan os.Signal, stop chan<- struct{}) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
-	var changed time.Time
+	settings := newReloader(process.Reload, process.ReloadFailed)
 	for {
 		select {
 		case received := <-signals:
@@ -84,27 +81,9 @@
 				close(stop)
 				return
 			}
-			reload(process)
+			settings.read()
 		case <-ticker.C:
-			if at := settingsChanged(); !at.Equal(changed) {
-				changed = at
-				reload(process)
-			}
+			settings.look()
 		}
 	}
 }
-
-func settingsChanged() time.Time {
-	info, err := os.Stat(os.Getenv(nodesettings.PathVariable))
-	if err != nil {
-		return time.Time{}
-	}
-	return info.ModTime()
-}
-
-// reload takes the settings file in where it can be read; a file that is half written is read again later.
-func reload(process *node.Node) {
-	if settings, err := nodesettings.Load(); err == nil {
-		process.Reload(settings)
-	}
-}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -44,6 +44,12 @@
 	return ""
 }
 
+// ReloadFailed notes that changed settings could not be read; those that were in force stay.
+func (n *Node) ReloadFailed(err error) {
+	n.figures.reloadErrors.Add(1)
+	n.log.Warn().Err(err).Msg("settings: the changed file can't be read; it is read again")
+}
+
 // Reload takes changed settings in: the seeds.
 func (n *Node) Reload(settings *nodesettings.Settings) {
 	if slices.Equal(n.seeds(), settings.Seeds) {
