--- a/internal/fleetcli/router.go
+++ b/internal/fleetcli/router.go
@@ -1,6 +1,7 @@
 package fleetcli
 
 import (
+	"fmt"
 	"os"
 	"runtime/debug"
 	"syscall"
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"cresshub/internal/invariant"
+	"cresshub/internal/logwriter"
 	"cresshub/internal/node"
 	"cresshub/internal/nodesettings"
 )
@@ -20,8 +22,18 @@
 	memoryPart = 0.7
 	// reloadInterval is how often the settings file is looked at besides SIGHUP.
 	reloadInterval = time.Second
+	// logBacklog is how many bytes of the log wait while nobody reads it; later lines are lost, and counted.
+	logBacklog = 64 << 10
+	// logPatience bounds how long the end of the process waits for whoever reads the log.
+	logPatience = 300 * time.Millisecond
 )
 
+// lostLines is the line that stands in place of lost ones.
+func lostLines(lost int64) string {
+	const form = `{"level":"warn","lost":%d,"message":"log: lines are lost, nobody read them"}`
+	return fmt.Sprintf(form+"\n", lost)
+}
+
 // routerCommand runs one process of the fleet.
 type routerCommand struct {
 	LogLevel    string `help:"Least level that is logged: ${enum}." default:"info" enum:"debug,info,warn,error"`
@@ -46,7 +58,9 @@
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(o.err).Level(level)
+	lines := logwriter.New(o.err, logBacklog, lostLines)
+	defer lines.Close(logPatience)
+	log := zerolog.New(lines).Level(level)
 	logViolations(log)
 	options := append(more(settings), node.WithMetricsPort(c.MetricsPort))
 	process, err := node.New(settings, log, options...)
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"sync"
 	"time"
+
+	"cresshub/internal/logwriter"
 )
 
 // The names of attributes. A line says the same thing by the same name wherever it comes from.
@@ -41,12 +44,12 @@
 	*slog.Logger
 	level  slog.LevelVar
 	repeat *repeats
-	out    *writer
+	out    *logwriter.Writer
 }
 
 // New returns a logger that writes to w from a goroutine of its own. Close ends it.
 func New(w io.Writer, o Options) *Logger {
-	l := &Logger{repeat: newRepeats(), out: newWriter(w, o.Backlog, o.Format == "json")}
+	l := &Logger{repeat: newRepeats(), out: logwriter.New(w, o.Backlog, lostLine(o.Format == "json"))}
 	options := &slog.HandlerOptions{Level: &l.level}
 	var h slog.Handler = slog.NewTextHandler(l.out, options)
 	if o.Format == "json" {
@@ -58,6 +61,15 @@
 	return l
 }
 
+// lostLine returns what lays out the line that tells of lost ones.
+func lostLine(json bool) func(lost int64) string {
+	form := "level=WARN msg=%q %s=%d\n"
+	if json {
+		form = "{\"level\":\"WARN\",\"msg\":%q,%q:%d}\n"
+	}
+	return func(lost int64) string { return fmt.Sprintf(form, "log lines lost, nobody read them", Lost, lost) }
+}
+
 // withUnit has a time written in JSON as in text, with its unit: a bare number of nanoseconds says nothing of
 // what it counts.
 func withUnit(_ []string, a slog.Attr) slog.Attr {
@@ -78,7 +90,7 @@
 	if n := l.repeat.pending(); n > 0 {
 		l.Info("lines left out at the end", Dropped, n)
 	}
-	l.out.close(wait)
+	l.out.Close(wait)
 }
 
 // ParseLevel reads one of the words for a level; any other is info.
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -96,7 +96,7 @@
 		b.ReadFrom(r)
 		done <- b.String()
 	}()
-	<-l.out.done
+	<-l.out.Done()
 	w.Close()
 	text := <-done
 	lost := 0
--- a/internal/logging/writer.go
+++ b/internal/logwriter/logwriter.go
@@ -1,18 +1,18 @@
-package logging
+// Package logwriter writes lines of a log from a goroutine of its own, so that whoever logs never waits for
+// whoever reads: a pipe whose reader stands still takes 64 KiB and then blocks its writer.
+package logwriter
 
 import (
-	"fmt"
 	"io"
 	"sync"
 	"time"
 )
 
-// writer hands lines to a goroutine, so that whoever logs never waits for whoever reads: a pipe whose
-// reader stalls takes 64 KiB and then blocks. Beyond its backlog lines are lost, and counted.
-type writer struct {
+// Writer hands lines to its goroutine. Beyond its backlog lines are lost, and counted.
+type Writer struct {
 	to    io.Writer
 	most  int
-	json  bool
+	told  func(lost int64) string
 	awake chan struct{} // a token: there is something to write, or it is over
 	done  chan struct{}
 
@@ -23,14 +23,16 @@
 	closed bool
 }
 
-func newWriter(to io.Writer, backlog int, json bool) *writer {
-	w := &writer{to: to, most: backlog, json: json, awake: make(chan struct{}, 1), done: make(chan struct{})}
+// New returns a writer that keeps at most backlog bytes while nobody reads. The line that told returns stands
+// in place of lines that were lost.
+func New(to io.Writer, backlog int, told func(lost int64) string) *Writer {
+	w := &Writer{to: to, most: backlog, told: told, awake: make(chan struct{}, 1), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write takes one line; it never fails and never blocks.
-func (w *writer) Write(line []byte) (int, error) {
+func (w *Writer) Write(line []byte) (int, error) {
 	w.mu.Lock()
 	switch {
 	case w.closed || len(w.lines)+len(line) > w.most:
@@ -43,14 +45,14 @@
 	return len(line), nil
 }
 
-func (w *writer) wake() {
+func (w *Writer) wake() {
 	select {
 	case w.awake <- struct{}{}:
 	default:
 	}
 }
 
-func (w *writer) run() {
+func (w *Writer) run() {
 	defer close(w.done)
 	for range w.awake {
 		for {
@@ -66,11 +68,7 @@
 			}
 			w.to.Write(lines) // there is nowhere to tell that the log cannot be written
 			if lost > 0 {
-				form := "level=WARN msg=%q %s=%d\n"
-				if w.json {
-					form = "{\"level\":\"WARN\",\"msg\":%q,%q:%d}\n"
-				}
-				fmt.Fprintf(w.to, form, "log lines lost, nobody read them", Lost, lost)
+				io.WriteString(w.to, w.told(lost))
 			}
 			w.mu.Lock()
 			w.spare = lines
@@ -79,8 +77,11 @@
 	}
 }
 
-// close writes what waits, for at most so long.
-func (w *writer) close(wait time.Duration) {
+// Done is closed once all that was taken before Close has been written.
+func (w *Writer) Done() <-chan struct{} { return w.done }
+
+// Close writes what waits, for at most so long.
+func (w *Writer) Close(wait time.Duration) {
 	w.mu.Lock()
 	w.closed = true
 	w.mu.Unlock()
