--- a/internal/nodesim/server_orders.go
+++ b/internal/nodesim/server_orders.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net"
 	"slices"
 	"time"
@@ -67,7 +66,7 @@
 func (l *oneConnection) Accept() (net.Conn, error) {
 	c := l.conn
 	if c == nil {
-		return nil, io.EOF
+		return nil, net.ErrClosed
 	}
 	l.conn = nil
 	return c, nil
