--- a/internal/fleettrial/logstands_test.go
+++ b/internal/fleettrial/logstands_test.go
@@ -26,3 +26,17 @@
 		r.Assert(status, qt.Equals, 200, qt.Commentf("after %v", time.Since(began)))
 	}
 }
+
+// A process goes on when whoever reads its log has gone: a write to a pipe without a reader must not end it.
+func TestProcessOutlivesTheReaderOfItsLog(t *testing.T) {
+	long(t)
+	r := newRigOf(t, Options{Faulty: true, LogLevel: "debug"})
+	m := r.WithDisk(false)[0]
+	r.Assert(m.running().CloseLog(), qt.IsNil)
+	client := fleetstandin.NewClient(0, "", r.Entry, r.Observations)
+	client.Keeps = false
+	for range 50 {
+		status := client.Probe(r.ctx, m.proxy(), fleetstandin.NewRequest(leavingKind, int(r.requests.Add(1))))
+		r.Assert(status, qt.Equals, 200)
+	}
+}
--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,86 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/chain"
+	"cresshub/internal/segmentlog"
+)
+
+// hangingFiles is a disk that answers nothing while its gate is closed.
+type hangingFiles struct {
+	segmentlog.OSFS
+	gate chan struct{} // closed once the disk answers
+}
+
+func (f *hangingFiles) MakeDir(dir string) error {
+	<-f.gate
+	return f.OSFS.MakeDir(dir)
+}
+
+// TestLeaveIsNotLost whatever the disk does when a process is told to end.
+func TestLeaveIsNotLost(t *testing.T) {
+	t.Run("while the disk is opened", leaveWhileTheDiskIsOpened)
+	t.Run("in a full queue", leaveInAFullQueue)
+}
+
+// leaveWhileTheDiskIsOpened: a process that is told to end while its disk hangs tells the other
+// members so once the disk answers.
+func leaveWhileTheDiskIsOpened(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		disk := &hangingFiles{gate: make(chan struct{})}
+		n.settings.DataDir, n.files = t.TempDir(), disk
+		control := newDiskMember(n)
+		done := make(chan struct{})
+		control.start(done)
+		synctest.Wait()
+		control.leave()
+		close(disk.gate)
+		time.Sleep(2 * chainTick)
+		synctest.Wait()
+		c.Check(leaves(control.chain.Load()), qt.IsTrue)
+		close(done)
+		synctest.Wait()
+		control.close()
+	})
+}
+
+// leaveInAFullQueue: events of the chain may be dropped where too many wait, as messages come
+// again; what is said once must not be.
+func leaveInAFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newTestNode(t)
+		n.settings.DataDir = t.TempDir()
+		member, err := openChainMember(n)
+		c.Assert(err, qt.IsNil)
+		nothing := func(time.Duration) chain.Effects { return chain.Effects{} }
+		for member.post(nothing) {
+		}
+		member.leave()
+		done := make(chan struct{})
+		member.start(done)
+		time.Sleep(2 * chainTick)
+		synctest.Wait()
+		c.Check(leaves(member), qt.IsTrue)
+		close(done)
+		synctest.Wait()
+		member.close()
+	})
+}
+
+// leaves tells whether a member without a view has been told to leave: it may stop at once then.
+func leaves(m *chainMember) bool {
+	select {
+	case <-m.released():
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -24,6 +24,7 @@
 	ended chan struct{}
 	err   error
 	input io.WriteCloser // of its standard input, nil where it has none
+	out   io.Closer      // where its log is read
 
 	reading sync.Mutex // held while nobody reads the log
 
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{cmd: cmd, ended: make(chan struct{}), fields: map[string]string{}}
+	p := &Process{cmd: cmd, out: out, ended: make(chan struct{}), fields: map[string]string{}}
 	if command.Input {
 		if p.input, err = cmd.StdinPipe(); err != nil {
 			return nil, err
@@ -168,6 +169,9 @@
 // ReleaseLog has its log read again.
 func (p *Process) ReleaseLog() { p.reading.Unlock() }
 
+// CloseLog ends the reading of its log for good, as when a collector of logs dies.
+func (p *Process) CloseLog() error { return p.out.Close() }
+
 // ID is its process id.
 func (p *Process) ID() int { return p.cmd.Process.Pid }
 
