--- a/cmd/cresshub/main_test.go
+++ b/cmd/cresshub/main_test.go
@@ -46,6 +46,7 @@
 	config  string // path of its file
 	address string
 	log     *bufio.Scanner
+	pipe    io.Closer // that the log comes through
 }
 
 // start runs the program with a configuration and waits until it is ready.
@@ -89,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.log = bufio.NewScanner(out)
+	p.log, p.pipe = bufio.NewScanner(out), out
 	t.Cleanup(func() {
 		p.cmd.Process.Kill()
 		p.cmd.Wait()
@@ -340,6 +341,22 @@
 	}
 }
 
+// The end of whoever reads the log ends nothing else: a write to a pipe without a reader raises a signal.
+func TestOutlivesTheReaderOfItsLog(t *testing.T) {
+	p := start(t, "", known("ready"), 100)
+	if err := p.pipe.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		p.cmd.Process.Signal(syscall.SIGUSR1) // has the counters logged
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.cmd.Wait()
+	if state := p.cmd.ProcessState; state.ExitCode() != 0 {
+		t.Errorf("the process ended with %v", state)
+	}
+}
+
 func TestCountersOnRequest(t *testing.T) {
 	x := nettest.Serve(t, nettest.Zone(func(*http1.Request) *http1.Response { return nettest.OK("") }))
 	p := start(t, nettest.NewDiscovery(t).Address, known("in_service", x), 200)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -12,8 +12,10 @@
 )
 
 // Signals listens for those that a serving program minds. It is called before anything else, for a signal
-// that nobody listens for ends the process.
+// that nobody listens for ends the process. That of a pipe without a reader is ignored: the end of whoever
+// reads the log is no reason to end.
 func Signals() <-chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, 64)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
 	return signals
