--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -79,7 +79,9 @@
 	c.Answer(frame, peerwire.KindDone, nil)
 }
 
-// endPredecessors marks earlier processes of the same machine as ended, now that this one has called.
+// endPredecessors marks earlier processes of the same machine as lost, now that this one has called. That is
+// a guess: what an earlier process sent may come after its successor is known, as when a cut held it up. So
+// it marks them as something that they can contradict.
 func (n *Node) endPredecessors(peer string) {
 	now := n.now()
 	n.state.change(now, func(d *directory.Directory) {
@@ -89,9 +91,7 @@
 		}
 		for _, other := range d.Proxies() {
 			if other.Address == caller.Address && other.ID != caller.ID {
-				ended := *other
-				ended.State = directory.Ended
-				d.Merge(now, ended)
+				n.markLost(now, d, other, "another process of its machine calls")
 			}
 		}
 	})
