--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -35,8 +35,11 @@
 	fence   atomic.Uint64 // epoch in which this member is the head and the chain is open, 0 where it is not
 	founder bool
 	ended   chan struct{} // closed when the goroutine of the chain has ended
-	free    chan struct{} // closed once this member leaves and the others hold all that it holds
-	isFree  bool          // free is closed; of the goroutine of the chain
+	leaving atomic.Bool   // this process is about to end
+	// leaveTold says that the state machine knows; of the goroutine of the chain.
+	leaveTold bool
+	free      chan struct{} // closed once this member leaves and the others hold all that it holds
+	isFree    bool          // free is closed; of the goroutine of the chain
 	// identity is that of this machine's disk; it names the holder of duties.
 	identity string
 
@@ -69,9 +72,12 @@
 
 func (m *chainMember) released() <-chan struct{} { return m.free }
 
-func (m *chainMember) leave() { m.post(m.machine.Leave) }
+// leave has the others told that this process is about to end. It does not go through the queue of events,
+// which may be full: messages come again, this does not.
+func (m *chainMember) leave() { m.leaving.Store(true) }
 
-// post hands an event to the goroutine of the chain and tells whether there was room.
+// post hands an event to the goroutine of the chain and tells whether there was room. What is posted may be
+// lost, so it has to be something that comes again or whose loss its caller is told.
 func (m *chainMember) post(event func(now time.Duration) chain.Effects) bool {
 	select {
 	case m.events <- event:
@@ -108,6 +114,7 @@
 		case event := <-m.events:
 			m.step(event)
 		case <-ticker.C:
+			m.tellLeave()
 			m.machine.SetContacts(m.contacts())
 			m.step(m.machine.Tick)
 			if m.founder {
@@ -117,6 +124,14 @@
 	}
 }
 
+// tellLeave tells the others once that this process is about to end, where it is.
+func (m *chainMember) tellLeave() {
+	if m.leaving.Load() && !m.leaveTold {
+		m.leaveTold = true
+		m.step(m.machine.Leave)
+	}
+}
+
 // step runs one event, makes durable what it says, and only then does the rest.
 func (m *chainMember) step(event func(now time.Duration) chain.Effects) {
 	effects := event(m.node.now())
--- a/internal/node/disk_member.go
+++ b/internal/node/disk_member.go
@@ -42,6 +42,7 @@
 	node    *Node
 	chain   atomic.Pointer[chainMember] // nil until the disk is open
 	isReady chan struct{}               // closed once it is
+	leaving atomic.Bool                 // this process is about to end
 }
 
 func newDiskMember(n *Node) *diskMember { return &diskMember{node: n, isReady: make(chan struct{})} }
@@ -58,6 +59,9 @@
 	}
 	d.node.announceSelf(func(self *directory.Record) { self.Member = member.identity })
 	d.chain.Store(member)
+	if d.leaving.Load() { // it was told before there was a member to know
+		member.leave()
+	}
 	member.start(done)
 	close(d.isReady)
 }
@@ -99,7 +103,10 @@
 
 func (d *diskMember) opened() <-chan struct{} { return d.isReady }
 
-func (d *diskMember) leave() { d.current().leave() }
+func (d *diskMember) leave() {
+	d.leaving.Store(true)
+	d.current().leave()
+}
 
 func (d *diskMember) released() <-chan struct{} { return d.current().released() }
 
