--- a/internal/node/stages.go
+++ b/internal/node/stages.go
@@ -23,6 +23,8 @@
 	confirmLife    = 500 * time.Millisecond
 	orderTimeout   = 700 * time.Millisecond
 	orderPath      = "/api/order"
+	// expectServerHeader names the incarnation that a call is meant for; another one at its address answers 421.
+	expectServerHeader = "Cresshub-Expect-Server"
 	// orderLife is how long an order may be under way; later its server counts as one without.
 	orderLife = 9 * time.Second
 	// leaseMargin is added to the time in which an earlier holder's orders may still arrive.
@@ -170,7 +172,8 @@
 	}
 	status := 0
 	answer, err := n.callServer(address, &http1.Request{Method: "POST", Target: orderPath, Body: body,
-		Header: http1.Header{{Name: "Content-Type", Value: "application/json"}}}, orderTimeout)
+		Header: http1.Header{{Name: "Content-Type", Value: "application/json"},
+			{Name: expectServerHeader, Value: order.Server}}}, orderTimeout)
 	if err == nil {
 		status = answer.Status
 	}
--- a/internal/nodesim/orders_test.go
+++ b/internal/nodesim/orders_test.go
@@ -153,6 +153,9 @@
 	senders := map[uint64]string{}
 	highest := uint64(0)
 	for _, order := range s.Orders() {
+		if order.Expect != s.ID {
+			breaks = append(breaks, fmt.Sprintf("%s: %+v may reach another server at its address", s.ID, order))
+		}
 		if earlier, ok := senders[order.Fence]; ok && earlier != order.From {
 			breaks = append(breaks, fmt.Sprintf("%s: %+v under a fence of %s", s.ID, order, earlier))
 		}
--- a/internal/nodesim/server_orders.go
+++ b/internal/nodesim/server_orders.go
@@ -17,6 +17,7 @@
 	Holder string
 	Fence  uint64
 	Status int
+	Expect string // the server that the order names
 }
 
 // Orders returns the orders that have come so far.
@@ -92,8 +93,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	expect := call.Header.Get("Cresshub-Expect-Server")
 	status := s.judge(body.Stage, body.Fence)
-	s.orders = append(s.orders, Order{s.fleet.Now(), from, body.Holder, body.Fence, status})
+	if expect != "" && expect != s.ID {
+		status = 421
+	}
+	s.orders = append(s.orders, Order{s.fleet.Now(), from, body.Holder, body.Fence, status, expect})
 	s.fleet.Note("%s got an order of %s, fence %d: %d", s.ID, from, body.Fence, status)
 	if status == 202 {
 		s.switching = true
