--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,8 +23,10 @@
 const (
 	// bodiesPart is the part of the process's memory that bodies may take.
 	bodiesPart = 8
-	// reservedDescriptors are left to files; clients may have half of the others, servers the rest.
+	// reservedDescriptors are left to files. One part of the others in controlPart is left to connections of
+	// other processes, servers' heartbeats and operators; clients and servers may have half of the rest each.
 	reservedDescriptors  = 200
+	controlPart          = 8
 	leastDescriptorShare = 16
 )
 
@@ -157,7 +159,8 @@
 
 // descriptorShare is how many connections there may be to clients, and likewise to servers.
 func (f *Front) descriptorShare() int {
-	return max((f.settings.Descriptors-reservedDescriptors)/2, leastDescriptorShare)
+	open := f.settings.Descriptors - reservedDescriptors
+	return max((open-open/controlPart)/2, leastDescriptorShare)
 }
 
 // connectionShare is how many connections this proxy may have to each server of a service, 0 for any number.
