Soaks end processes while they start, start them on disks in trouble, and look for leaks

Cause: the numbered points before a process listens were never met, a disk's trouble began only after the start, and what requests take of memory, connections and goroutines was not looked at in the end.

--- a/internal/fleetstandin/client.go
+++ b/internal/fleetstandin/client.go
@@ -155,7 +155,7 @@
 		return ending{unread: true, reason: "no connection"}
 	}
 	t := &try{id: newTryID(), request: a.request, resumeAt: a.stream.last, machine: conn.machine, until: a.until,
-		probe: a.fixed != nil}
+		probe: a.fixed != nil, kept: conn.used}
 	a.client.observations.sending(t)
 	stopWatching := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 	defer stopWatching()
--- a/internal/fleetstandin/clientconn.go
+++ b/internal/fleetstandin/clientconn.go
@@ -23,6 +23,7 @@
 type clientConn struct {
 	*ring.Conn
 	machine string    // IP of the proxy
+	used    bool      // it has carried a request before
 	expires time.Time // when an idle one is not used any more, zero where nothing was told
 }
 
@@ -84,6 +85,7 @@
 		return
 	}
 	conn.SetDeadline(time.Time{})
+	conn.used = true
 	conn.expires = time.Time{}
 	if told := keepAliveOf(head); told > 0 {
 		conn.expires = time.Now().Add(told - keepMargin)
--- a/internal/fleetstandin/judge.go
+++ b/internal/fleetstandin/judge.go
@@ -8,6 +8,8 @@
 	deniedPart  = 500
 	// unheardPart of the leaving servers may go without an acknowledgement.
 	unheardPart = 5
+	// mostKeptLost is how many requests of kept connections may get no answer though a sound server had them.
+	mostKeptLost = 3
 	// servedPart is the least part of the requests that is served after a recovery.
 	servedPart = 4
 	// afterGrace is how long after the grace planned work still counts.
@@ -41,6 +43,10 @@
 		o.verdicts.broken(Tries, "try %s of kind %s reached %d servers, %d are allowed", t.id, kind.Name,
 			len(counted(t)), most)
 	}
+	if t.cut && t.kept && t.status == 0 && len(t.arrivals) > 0 && !t.broken && t.ended.Before(t.until) &&
+		o.inTouch(t.machine, t.sent, t.ended) {
+		o.keptLost++
+	}
 	if t.cut && o.lostByPlan(t) {
 		o.verdicts.broken(Lost, "try %s of kind %s was read by %s and its connection ended %v after its last byte",
 			t.id, kind.Name, t.machine, t.ended.Sub(t.lastByte).Round(time.Millisecond))
@@ -132,6 +138,10 @@
 		o.verdicts.broken(Denied, "%d proper requests ended with a 4xx of a proxy, %d are allowed", o.denied,
 			allowed)
 	}
+	if o.keptLost > mostKeptLost {
+		o.verdicts.broken(Lost, "%d requests of kept connections reached a sound server and got no answer, %d may",
+			o.keptLost, mostKeptLost)
+	}
 	if o.unheard*unheardPart > o.leaving {
 		o.verdicts.broken(Acks, "%d of %d servers that left in a calm time were not acknowledged", o.unheard,
 			o.leaving)
--- a/internal/fleetstandin/observations.go
+++ b/internal/fleetstandin/observations.go
@@ -35,6 +35,7 @@
 	leaving  int // servers that said in a calm time that they leave
 	unheard  int // those of them that were not acknowledged
 	denied   int
+	keptLost int       // tries of kept connections that ended without an answer though a sound server had them
 	backAt   time.Time // when all processes were back after the loss of all
 	judged   bool
 }
@@ -61,6 +62,7 @@
 	resumeAt int    // Last-Event-Id, 0 for none
 	machine  string // IP of the proxy that took it
 	probe    bool   // it only shows which configuration is in force
+	kept     bool   // it came on a connection that had carried another one before
 	sent     time.Time
 	lastByte time.Time // when all of it had been handed to the system
 	until    time.Time // when its client gives up
--- a/internal/fleettrial/machine.go
+++ b/internal/fleettrial/machine.go
@@ -34,6 +34,8 @@
 	process *program.Process // nil while none runs
 	ending  bool             // the trial ends the process
 	faults  []string         // commands that hold now, for the next process too
+	// endsItself is a command by which the next process ends itself, "" where it is not to.
+	endsItself string
 }
 
 func (m *Machine) dataDir() string { return filepath.Join(m.dir, "data") }
@@ -54,10 +56,9 @@
 		return fmt.Errorf("starting %s at %s: %w", m.Name, m.IP, err)
 	}
 	m.mu.Lock()
-	m.process, m.ending = process, false
+	m.process, m.ending = process, m.endsItself != ""
 	m.mu.Unlock()
 	go m.watch(process)
-	m.putFaults(process)
 	return nil
 }
 
@@ -73,6 +74,9 @@
 	}
 	if options.Faulty {
 		command.Args, command.Input, command.LogBuffer = []string{"faulty-router"}, true, faultyLogBuffer
+		for _, fault := range m.currentFaults() {
+			command.Args = append(command.Args, "--fault", fault)
+		}
 	}
 	if options.LogLevel != "" {
 		command.Args = append(command.Args, "--log-level", options.LogLevel)
--- a/internal/fleettrial/machine_faults.go
+++ b/internal/fleettrial/machine_faults.go
@@ -33,19 +33,53 @@
 	if process == nil {
 		return
 	}
-	_ = process.Send(faultinject.CommandHear)
-	_ = process.Send(faultinject.CommandDisk + " " + string(faultinject.DiskOK))
-	m.putFaults(process)
+	healed := []string{faultinject.CommandHear, diskCommand(faultinject.DiskOK)}
+	for _, command := range append(healed, commands...) {
+		_ = process.Send(command)
+	}
+}
+
+func diskCommand(mode faultinject.DiskMode) string {
+	return faultinject.CommandDisk + " " + string(mode)
 }
 
-// putFaults puts the faults that hold into a process.
-func (m *Machine) putFaults(process *program.Process) {
+// currentFaults returns the commands that the next process is to obey from its start.
+func (m *Machine) currentFaults() []string {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	commands := slices.Clone(m.faults)
-	m.mu.Unlock()
-	for _, command := range commands {
-		_ = process.Send(command)
+	if m.endsItself != "" {
+		commands = append(commands, m.endsItself)
 	}
+	return commands
+}
+
+// StartToEnd starts a process that kills itself at the numbered point, which may lie before it listens, and
+// kills it where it does not get there.
+func (m *Machine) StartToEnd(ctx context.Context, point int, patience time.Duration) (ended bool) {
+	m.setEndsItself(fmt.Sprintf("%s %d", faultinject.CommandEnd, point))
+	defer m.setEndsItself("")
+	if m.Start(ctx, false) != nil {
+		return true
+	}
+	process := m.running()
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-process.Ended():
+		ended = true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	m.Kill()
+	return ended
+}
+
+// setEndsItself has the next process obey a command by which it ends itself, "" for none.
+func (m *Machine) setEndsItself(command string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.endsItself = command
 }
 
 // EndAtPoint has the process kill itself at the numbered point, and kills it where it does not get there.
--- a/internal/fleettrial/soak.go
+++ b/internal/fleettrial/soak.go
@@ -44,6 +44,7 @@
 	Seconds float64                `json:"seconds"`
 	Played  map[string]int         `json:"played"` // troubles by name
 	Total   fleetstandin.KindTally `json:"total"`
+	Reasons []fleetstandin.Reason  `json:"reasons"` // why requests were not served
 	Rules   []fleetstandin.Verdict `json:"rules"`
 	Events  []string               `json:"events"`
 }
@@ -116,8 +117,12 @@
 	if problem == nil {
 		problem = s.readBackEverywhere(ctx)
 	}
+	if problem == nil {
+		problem = s.checkLeaks(ctx)
+	}
 	report := &SoakReport{Seed: s.options.Seed, Seconds: s.elapsed().Seconds(), Played: s.played,
-		Total: load.Tally().Total(), Rules: s.Observations.Judge(), Events: s.Events()}
+		Total: load.Tally().Total(), Reasons: load.Tally().Reasons(), Rules: s.Observations.Judge(),
+		Events: s.Events()}
 	return report, errors.Join(ctx.Err(), problem)
 }
 
--- a/internal/fleettrial/soak_checks.go
+++ b/internal/fleettrial/soak_checks.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"cresshub/internal/callclient"
@@ -82,3 +84,49 @@
 		}
 	}
 }
+
+// mostGoroutines is how many goroutines a process has at most when nothing is under way.
+const mostGoroutines = 200
+
+// checkLeaks checks that each process has given back what requests took, now that nobody sends any more.
+func (s *soak) checkLeaks(ctx context.Context) error {
+	for _, client := range s.clients {
+		client.Close()
+	}
+	for _, m := range s.Machines {
+		err := await(ctx, m.Name+" gives back what it took", settleBound, func() string {
+			return leaked(m.ask(ctx, "/metrics"))
+		})
+		if err != nil {
+			s.Observations.Broken(fleetstandin.Fault, "%v", err)
+			return err
+		}
+	}
+	return nil
+}
+
+// leaked tells what a page of figures shows to be taken still, "" where nothing is.
+func leaked(page []byte) string {
+	for name, most := range map[string]float64{
+		"cresshub_body_bytes": 0, "cresshub_clients": 0, "cresshub_goroutines": mostGoroutines,
+	} {
+		value, found := figureOf(page, name)
+		if !found || value > most {
+			return fmt.Sprintf("%s is %v, %v is the most", name, value, most)
+		}
+	}
+	return ""
+}
+
+// figureOf returns a figure without labels.
+func figureOf(page []byte, name string) (value float64, found bool) {
+	for line := range bytes.Lines(page) {
+		text, ok := bytes.CutPrefix(bytes.TrimSpace(line), []byte(name+" "))
+		if !ok {
+			continue
+		}
+		value, err := strconv.ParseFloat(string(text), 64)
+		return value, err == nil
+	}
+	return 0, false
+}
--- a/internal/fleettrial/soak_cuts.go
+++ b/internal/fleettrial/soak_cuts.go
@@ -71,7 +71,7 @@
 			commands = append(commands, faultinject.CommandMute+" "+strings.Join(mute, " "))
 		}
 		if mode := c.disks[m]; mode != "" && mode != faultinject.DiskOK {
-			commands = append(commands, faultinject.CommandDisk+" "+string(mode))
+			commands = append(commands, diskCommand(mode))
 		}
 		m.setFaults(commands)
 	}
--- a/internal/fleettrial/soak_troubles.go
+++ b/internal/fleettrial/soak_troubles.go
@@ -130,8 +130,11 @@
 	return s.restart(ctx, m)
 }
 
-// mostPoint is the last numbered point at which a process is ended.
-const mostPoint = 120
+// mostPoint is the last numbered point at which a process is ended, mostStartPoint the last one of its start.
+const (
+	mostPoint      = 120
+	mostStartPoint = 40
+)
 
 func playEndAtPoint(ctx context.Context, s *soak, lot *rand.Rand) error {
 	m := s.take(lot, anyMachine)
@@ -143,13 +146,10 @@
 	ended := m.EndAtPoint(ctx, point, 1500*time.Millisecond)
 	s.event("%s ended at point %d: %t", m.Name, point, ended)
 	sleepFor(ctx, between(lot, 50*time.Millisecond, time.Second))
-	if lot.IntN(2) == 0 {
-		if err := s.restart(ctx, m); err != nil {
-			return err
-		}
-		point = 1 + lot.IntN(mostPoint)
-		ended = m.EndAtPoint(ctx, point, time.Second)
-		s.event("%s ended once more at point %d: %t", m.Name, point, ended)
+	for range lot.IntN(3) { // and again while it starts
+		point = 1 + lot.IntN(mostStartPoint)
+		ended = m.StartToEnd(ctx, point, time.Second)
+		s.event("%s started and ended at point %d: %t", m.Name, point, ended)
 	}
 	return s.restart(ctx, m)
 }
