--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -61,6 +61,7 @@
 	fence   lease.Fence // of calls that carry a token
 	owners  OwnerCalls
 	once    sync.Once
+	told    func([]Endpoint) // gets what a caller has just been told; may be nil
 }
 
 // OwnerCalls are the calls that carried a fencing token: taken, refused for an older one than was seen, and
@@ -80,6 +81,16 @@
 	return d, err
 }
 
+// OnTold names who hears of entries that a caller has just been told. It is to be called before any caller.
+func (d *Discovery) OnTold(told func([]Endpoint)) { d.told = told }
+
+// noteTold notes entries that a caller has just been told.
+func (d *Discovery) noteTold(entries []Endpoint) {
+	if d.told != nil && len(entries) > 0 {
+		d.told(entries)
+	}
+}
+
 // Address is where it listens.
 func (d *Discovery) Address() string { return d.l.Address() }
 
@@ -207,6 +218,7 @@
 		d.mu.Unlock()
 		token, status, why := d.pass(q.Header.Get(lease.TokenHeader))
 		answer := &http1.Response{Status: 200}
+		var listed []Endpoint
 		switch {
 		case failing:
 			answer.Status = 503
@@ -220,10 +232,12 @@
 		default:
 			doc, _, _ := d.since(0, true)
 			answer.Body, _ = json.Marshal(doc)
+			listed = doc.Endpoints
 		}
 		if answer.Write(c.Out) != nil || c.Flush() != nil {
 			return
 		}
+		d.noteTold(listed)
 	}
 }
 
@@ -253,6 +267,9 @@
 		if c.Flush() != nil {
 			return
 		}
+		if len(line) > 0 {
+			d.noteTold(doc.Endpoints)
+		}
 		select {
 		case <-changed:
 		case <-beat.C:
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -44,6 +44,9 @@
 	entry Endpoint
 }
 
+// inService is the status of a server that takes work.
+const inService = "in_service"
+
 // StartFleet starts the servers, warm, and a discovery that lists them, on loopback.
 func StartFleet(o FleetOptions) (*Fleet, error) {
 	f := &Fleet{o: o, now: map[string]*member{}}
@@ -51,6 +54,7 @@
 	if f.Discovery, err = StartDiscovery("127.0.0.1:0"); err != nil {
 		return nil, err
 	}
+	f.Discovery.OnTold(f.noteTold)
 	for range o.Servers {
 		if _, err := f.Add(time.Time{}); err != nil {
 			f.Close()
@@ -86,7 +90,7 @@
 	kind, speed := f.speed(n)
 	e := Endpoint{
 		Name: fmt.Sprintf("zone-%02d", n+1), Zone: f.o.Halls[n%len(f.o.Halls)], Type: kind, Group: n + 1,
-		Status: "in_service", Weight: speed / standardSpeed,
+		Status: inService, Weight: speed / standardSpeed,
 	}
 	return e.Name, f.start(n, e, speed, since)
 }
@@ -129,12 +133,27 @@
 	return f.now[name]
 }
 
-// tell changes a server's status in the list and notes when.
+// tell changes a server's status in the list.
 func (f *Fleet) tell(m *member, status string) {
 	e := m.entry
 	e.Status = status
 	f.Discovery.Set(e)
-	m.zone.Told(time.Now())
+}
+
+// noteTold notes when a proxy was first told that nothing new may reach a server: not before discovery could
+// tell it.
+func (f *Fleet) noteTold(entries []Endpoint) {
+	now := time.Now()
+	for _, entry := range entries {
+		if entry.Status == inService {
+			continue
+		}
+		for _, zone := range f.Zones() {
+			if zone.Name() == entry.Name && zone.Address() == entry.Address {
+				zone.ToldFirst(now)
+			}
+		}
+	}
 }
 
 // Drain tells that a server wants nothing new; it finishes what it has. Leave ends it.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -214,3 +214,52 @@
 		t.Errorf("%d connections left", load.open)
 	}
 }
+
+// A drain binds from when a caller was told of it, and not while discovery is away; later news of the same
+// server does not put it off.
+func TestDrainBindsOnceItWasTold(t *testing.T) {
+	f, err := StartFleet(FleetOptions{Servers: 1, Halls: []string{"a"}, Work: map[string]time.Duration{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	zone := f.Zones()[0]
+	told := func() time.Time {
+		zone.mu.Lock()
+		defer zone.mu.Unlock()
+		return zone.told
+	}
+	list := func() int {
+		c, err := net.Dial("tcp", f.Discovery.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conn := ring.NewConn(c)
+		q := http1.Request{Method: "GET", Target: "/registry/instances",
+			Header: http1.Header{{Name: "Host", Value: "d"}}}
+		if q.Write(conn.Out) != nil || conn.Flush() != nil {
+			t.Fatal("discovery does not listen")
+		}
+		head, body, err := http1.ReadResponseHead(conn.In, "GET")
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, body)
+		return head.Status
+	}
+	f.Discovery.Fail(true)
+	f.Drain(f.Names()[0])
+	if status := list(); status != 503 || !told().IsZero() {
+		t.Fatalf("answered %d, told at %v", status, told())
+	}
+	f.Discovery.Fail(false)
+	for told().IsZero() { // it is noted just behind the answer
+		list()
+	}
+	first := told()
+	list()
+	if !told().Equal(first) {
+		t.Errorf("told at %v, and then at %v", first, told())
+	}
+}
--- a/internal/standin/zone.go
+++ b/internal/standin/zone.go
@@ -136,6 +136,15 @@
 	z.mu.Unlock()
 }
 
+// ToldFirst is Told unless an earlier time was noted.
+func (z *Zone) ToldFirst(at time.Time) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	if z.told.IsZero() {
+		z.told = at
+	}
+}
+
 // Pause has it stand still.
 func (z *Zone) Pause(d time.Duration) {
 	z.mu.Lock()
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -155,7 +155,13 @@
 	lasting, done := context.WithTimeout(ctx, o.For)
 	defer done()
 	troubled := make(chan error, 1)
-	go func() { troubled <- trouble(lasting, fleet, o) }()
+	go func() {
+		if o.Trouble == mixed {
+			troubled <- playMixed(lasting, fleet, proxy, file, o.Seed)
+			return
+		}
+		troubled <- trouble(lasting, fleet, o)
+	}()
 	go live(lasting, began, load.Tally(), o.Live)
 	load.Run(lasting)
 	seconds := min(time.Since(began), o.For).Seconds()
--- a/internal/trial/trouble.go
+++ b/internal/trial/trouble.go
@@ -11,7 +11,7 @@
 )
 
 // Troubles are what may be played in the middle of a trial.
-var Troubles = []string{"drain", "pause", "crash", "cold"}
+var Troubles = []string{"drain", "pause", "crash", "cold", mixed}
 
 // CheckTrouble refuses a word that names none.
 func CheckTrouble(word string) error {
