--- a/internal/front/chooser_test.go
+++ b/internal/front/chooser_test.go
@@ -23,6 +23,8 @@
 	begun    int // first events
 	loads    []pairing.Load
 	panics   atomic.Bool
+	// panicsInCalls has it panic while a call is under way.
+	panicsInCalls atomic.Bool
 }
 
 func newFakeChooser() *fakeChooser { return &fakeChooser{open: map[*pairing.Call]bool{}} }
@@ -67,6 +69,9 @@
 }
 
 func (f *fakeChooser) Told(_ time.Duration, _ string, load pairing.Load) {
+	if f.panicsInCalls.Load() {
+		panic("a mistake")
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.loads = append(f.loads, load)
