--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -51,6 +51,7 @@
 
 // end tells the decisions how the call ended, and keeps or closes its connection.
 func (c *call) end(f *failure) *failure {
+	c.delivery.underWay = nil
 	outcome := pairing.Served
 	if f != nil {
 		outcome = f.outcome
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -150,10 +150,10 @@
 	}
 	d := newDelivery(c, q)
 	c.setDelivery(d)
+	defer c.setDelivery(nil)
 	w := watch(c.socket, func() { d.stop(clientLeft) })
+	defer w.stop()
 	d.run()
-	w.stop()
-	c.setDelivery(nil)
 	return d.goesOn
 }
 
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -43,6 +43,7 @@
 	unreachable int
 	goesOn      bool // the client's connection is good for another request
 	trace       deliveryTrace
+	underWay    *call // the call that has begun and not ended, nil where there is none
 
 	mu      sync.Mutex
 	why     reason
@@ -58,6 +59,7 @@
 
 // run sees the request through.
 func (d *delivery) run() {
+	defer d.endInterrupted()
 	f := d.front
 	f.budgets.request(f.now(), d.request.service.Name, f.state.Proxies())
 	if d.hopeless() {
@@ -86,6 +88,14 @@
 	d.giveUp()
 }
 
+// endInterrupted ends the call under way where a panic has left it: it gives back what the call took.
+func (d *delivery) endInterrupted() {
+	if c := d.underWay; c != nil {
+		c.tainted = true
+		c.end(&failure{outcome: pairing.Abandoned, fate: mayHaveRun})
+	}
+}
+
 // hopeless tells whether no server could begin before the request's end.
 func (d *delivery) hopeless() bool {
 	if d.over() {
@@ -159,7 +169,8 @@
 		d.front.decider.done(choice, pairing.Abandoned)
 		return nil
 	}
-	return &call{delivery: d, choice: choice, role: role}
+	d.underWay = &call{delivery: d, choice: choice, role: role}
+	return d.underWay
 }
 
 // pay takes what the call costs from the retry budget.
