--- a/internal/fleettrial/machine_faults.go
+++ b/internal/fleettrial/machine_faults.go
@@ -63,16 +63,7 @@
 		return true
 	}
 	process := m.running()
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-process.Ended():
-		ended = true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	m.Kill()
-	return ended
+	return m.awaitOwnEnd(ctx, process, patience)
 }
 
 // setEndsItself has the next process obey a command by which it ends itself, "" for none.
@@ -93,16 +84,7 @@
 	m.mu.Unlock()
 	m.fleet.Observations.Troubled(m.IP, m.HasDisk)
 	m.send("%s %d", faultinject.CommandEnd, point)
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
-	select {
-	case <-process.Ended():
-		ended = true
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	m.Kill()
-	return ended
+	return m.awaitOwnEnd(ctx, process, patience)
 }
 
 // keepTroubled notes that a machine is in trouble until ctx ends.
@@ -119,3 +101,16 @@
 
 // troubleInterval is how often a trouble that goes on is noted.
 const troubleInterval = 200 * time.Millisecond
+
+// awaitOwnEnd waits until the process has ended by itself, kills it where it does not, and tells which.
+func (m *Machine) awaitOwnEnd(ctx context.Context, process *program.Process, patience time.Duration) bool {
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	defer m.Kill()
+	select {
+	case <-process.Ended():
+		return true
+	case <-bounded.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/fleettrial/soak_callers.go
@@ -0,0 +1,86 @@
+package fleettrial
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cresshub/internal/fleetstandin"
+)
+
+// playStorm makes changes in quick succession.
+func playStorm(ctx context.Context, s *soak, lot *rand.Rand) error {
+	count := 3 + lot.IntN(12)
+	s.event("%d changes of the configuration", count)
+	for range count {
+		if err := s.change(ctx); err != nil {
+			s.event("a change got no clear answer: %v", err)
+			return ctx.Err()
+		}
+		sleepFor(ctx, between(lot, time.Millisecond, 120*time.Millisecond))
+	}
+	return nil
+}
+
+// playRace has two operators change the same version at once.
+func playRace(ctx context.Context, s *soak, lot *rand.Rand) error {
+	s.operating.Lock()
+	defer s.operating.Unlock()
+	bounded, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	if err := s.Operator.Refresh(bounded); err != nil {
+		return ctx.Err()
+	}
+	base := s.Operator.Current()
+	second := s.newOperator()
+	second.BuildOn(base)
+	one, other := nextConfiguration(base), nextConfiguration(base)
+	other.Routes[0].TimeoutMs += 500
+	if lot.IntN(2) == 0 {
+		other.Version++
+	}
+	s.event("two operators race for editions %d and %d", one.Version, other.Version)
+	results := make(chan error, 2)
+	go func() { results <- s.Operator.Put(bounded, one) }()
+	go func() { results <- second.Put(bounded, other) }()
+	first, last := <-results, <-results
+	var rejected *fleetstandin.Rejected
+	if errors.As(first, &rejected) && errors.As(last, &rejected) {
+		s.Observations.Broken(fleetstandin.Config, "of two operators none won: %v and %v", first, last)
+	}
+	return ctx.Err()
+}
+
+// playAnswersLost loses answers of the fleet to operators and servers.
+func playAnswersLost(ctx context.Context, s *soak, lot *rand.Rand) error {
+	part := int64(200 + lot.IntN(500))
+	s.event("%d in 1000 answers to servers and operators are lost", part)
+	troubled, end := context.WithCancel(ctx)
+	defer end()
+	go s.keepTroubled(troubled, s.Machines...)
+	s.lostAnswers.Store(part)
+	sleepFor(ctx, between(lot, time.Second, 4*time.Second))
+	s.lostAnswers.Store(0)
+	return nil
+}
+
+// playRudeClients has several rude clients at once.
+func playRudeClients(ctx context.Context, s *soak, lot *rand.Rand) error {
+	s.event("many rude clients")
+	rude, end := context.WithTimeout(ctx, between(lot, time.Second, 4*time.Second))
+	defer end()
+	done := make(chan struct{})
+	const clients = 6
+	for range clients {
+		client := fleetstandin.NewRudeClient(s.Entry, s.Observations, kinds, lot.Uint64(), s.nextNumber)
+		go func() {
+			defer func() { done <- struct{}{} }()
+			client.Run(rude, 5*time.Millisecond)
+		}()
+	}
+	for range clients {
+		<-done
+	}
+	return nil
+}
