The stand-ins hold drains to the acknowledgement of machines in trouble too

Change: only the machine that sends has to be in touch. A check became stricter. Test: TestSendingAfterTheAcknowledgementOfAMachineInTroubleIsSeen fails with the old condition.

--- a/internal/fleetstandin/breaks_test.go
+++ b/internal/fleetstandin/breaks_test.go
@@ -142,19 +142,39 @@
 
 func TestSendingToALeavingServerIsSeen(t *testing.T) {
 	w := newWorld(t)
+	sendToALeavingServer(w, func() {})
+	w.Assert(w.broken(), qt.DeepEquals, []Rule{Drain})
+}
+
+// The acknowledgement of a machine in trouble binds the others.
+func TestSendingAfterTheAcknowledgementOfAMachineInTroubleIsSeen(t *testing.T) {
+	w := newWorld(t)
+	const elsewhere = "10.9.9.9"
+	sendToALeavingServer(w, func() {
+		w.observations.Troubled(elsewhere, false)
+		w.lookup.mu.Lock()
+		defer w.lookup.mu.Unlock()
+		troubles := w.observations.troubles
+		w.lookup.acknowledgedAt, w.lookup.acknowledgedBy = troubles[len(troubles)-1].at, elsewhere
+	})
+	w.Assert(w.broken(), qt.DeepEquals, []Rule{Drain})
+}
+
+// sendToALeavingServer has the proxy send to a server too long after its departure was acknowledged.
+func sendToALeavingServer(w *world, onceAcknowledged func()) {
 	left := make(chan bool, 1)
 	go func() { left <- w.lookup.Leave(time.Minute) }()
 	w.until("the departure is acknowledged", func() bool {
 		at, _ := w.lookup.leftSince()
 		return !at.IsZero()
 	})
+	onceAcknowledged()
 	w.Assert(w.ask(safeKind).Outcome, qt.Equals, Served) // within the bound
 	at, _ := w.lookup.leftSince()
 	w.past(at.Add(2 * testBounds.Drain))
 	w.Assert(w.ask(safeKind).Outcome, qt.Equals, Served)
 	w.lookup.Stop()
 	w.Assert(<-left, qt.IsTrue)
-	w.Assert(w.broken(), qt.DeepEquals, []Rule{Drain})
 }
 
 func TestAnOldConfigurationIsSeen(t *testing.T) {
--- a/internal/fleetstandin/observations.go
+++ b/internal/fleetstandin/observations.go
@@ -127,7 +127,8 @@
 	a := &arrival{try: t, server: at.ID(), service: at.options.Service, at: time.Now()}
 	t.arrivals = append(t.arrivals, a)
 	late := !leftSince.IsZero() && a.at.Sub(leftSince) > o.bounds.Drain
-	if late && o.inTouch(t.machine, t.sent, a.at) && o.inTouch(heardBy, leftSince, leftSince) {
+	// The acknowledgement binds all machines in touch, also where the one that gave it was not.
+	if late && o.inTouch(t.machine, t.sent, a.at) {
 		o.verdicts.broken(Drain, "try %s from %s reached server %s %v after its departure was acknowledged by %s",
 			t.id, t.machine, at.ID(), a.at.Sub(leftSince).Round(time.Millisecond), heardBy)
 	}
