--- a/internal/fleetcli/soak.go
+++ b/internal/fleetcli/soak.go
@@ -25,6 +25,7 @@
 	First   uint64   `help:"Seed of the first; the same seed draws the same troubles." default:"1"`
 	Rounds  int      `help:"Rounds of overlapping troubles of each soak." default:"4"`
 	Rate    float64  `help:"Requests a second of all clients together." default:"60"`
+	Large   bool     `help:"Twelve processes, six with a disk, in place of six and three."`
 	Only    []string `help:"Draw only these troubles: ${soak_troubles}."`
 	Logs    string   `help:"Folder for the logs of the processes, a file for each seed." placeholder:"DIR"`
 	Level   string   `help:"Least level that the processes log." default:"info" enum:"debug,info"`
@@ -71,7 +72,7 @@
 
 func (c *soakCommand) soak(ctx context.Context, seed uint64) (*fleettrial.SoakReport, error) {
 	options := fleettrial.SoakOptions{Program: c.Program, Seed: seed, Rounds: c.Rounds, Rate: c.Rate,
-		Only: c.Only, LogLevel: c.Level}
+		Only: c.Only, Large: c.Large, LogLevel: c.Level}
 	if c.Logs != "" {
 		file, err := os.Create(filepath.Join(c.Logs, fmt.Sprintf("soak-%d.log", seed)))
 		if err != nil {
--- a/internal/fleettrial/fleet.go
+++ b/internal/fleettrial/fleet.go
@@ -40,6 +40,9 @@
 	Trouble string        // "", or one of Troubles
 	Seed    uint64
 	Log     io.Writer // gets the logs of all processes, if set
+	// Large has four machines in each zone, two of them with a disk, and the loss of two to be borne, in place
+	// of two machines, one with a disk, and the loss of one.
+	Large bool
 	// Faulty has processes that lines on their standard input put faults into.
 	Faulty bool
 	// LogLevel is the least level that the processes log, "" for the usual.
@@ -48,6 +51,17 @@
 	Live func(Progress)
 }
 
+// shape is how many machines there are in each zone, how many of them have a disk, and how many of those may
+// be lost at once.
+type shape struct{ machines, disks, tolerated int }
+
+func (o *Options) shape() shape {
+	if o.Large {
+		return shape{machines: 4, disks: 2, tolerated: 2}
+	}
+	return shape{machines: 2, disks: 1, tolerated: 1}
+}
+
 // Fleet is a small fleet of processes on loopback, with stand-ins for all around it.
 type Fleet struct {
 	Machines     []*Machine
@@ -78,8 +92,8 @@
 	clients   []*fleetstandin.Client
 }
 
-// StartFleet starts two machines in each zone, one of them with a disk, and servers, has the operator send
-// the first configuration, and waits until every machine is ready and knows every server.
+// StartFleet starts the machines of each zone, of which the first have a disk, and servers, has the operator
+// send the first configuration, and waits until every machine is ready and knows every server.
 func StartFleet(ctx context.Context, options Options) (*Fleet, error) {
 	beside, stop := context.WithCancel(context.Background())
 	f := &Fleet{options: options, stop: stop, Observations: fleetstandin.NewObservations(bounds)}
@@ -95,7 +109,7 @@
 	if f.dir, err = os.MkdirTemp("", "cresshub-fleet-try-"); err != nil {
 		return err
 	}
-	if f.network, err = reserveNetwork(2*len(zones), len(serverPlan)); err != nil {
+	if f.network, err = reserveNetwork(f.options.shape().machines*len(zones), len(serverPlan)); err != nil {
 		return err
 	}
 	f.addMachines()
@@ -137,16 +151,17 @@
 }
 
 func (f *Fleet) addMachines() {
-	for i := range 2 * len(zones) {
+	shape := f.options.shape()
+	for i := range shape.machines * len(zones) {
 		zone := zones[i%len(zones)]
-		m := &Machine{fleet: f, Zone: zone, HasDisk: i < len(zones), IP: f.network.ip(i + 1)}
+		m := &Machine{fleet: f, Zone: zone, HasDisk: i < shape.disks*len(zones), IP: f.network.ip(i + 1)}
 		m.Name = fmt.Sprintf("front-%s-%d", zone, i/len(zones)+1)
 		m.Front, m.Ready = f.network.address(i+1, frontOffset), f.network.address(i+1, readyOffset)
 		m.Control = f.network.address(i+1, controlOffset)
 		m.dir = filepath.Join(f.dir, m.Name)
 		f.Machines = append(f.Machines, m)
 	}
-	f.seedMachines = f.WithDisk(true)
+	f.seedMachines = f.WithDisk(true)[:len(zones)]
 }
 
 // StartMachines starts the processes of all machines at the same time.
--- a/internal/fleettrial/settings.go
+++ b/internal/fleettrial/settings.go
@@ -39,7 +39,7 @@
 		"size_limits": map[string]any{"cpu_share": 0.72, "cores": 1, "memory_mb": 244, "fds": 4100,
 			"link_mbps": 1000, "disk_mb": 64},
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "split", "stream", "engine"},
-		"tolerate":  map[string]int{"machines": 1, "districts": 0, "regions": 0},
+		"tolerate":  map[string]int{"machines": f.options.shape().tolerated, "districts": 0, "regions": 0},
 		"bounds":    boundsSection(),
 	}
 	if m.HasDisk {
--- a/internal/fleettrial/soak.go
+++ b/internal/fleettrial/soak.go
@@ -34,6 +34,7 @@
 	Rounds   int     // of troubles that overlap
 	Rate     float64 // requests a second of all clients together
 	Only     []string
+	Large    bool // see Options
 	Log      io.Writer
 	LogLevel string
 }
@@ -80,7 +81,7 @@
 // send, and checks the rules. The error tells what kept the soak from being played to its end.
 func Soak(ctx context.Context, options SoakOptions) (*SoakReport, error) {
 	fleet, err := StartFleet(ctx, Options{Program: options.Program, Rate: options.Rate, Seed: options.Seed,
-		Log: options.Log, Faulty: true, LogLevel: options.LogLevel})
+		Log: options.Log, Faulty: true, LogLevel: options.LogLevel, Large: options.Large})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleettrial/soak_machines.go
+++ b/internal/fleettrial/soak_machines.go
@@ -132,7 +132,7 @@
 	s.event("all machines are killed after a change")
 	if lot.IntN(2) == 0 && s.mayWipe() {
 		defer s.wiped()
-		lost := s.WithDisk(true)[lot.IntN(len(zones))]
+		lost := drawMachine(lot, s.WithDisk(true))
 		s.event("%s loses its disk", lost.Name)
 		if err := lost.Wipe(); err != nil {
 			return err
--- a/internal/fleettrial/soak_networks.go
+++ b/internal/fleettrial/soak_networks.go
@@ -21,7 +21,7 @@
 
 // playCutMember cuts a machine with a disk off from the others that have one, or from all.
 func playCutMember(ctx context.Context, s *soak, lot *rand.Rand) error {
-	m := s.WithDisk(true)[lot.IntN(len(zones))]
+	m := drawMachine(lot, s.WithDisk(true))
 	others, what := s.WithDisk(true), "the other members"
 	if lot.IntN(2) == 0 {
 		others, what = s.Machines, "all machines"
@@ -59,7 +59,7 @@
 }
 
 func playCutFollower(ctx context.Context, s *soak, lot *rand.Rand) error {
-	m := s.WithDisk(false)[lot.IntN(len(zones))]
+	m := drawMachine(lot, s.WithDisk(false))
 	members := s.WithDisk(true)
 	lot.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	members = members[:1+lot.IntN(len(members))]
--- a/internal/fleettrial/soak_reservations.go
+++ b/internal/fleettrial/soak_reservations.go
@@ -6,13 +6,13 @@
 )
 
 // take draws a machine that is in no such trouble, and reserves it; nil where there is none. Of the machines
-// that count one at a time is taken.
+// that count no more are taken at a time than may be lost.
 func (s *soak) take(lot *rand.Rand, fits func(*Machine) bool) *Machine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var free []*Machine
 	for _, m := range s.Machines {
-		if !s.busy[m] && fits(m) && (!m.HasDisk || s.coreBusy == 0) {
+		if !s.busy[m] && fits(m) && (!m.HasDisk || s.coreBusy < s.Fleet.options.shape().tolerated) {
 			free = append(free, m)
 		}
 	}
@@ -72,3 +72,8 @@
 		return play(ctx, s, lot, m)
 	}
 }
+
+// drawMachine returns one of some machines.
+func drawMachine(lot *rand.Rand, machines []*Machine) *Machine {
+	return machines[lot.IntN(len(machines))]
+}
--- a/internal/fleettrial/soak_test.go
+++ b/internal/fleettrial/soak_test.go
@@ -24,7 +24,7 @@
 func TestSoak(t *testing.T) {
 	long(t)
 	for i := range *soakSeeds {
-		playSoak(t, SoakOptions{Seed: *soakFirst + uint64(i), Rounds: soakRounds})
+		playSoak(t, SoakOptions{Seed: *soakFirst + uint64(i), Rounds: soakRounds, Large: i%3 == 1})
 	}
 }
 
