--- a/internal/fleettrial/machine.go
+++ b/internal/fleettrial/machine.go
@@ -51,7 +51,8 @@
 	bounded, cancel := context.WithTimeout(ctx, startTime)
 	defer cancel()
 	m.fleet.Observations.Troubled(m.IP, m.HasDisk)
-	process, err := program.Run(bounded, m.command())
+	given := m.currentFaults()
+	process, err := program.Run(bounded, m.command(given))
 	if err != nil {
 		return fmt.Errorf("starting %s at %s: %w", m.Name, m.IP, err)
 	}
@@ -59,14 +60,15 @@
 	m.process, m.ending = process, m.endsItself != ""
 	m.mu.Unlock()
 	go m.watch(process)
+	m.correctFaults(process, given)
 	return nil
 }
 
 // faultyLogBuffer is how much of a faulty process's log the system holds while nobody reads it, in bytes.
 const faultyLogBuffer = 4096
 
-// command is how the machine's process is started.
-func (m *Machine) command() program.Command {
+// command is how the machine's process is started, with commands that it is to obey from its start.
+func (m *Machine) command(faults []string) program.Command {
 	options := &m.fleet.options
 	command := program.Command{
 		Path: options.Program, Args: []string{"router"}, Ready: `"node: started"`,
@@ -74,7 +76,7 @@
 	}
 	if options.Faulty {
 		command.Args, command.Input, command.LogBuffer = []string{"faulty-router"}, true, faultyLogBuffer
-		for _, fault := range m.currentFaults() {
+		for _, fault := range faults {
 			command.Args = append(command.Args, "--fault", fault)
 		}
 	}
--- a/internal/fleettrial/machine_faults.go
+++ b/internal/fleettrial/machine_faults.go
@@ -33,12 +33,25 @@
 	if process == nil {
 		return
 	}
+	replaceFaults(process, commands)
+}
+
+// replaceFaults has a process obey commands in place of all that it obeyed.
+func replaceFaults(process *program.Process, commands []string) {
 	healed := []string{faultinject.CommandHear, diskCommand(faultinject.DiskOK)}
 	for _, command := range append(healed, commands...) {
 		_ = process.Send(command)
 	}
 }
 
+// correctFaults tells a process that has just started what has changed since it was given its faults: nobody
+// could tell it before.
+func (m *Machine) correctFaults(process *program.Process, given []string) {
+	if current := m.currentFaults(); m.fleet.options.Faulty && !slices.Equal(given, current) {
+		replaceFaults(process, current)
+	}
+}
+
 func diskCommand(mode faultinject.DiskMode) string {
 	return faultinject.CommandDisk + " " + string(mode)
 }
