A request's reason in log and figures is that of its end

Cause: found on reading the whole change again: the first reason stayed, so that a request whose prompt found no reader, and that went on without and ended for another reason, told no_server. Change: the last reason counts, and a further call takes it back. Test: TestReasonIsThatOfTheEnd told no_server before.

--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -169,6 +169,7 @@
 		d.front.decider.done(choice, pairing.Abandoned)
 		return nil
 	}
+	d.trace.endFor("")
 	d.underWay = &call{delivery: d, choice: choice, role: role}
 	return d.underWay
 }
--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"cresshub/internal/catalog"
 	"cresshub/internal/metrics"
 )
 
@@ -70,3 +71,18 @@
 		r.Check(string(page.Text()), qt.Contains, figure+"\n")
 	}
 }
+
+// TestReasonIsThatOfTheEnd: that no server could read the prompt is not why the request ends, where it went on
+// without.
+func TestReasonIsThatOfTheEnd(t *testing.T) {
+	log := &logLines{}
+	reader := newServer(t, "r", "language", catalog.Reading, status(503, notRunHeader+": full"))
+	writer := newServer(t, "w", "language", catalog.Writing, breakOff)
+	r := newRig(t, nil, reader, writer)
+	r.front.log = zerolog.New(log)
+	r.front.observer.use(r.front.log)
+	r.Assert(r.dial().ask("POST", "/modelfirm/x", "try-1", "").Status, qt.Equals, 502)
+	line := log.first(r.C, "front: request not served")
+	r.Check(line["reason"], qt.Equals, "may_have_run")
+	r.Check(line["calls"], qt.HasLen, 2)
+}
--- a/internal/front/trace.go
+++ b/internal/front/trace.go
@@ -46,12 +46,8 @@
 	took    time.Duration
 }
 
-// endFor notes why nothing more is tried; the first reason stays.
-func (t *deliveryTrace) endFor(reason endReason) {
-	if t.end == "" {
-		t.end = reason
-	}
-}
+// endFor notes why nothing more is tried, as far as is known; another call takes that back.
+func (t *deliveryTrace) endFor(reason endReason) { t.end = reason }
 
 // reasonOf tells why a request ends.
 func (t *deliveryTrace) reasonOf(d *delivery) endReason {
