--- a/internal/front/observe_test.go
+++ b/internal/front/observe_test.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// TestReasonIsThatOfTheEnd: that no server could read the prompt is not why the request ends, where it went on
-// without.
+// TestReasonIsThatOfTheEnd: that no server could read the prompt is not why the request ends, where it went
+// on without.
 func TestReasonIsThatOfTheEnd(t *testing.T) {
 	log := &logLines{}
 	reader := newServer(t, "r", "language", catalog.Reading, status(503, notRunHeader+": full"))
