--- a/internal/front/trouble_test.go
+++ b/internal/front/trouble_test.go
@@ -21,16 +21,18 @@
 type troubled struct {
 	mu       sync.Mutex
 	random   *rand.Rand
-	runs     map[string]int    // by the id of a try
-	arrivals map[string]int    // likewise, without first readings
-	owners   map[string]string // of handles, until they are taken
-	wrong    []string          // what no server may meet
+	runs     map[string]int     // by the id of a try
+	arrivals map[string]int     // likewise, without first readings
+	owners   map[string]string  // of handles, until they are taken
+	whole    map[string]bool    // tries that a server answered whole, on a connection that it had not spoiled
+	spoiled  map[io.Writer]bool // connections that carried what no request there had asked for
+	wrong    []string           // what no server may meet
 	handles  int
 }
 
 func newTroubled(seed uint64) *troubled {
 	return &troubled{random: rand.New(rand.NewPCG(seed, 3)), runs: map[string]int{}, arrivals: map[string]int{},
-		owners: map[string]string{}}
+		owners: map[string]string{}, whole: map[string]bool{}, spoiled: map[io.Writer]bool{}}
 }
 
 func (x *troubled) draw(n int) int {
@@ -80,19 +82,40 @@
 	case 3:
 		return status(503)(q, w)
 	case 4:
+		x.spoil(w)
 		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nCresshub-Try-Id: other\r\n", stamp, "\r\n", length("other"), "other")
 	}
-	return x.whole(q, w)
+	return x.write(q, w)
 }
 
-// whole writes the answer, and some times less or more than it.
-func (x *troubled) whole(q *http1.Request, w io.Writer) bool {
+// spoil notes that a connection carries more than the answers to its requests.
+func (x *troubled) spoil(w io.Writer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.spoiled[w] = true
+}
+
+// complete notes that all of a try's own answer is about to be written.
+func (x *troubled) complete(id string, w io.Writer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.spoiled[w] {
+		x.whole[id] = true
+	}
+}
+
+// write writes the answer, and some times less or more than it.
+func (x *troubled) write(q *http1.Request, w io.Writer) bool {
 	id := q.Header.Get(tryIDHeader)
 	if strings.HasPrefix(q.Target, "/safe/") || strings.HasPrefix(q.Target, "/unsafe/") {
 		body := "for " + id
 		told := len(body) + 5*(x.draw(8)/7)
+		if told == len(body) {
+			x.complete(id, w)
+		}
 		fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head(q, 200, stamp), told, body)
 		if told == len(body) && x.draw(8) == 0 {
+			x.spoil(w)
 			io.WriteString(w, "HTTP/1.1 200 OK\r\nCresshub-Try-Id: late\r\nContent-Length: 0\r\n\r\n")
 		}
 		return told == len(body)
@@ -106,6 +129,7 @@
 		}
 		io.WriteString(w, text)
 	}
+	x.complete(id, w)
 	io.WriteString(w, "0\r\n\r\n")
 	return true
 }
@@ -176,10 +200,12 @@
 	}
 }
 
-// Many clients, and servers that do anything: whatever happens, the rules hold.
+// Many clients, and servers that do anything: whatever happens, the rules hold, whoever was answered whole is
+// served, and so is half of all requests.
 func TestRulesHoldInTrouble(t *testing.T) {
-	const clients, requests = 8, 150
-	for seed := range uint64(3) {
+	const clients, requests, seeds = 8, 150, 3
+	served := 0
+	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			x := newTroubled(seed)
 			var servers []*server
@@ -209,9 +235,12 @@
 			t.Log("answers by status", results, "repeats", x.repeats(), "counts", r.front.Stats())
 			most := ratioPart*0.2*clients*requests + 2*slackPart*100
 			r.Assert(float64(x.repeats()) <= most, qt.IsTrue, qt.Commentf("%d repeats", x.repeats()))
-			r.Assert(results[200] > clients*requests/2, qt.IsTrue)
+			served += results[200]
 		})
 	}
+	// How many are served is drawn with the faults: 645 of 1,200 on average with a standard deviation of 19, so
+	// one seed of a hundred lies below half. All seeds together lie four deviations above it.
+	qt.Assert(t, served > seeds*clients*requests/2, qt.IsTrue, qt.Commentf("%d served", served))
 }
 
 // repeats is how many arrivals were not the first of their try.
@@ -225,7 +254,7 @@
 // check complains of an answer that breaks a rule.
 func (x *troubled) check(id, route string, got result) {
 	x.mu.Lock()
-	runs, arrivals := x.runs[id], x.arrivals[id]
+	runs, arrivals, whole := x.runs[id], x.arrivals[id], x.whole[id]
 	x.mu.Unlock()
 	once := route == "unsafe" || route == "firm" || route == "modelfirm"
 	most := 3
@@ -244,6 +273,8 @@
 		x.complain("%s %s ran %d times", route, id, runs)
 	case arrivals > most:
 		x.complain("%s %s came to %d servers", route, id, arrivals)
+	case whole && (got.status != 200 || got.cut):
+		x.complain("%s %s was answered whole and got status %d, cut %t", route, id, got.status, got.cut)
 	case got.status == 503 && once && runs > 0:
 		x.complain("%s %s ran and was refused", route, id)
 	case got.status == 200 && !got.cut && got.body != want:
