--- a/internal/pathreader/pathreader.go
+++ b/internal/pathreader/pathreader.go
@@ -3,10 +3,7 @@
 package pathreader
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
-	"io"
 	"math"
 	"strings"
 )
@@ -38,76 +35,16 @@
 }
 
 // Parse decodes a whole document whose top is an object. It rejects text after the document and objects that
-// name a field twice, because two readers could understand such a document differently.
+// name a field twice, because two readers could understand such a document differently. It rejects documents
+// beyond the bounds of decode.go, because these would take more memory than a process has.
 func Parse(raw []byte) (*Document, error) {
-	decoder := json.NewDecoder(bytes.NewReader(raw))
-	root, err := decodeValue(decoder, "")
-	if err == nil {
-		if _, extra := decoder.Token(); extra != io.EOF {
-			err = fmt.Errorf("text follows the end of the document")
-		}
-	}
-	if err == nil {
-		if _, ok := root.(map[string]any); !ok {
-			err = fmt.Errorf("the document is not an object")
-		}
-	}
+	root, err := decode(raw)
 	if err != nil {
 		return nil, &Invalid{[]Problem{{"document", err.Error(), "send one whole JSON object"}}}
 	}
 	return &Document{root: root}, nil
 }
 
-func decodeValue(decoder *json.Decoder, path string) (any, error) {
-	token, err := decoder.Token()
-	if err != nil {
-		return nil, unexpectedEnd(err)
-	}
-	delimiter, ok := token.(json.Delim)
-	if !ok {
-		return token, nil
-	}
-	if delimiter == '{' {
-		return decodeObject(decoder, path)
-	}
-	list := []any{}
-	for decoder.More() {
-		value, err := decodeValue(decoder, path)
-		if err != nil {
-			return nil, err
-		}
-		list = append(list, value)
-	}
-	_, err = decoder.Token()
-	return list, unexpectedEnd(err)
-}
-
-func decodeObject(decoder *json.Decoder, path string) (any, error) {
-	object := map[string]any{}
-	for decoder.More() {
-		token, err := decoder.Token()
-		if err != nil {
-			return nil, unexpectedEnd(err)
-		}
-		name := token.(string)
-		if _, twice := object[name]; twice {
-			return nil, fmt.Errorf("the field %q stands twice in one object", path+name)
-		}
-		if object[name], err = decodeValue(decoder, path+name+"."); err != nil {
-			return nil, err
-		}
-	}
-	_, err := decoder.Token()
-	return object, unexpectedEnd(err)
-}
-
-func unexpectedEnd(err error) error {
-	if err == io.EOF {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
 // Root returns the top of the document.
 func (d *Document) Root() Node { return Node{document: d, value: d.root, present: true} }
 
--- a/internal/pathreader/pathreader_test.go
+++ b/internal/pathreader/pathreader_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -22,3 +23,34 @@
 		})
 	}
 }
+
+// TestManyValuesAreRefused sends as many values as a body holds, each of which takes far more memory than bytes.
+func TestManyValuesAreRefused(t *testing.T) {
+	for name, value := range map[string]string{"numbers": "1,", "lists": "[],", "objects": "{},"} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := Parse([]byte(`{"routes":[` + strings.Repeat(value, 2<<20) + `1]}`))
+			var invalid *Invalid
+			c.Assert(errors.As(err, &invalid), qt.IsTrue)
+			c.Assert(invalid.Problems[0].Reason, qt.Matches, ".*values.*")
+		})
+	}
+}
+
+// FuzzParse holds any bytes to be read or refused with a problem, and never to end the process.
+func FuzzParse(f *testing.F) {
+	for _, seed := range []string{`{"a":[1,{"b":null}],"c":"d"}`, `{"a":1,"a":2}`, `[`, `{"a":1e999}`, `{} x`, "\x00"} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		document, err := Parse(raw)
+		if err != nil {
+			qt.Assert(t, err, qt.ErrorMatches, "(?s)document: .+")
+			return
+		}
+		for name := range document.Root().Fields() {
+			document.Root().Get(name).TextOr("")
+		}
+		qt.Assert(t, document.Err(), qt.IsNil)
+	})
+}
