--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -2,13 +2,8 @@
 
 import "time"
 
-const (
-	// idleDrain is how long after the begin of a drain idle clients are kept, as their requests may be on
-	// the way.
-	idleDrain = 300 * time.Millisecond
-	// lastAnswers is what is left before the deadline of Wait for the answers of requests that are cut off then.
-	lastAnswers = 300 * time.Millisecond
-)
+// idleDrain is how long after the begin of a drain idle clients are kept, as their requests may be on the way.
+const idleDrain = 300 * time.Millisecond
 
 // Drain makes every following answer the last of its connection, and closes connections that are idle a
 // little later. New connections and requests are served on.
@@ -50,10 +45,10 @@
 	return all
 }
 
-// Wait returns once no client is connected, or at the deadline. Requests that are still under way shortly
-// before it are cut off from their servers, so that their clients get an answer.
-func (f *Front) Wait(deadline time.Time) {
-	cut := time.NewTimer(time.Until(deadline) - lastAnswers)
+// Wait returns once no client is connected, or at the deadline. Requests that are still under way at cutAt are
+// cut off from their servers, so that their clients get an answer.
+func (f *Front) Wait(cutAt, deadline time.Time) {
+	cut := time.NewTimer(time.Until(cutAt))
 	defer cut.Stop()
 	over := time.NewTimer(time.Until(deadline))
 	defer over.Stop()
--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -116,10 +116,75 @@
 		r.Assert(string(answer.Body), qt.Equals, "done")
 		r.Assert(answer.Close, qt.IsTrue)
 	}
-	r.front.Wait(time.Now().Add(patience))
+	r.awaitEmpty()
 	r.Assert(r.front.all(), qt.HasLen, 0)
 }
 
+// awaitEmpty waits until every client has gone.
+func (r *rig) awaitEmpty() {
+	r.Helper()
+	end := time.Now().Add(patience)
+	r.front.Wait(end, end)
+	r.Assert(r.front.all(), qt.HasLen, 0)
+}
+
+// drainLate begins a drain and lets it look as if it had begun that long ago.
+func (r *rig) drainLate(ago time.Duration) {
+	r.front.Drain()
+	r.front.mu.Lock()
+	defer r.front.mu.Unlock()
+	r.front.drained = time.Now().Add(-ago)
+}
+
+// lateInDrain is when the platform has long sent its last client, and a request could outlive the process.
+const lateInDrain = 3 * time.Second
+
+// A request that comes whole late in a drain may last longer than the process: its client is told to send it
+// elsewhere, and no server gets it.
+func TestLateRequestsOfADrainAreRefused(t *testing.T) {
+	s := newServer(t, "i-1", "lookup", "", ok("done"))
+	r := newRig(t, nil, s)
+	slow := r.dial()
+	io.WriteString(slow, "POST /unsafe/ HTTP/1.1\r\nHost: h\r\nCresshub-Try-Id: a\r\nContent-Le")
+	r.until("it is there", func() bool { return len(r.front.all()) == 1 })
+	r.drainLate(lateInDrain)
+	io.WriteString(slow, "ngth: 2\r\n\r\nhi")
+	answer, err := slow.read()
+	r.Assert(err, qt.IsNil)
+	r.Assert(answer.Status, qt.Equals, 503)
+	r.Assert(answer.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+	r.Assert(answer.Close, qt.IsTrue)
+	r.awaitEmpty()
+	r.Assert(s.got(), qt.HasLen, 0)
+}
+
+// A stream that began before a drain did not say that its connection ends. Late in the drain the connection
+// takes no further request all the same.
+func TestKeptConnectionsEndLateInADrain(t *testing.T) {
+	goOn := make(chan bool)
+	s := newServer(t, "i-1", "lookup", "", func(q *http1.Request, w io.Writer) bool {
+		io.WriteString(w, streamHead(q, "s")+chunk(event(1)))
+		<-goOn
+		io.WriteString(w, chunk(event(2))+"0\r\n\r\n")
+		return true
+	})
+	r := newRig(t, nil, s)
+	p := r.dial()
+	p.send("POST", "/stream/", "a", "")
+	r.until("its first event has passed", func() bool { _, err := p.in.Peek(1); return err == nil })
+	r.drainLate(lateInDrain)
+	close(goOn)
+	answer, err := p.read()
+	r.Assert(err, qt.IsNil)
+	r.Assert(answer.Close, qt.IsFalse)
+	p.send("POST", "/stream/", "b", "")
+	if answer, err := p.read(); err == nil {
+		r.Assert(answer.Status, qt.Equals, 503)
+	}
+	r.awaitEmpty()
+	r.Assert(s.got(), qt.HasLen, 1)
+}
+
 func TestWaitCutsOffWhatIsNotDone(t *testing.T) {
 	ended := make(chan string, 9)
 	s := newServer(t, "i-1", "lookup", "", silence(ended))
@@ -128,7 +193,7 @@
 	p.send("POST", "/unsafe/", "a", "")
 	r.until("it came", func() bool { return len(s.got()) == 1 })
 	r.front.Drain()
-	r.front.Wait(time.Now().Add(lastAnswers + 100*time.Millisecond))
+	r.front.Wait(time.Now().Add(100*time.Millisecond), time.Now().Add(patience))
 	answer, err := p.read()
 	r.Assert(err, qt.IsNil)
 	r.Assert(answer.Status, qt.Equals, 504)
@@ -146,7 +211,7 @@
 	r.Assert(answer.Close, qt.IsTrue)
 	_, err := p.in.ReadByte()
 	r.Assert(err, qt.Equals, io.EOF)
-	r.front.Wait(time.Now().Add(patience))
+	r.awaitEmpty()
 }
 
 func TestConnectionsToAServerAreShared(t *testing.T) {
@@ -248,7 +313,7 @@
 			<-halfWay
 		}
 		r.listener.Close()
-		r.front.Wait(time.Now().Add(patience))
+		r.awaitEmpty()
 		under.Wait()
 		close(answered)
 		got := map[string]bool{}
--- /dev/null
+++ b/internal/node/end_plan_test.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestAnswersGoOnIntoTheLastSixthOfTheGrace: until then the operators want every answer finished that its
+// server still works on, whatever grace they give; and the process ends before it is killed.
+func TestAnswersGoOnIntoTheLastSixthOfTheGrace(t *testing.T) {
+	c := qt.New(t)
+	for grace := time.Second; grace <= time.Minute; grace += 500 * time.Millisecond {
+		plan := planEnd(grace)
+		comment := qt.Commentf("grace %v: %+v", grace, plan)
+		c.Check(plan.cutRequests > grace*5/6, qt.IsTrue, comment)
+		c.Check(plan.closeListener < plan.cutRequests, qt.IsTrue, comment)
+		c.Check(plan.answered > plan.cutRequests, qt.IsTrue, comment)
+		c.Check(plan.notice > 0, qt.IsTrue, comment)
+		c.Check(plan.answered+plan.notice < grace, qt.IsTrue, comment)
+	}
+}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -10,16 +10,6 @@
 	"cresshub/internal/nodesettings"
 )
 
-const (
-	// acceptAfterEnd is how long new clients are taken after the signal to end: the platform asks every second
-	// whether this process is ready, and sends clients until the second no.
-	acceptAfterEnd = 2300 * time.Millisecond
-	// endReserve is the part of the grace that stays free for the process to end by itself.
-	endReserve = time.Second
-	// endNoticeTimeout bounds how long the others are told that this process ends.
-	endNoticeTimeout = 300 * time.Millisecond
-)
-
 // handleReady tells the platform whether clients are to be sent here.
 func (n *Node) handleReady(call *callserver.Call) *http1.Response {
 	if call.Path != "/api/ready" {
@@ -61,20 +51,20 @@
 
 // end hands over what this process holds, answers what it has read, and returns when it may exit.
 func (n *Node) end(l *listeners) {
-	deadline := time.Now().Add(n.settings.Bounds.Grace - endReserve)
+	signalled, plan := time.Now(), planEnd(n.settings.Bounds.Grace)
 	n.ending.Store(true)
 	n.log.Info().Msg("node: ending")
 	if n.front != nil {
 		n.front.Drain()
 	}
 	go n.control.leave()
-	time.Sleep(min(acceptAfterEnd, n.settings.Bounds.Grace/3))
+	time.Sleep(plan.closeListener)
 	if l.front != nil {
 		l.front.Close()
-		n.front.Wait(deadline)
+		n.front.Wait(signalled.Add(plan.cutRequests), signalled.Add(plan.answered))
 	}
-	n.awaitRelease(deadline)
-	n.announceEnd()
+	n.awaitRelease(signalled.Add(plan.answered))
+	n.announceEnd(plan.notice)
 	for _, listener := range []interface{ Close() error }{l.inner, l.control, l.ready} {
 		if listener != nil {
 			listener.Close()
@@ -95,10 +85,10 @@
 	}
 }
 
-// announceEnd tells the hubs that this process has ended.
-func (n *Node) announceEnd() {
+// announceEnd tells the hubs that this process has ended, for a time at most.
+func (n *Node) announceEnd(timeout time.Duration) {
 	n.announceSelf(func(self *directory.Record) { self.State = directory.Ended })
 	var place uint64
 	n.state.read(func(d *directory.Directory) { place = d.Number() })
-	n.awaitMajority(place, endNoticeTimeout)
+	n.awaitMajority(place, timeout)
 }
