--- a/internal/front/waiton_test.go
+++ b/internal/front/waiton_test.go
@@ -9,8 +9,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"cresshub/internal/catalog"
 	"cresshub/internal/http1"
-	"cresshub/internal/nodesettings"
 	"cresshub/internal/pairing"
 )
 
@@ -36,25 +36,64 @@
 		{"the client has left", "safe", 0, func(c *call) { c.delivery.why = clientLeft }, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			r := newRig(t, func(settings *nodesettings.Settings, _ *fakeState) {
-				settings.Bounds.RetrySlack = test.slack
-			})
-			near, far := net.Pipe()
-			defer near.Close()
-			route := r.state.config.Match("h", "/"+test.route+"/")
-			q := &request{Request: &http1.Request{}, end: time.Now().Add(patience), route: route,
-				service: r.state.config.Services[route.Targets[0].Service]}
-			socket := &socket{Conn: near}
-			call := &call{delivery: newDelivery(&client{front: r.front, socket: socket}, q),
-				conn: &connection{socket: socket}}
-			test.change(call)
-			near.SetReadDeadline(longAgo)
-			socket.waiter = call
-			go func() {
-				io.WriteString(far, "x")
-				far.Close()
-			}()
-			_, err := socket.Read(make([]byte, 1))
+			r := newRig(t, slack(test.slack), lookups(t, breakOff)...)
+			_, err := r.readSilent(test.route, test.change)
+			if test.waits {
+				r.Assert(err, qt.IsNil)
+			} else {
+				r.Assert(err, qt.ErrorIs, os.ErrDeadlineExceeded)
+			}
+		})
+	}
+}
+
+// readSilent reads a byte from a server whose patience is over, and which then sends one.
+func (r *rig) readSilent(routeName string, change func(*call)) (int, error) {
+	near, far := net.Pipe()
+	defer near.Close()
+	route := r.state.config.Match("h", "/"+routeName+"/")
+	q := &request{Request: &http1.Request{}, end: time.Now().Add(patience), route: route,
+		service: r.state.config.Services[route.Targets[0].Service]}
+	q.pairing.Service = q.service
+	socket := &socket{Conn: near}
+	call := &call{delivery: newDelivery(&client{front: r.front, socket: socket}, q),
+		conn: &connection{socket: socket}, choice: &pairing.Call{Server: &catalog.Server{ID: "i-1"}}}
+	change(call)
+	near.SetReadDeadline(longAgo)
+	socket.waiter = call
+	go func() {
+		io.WriteString(far, "x")
+		far.Close()
+	}()
+	return socket.Read(make([]byte, 1))
+}
+
+// A silent server that nobody else could stand in for is waited for: giving it up would end the answer sooner,
+// and for nothing.
+func TestSilentServerIsWaitedForWhereNobodyElseCanAnswer(t *testing.T) {
+	begun := func(c *call) { c.delivery.relay.begun, c.delivery.relay.order.any = true, true }
+	untouched := func(*call) {}
+	other := &server{Server: &catalog.Server{ID: "i-2", Service: "lookup", State: catalog.Ready}}
+	for _, test := range []struct {
+		name, route string
+		others      []*server
+		full        bool // as far as the decisions know
+		change      func(c *call)
+		waits       bool
+	}{
+		{"nobody else is there", "safe", nil, false, untouched, true},
+		{"nobody else could take the stream up", "stream", nil, false, begun, true},
+		{"another one has a place", "safe", []*server{other}, false, untouched, false},
+		{"another one may take the stream up", "stream", []*server{other}, false, begun, false},
+		{"all others would reject the stream", "stream", []*server{other}, true, begun, true},
+		{"all others are full before an answer", "safe", []*server{other}, true, untouched, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newRig(t, slack(100), test.others...)
+			if test.full {
+				r.chooser.wait = time.Second
+			}
+			_, err := r.readSilent(test.route, test.change)
 			if test.waits {
 				r.Assert(err, qt.IsNil)
 			} else {
