--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -96,8 +96,8 @@
 	c.delivery.front.stats.calls.Add(1)
 	if unsent == nil {
 		c.conn.rest()
-		if c.conn.await() == nothing && c.waitOn() {
-			c.conn.await() // what it sees, be it that time is over, is met again by reading
+		for c.conn.await() == nothing && c.waitOn() { // what it sees last is met again by reading
+			continue
 		}
 		c.conn.waiter = c
 	}
@@ -179,18 +179,29 @@
 	return c.started.Add(servePatience(d.request.route.Target, expected, d.request.end.Sub(c.started)))
 }
 
-// waitOn tells whether a server that has been silent for too long is waited for all the same, until the
-// request's end: nobody else could go on, as the repeats have been used up meanwhile.
+// waitOn tells whether a server that has been silent for too long is waited for all the same, until it is asked
+// again or the request's end: nobody else could go on, as the repeats have been used up meanwhile or no other
+// server is there.
 func (c *call) waitOn() bool {
 	d := c.delivery
 	over := d.reason() != goingOn || !time.Now().Before(d.request.end)
-	if over || c.role == pairing.Read || d.mayTryAgain() && d.relay.mayGoOn() {
+	if over || c.role == pairing.Read || d.mayTryAgain() && d.relay.mayGoOn() && c.hasAlternative() {
 		return false
 	}
-	c.conn.SetReadDeadline(d.request.end)
+	again := time.Now().Add(streamPatience(d.request.route.GapTarget))
+	c.conn.SetReadDeadline(earlier(d.request.end, again))
 	return true
 }
 
+// hasAlternative tells whether another server could go on in this one's place. A client that has a part of a
+// stream would lose the rest if all others reject it, so one of them has to have a place; for an answer that
+// has not begun they may as well be asked.
+func (c *call) hasAlternative() bool {
+	d := c.delivery
+	exists, free := d.front.decider.alternative(&d.request.pairing, c.choice.Server.ID)
+	return free || exists && !d.relay.begun
+}
+
 // wholeUntil is when an answer counts as broken that has begun and is held until it is whole.
 func (c *call) wholeUntil() time.Time {
 	d := c.delivery
--- a/internal/front/chooser_test.go
+++ b/internal/front/chooser_test.go
@@ -97,6 +97,13 @@
 	return f.wait, f.wait == 0
 }
 
+func (f *fakeChooser) Alternative(_ time.Duration, r *pairing.Request, server string) (exists, free bool) {
+	for _, s := range f.table.Service(r.Service.Name) {
+		exists = exists || s.ID != server && s.Stage != catalog.Reading && !slices.Contains(r.Tried, s.ID)
+	}
+	return exists, exists && f.wait == 0
+}
+
 // outcomes returns how the calls have ended, in their order.
 func (f *fakeChooser) outcomes() []pairing.Outcome {
 	f.mu.Lock()
--- a/internal/front/decider.go
+++ b/internal/front/decider.go
@@ -19,6 +19,7 @@
 	FirstEvent(now time.Duration, call *pairing.Call)
 	Done(now time.Duration, call *pairing.Call, outcome pairing.Outcome)
 	Crowded(now time.Duration, r *pairing.Request) (wait time.Duration, free bool)
+	Alternative(now time.Duration, r *pairing.Request, server string) (exists, free bool)
 	Changes(all bool) []pairing.Contribution
 	Share(now time.Duration, others []pairing.Contribution, whole bool)
 	KnowHolders(now time.Duration)
@@ -113,3 +114,9 @@
 	defer unlock()
 	return d.chooser.Crowded(now, r)
 }
+
+func (d *decider) alternative(r *pairing.Request, server string) (exists, free bool) {
+	now, unlock := d.lock()
+	defer unlock()
+	return d.chooser.Alternative(now, r, server)
+}
--- a/internal/pairing/crowded.go
+++ b/internal/pairing/crowded.go
@@ -1,6 +1,9 @@
 package pairing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Crowded tells how long a request would have to wait for a place now, in time beyond its own work, and
 // whether servers that may take it have places free.
@@ -14,6 +17,16 @@
 	return wait + reading, free && readable
 }
 
+// Alternative tells whether another server than one could answer the request, and whether such a server has a
+// place now.
+func (c *Chooser) Alternative(now time.Duration, r *Request, server string) (exists, free bool) {
+	others := *r
+	others.Tried = append(slices.Clone(r.Tried), server)
+	p, chain := c.pool(now, r.Service), newPrompt(r)
+	_, free = c.wait(now, p, &others, Serve, &chain)
+	return len(c.candidates) > 0, free
+}
+
 // wait is the shortest wait for a place at the servers of a role.
 func (c *Chooser) wait(
 	now time.Duration, p *pool, r *Request, role Role, chain *prompt,
--- a/internal/pairing/crowded_test.go
+++ b/internal/pairing/crowded_test.go
@@ -41,6 +41,34 @@
 	qt.Check(t, free, qt.IsFalse)
 }
 
+func TestAlternative(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		servers      int
+		prepare      func(c *Chooser, r *Request)
+		exists, free bool
+	}{
+		{"alone", 1, func(*Chooser, *Request) {}, false, false},
+		{"another one has a place", 2, func(*Chooser, *Request) {}, true, true},
+		{"the other one is full", 2, func(c *Chooser, _ *Request) {
+			c.pool(10*second, plainService()).serve = mean{80, 1}
+			c.Told(10*second, "a", Load{Running: 4, Waiting: 3, Slots: 4})
+			c.Told(10*second, "b", Load{Running: 4, Waiting: 3, Slots: 4})
+		}, true, false},
+		{"the other one was tried", 2, func(_ *Chooser, r *Request) { r.Tried = []string{"b"} }, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, r := plainChooser(test.servers), &Request{Service: plainService()}
+			test.prepare(c, r)
+			tried := len(r.Tried)
+			exists, free := c.Alternative(10*second, r, "a")
+			qt.Check(t, exists, qt.Equals, test.exists)
+			qt.Check(t, free, qt.Equals, test.free)
+			qt.Check(t, r.Tried, qt.HasLen, tried)
+		})
+	}
+}
+
 func TestCrowdedServiceTimes(t *testing.T) {
 	c := plainChooser(2)
 	reaches(c, 0, "a", true)
