--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -179,9 +179,9 @@
 	return c.started.Add(servePatience(d.request.route.Target, expected, d.request.end.Sub(c.started)))
 }
 
-// waitOn tells whether a server that has been silent for too long is waited for all the same, until it is asked
-// again or the request's end: nobody else could go on, as the repeats have been used up meanwhile or no other
-// server is there.
+// waitOn tells whether a server that has been silent for too long is waited for all the same, until it is
+// asked again or the request's end: nobody else could go on, as the repeats have been used up meanwhile or no
+// other server is there.
 func (c *call) waitOn() bool {
 	d := c.delivery
 	over := d.reason() != goingOn || !time.Now().Before(d.request.end)
--- a/internal/front/drain.go
+++ b/internal/front/drain.go
@@ -68,8 +68,8 @@
 	return all
 }
 
-// Wait returns once no client is connected, or at the deadline. Requests that are still under way at cutAt are
-// cut off from their servers, so that their clients get an answer.
+// Wait returns once no client is connected, or at the deadline. Requests that are still under way at cutAt
+// are cut off from their servers, so that their clients get an answer.
 func (f *Front) Wait(cutAt, deadline time.Time) {
 	cut := time.NewTimer(time.Until(cutAt))
 	defer cut.Stop()
--- a/internal/front/waiton_test.go
+++ b/internal/front/waiton_test.go
@@ -68,8 +68,8 @@
 	return socket.Read(make([]byte, 1))
 }
 
-// A silent server that nobody else could stand in for is waited for: giving it up would end the answer sooner,
-// and for nothing.
+// A silent server that nobody else could stand in for is waited for: giving it up would end the answer
+// sooner, and for nothing.
 func TestSilentServerIsWaitedForWhereNobodyElseCanAnswer(t *testing.T) {
 	begun := func(c *call) { c.delivery.relay.begun, c.delivery.relay.order.any = true, true }
 	untouched := func(*call) {}
--- a/internal/pathreader/decode.go
+++ b/internal/pathreader/decode.go
@@ -8,8 +8,8 @@
 	"io"
 )
 
-// The bounds of a document. Decoding takes a stack frame for each level and some hundred bytes for each value,
-// whatever the sender sends, so that without them one call could end a process.
+// The bounds of a document. Decoding takes a stack frame for each level and some hundred bytes for each
+// value, whatever the sender sends, so that without them one call could end a process.
 const (
 	mostDepth  = 64
 	mostValues = 400_000 // a configuration of 30,000 routes
--- a/internal/pathreader/pathreader_test.go
+++ b/internal/pathreader/pathreader_test.go
@@ -24,7 +24,8 @@
 	}
 }
 
-// TestManyValuesAreRefused sends as many values as a body holds, each of which takes far more memory than bytes.
+// TestManyValuesAreRefused sends as many values as a body holds, each of which takes far more memory than
+// bytes.
 func TestManyValuesAreRefused(t *testing.T) {
 	for name, value := range map[string]string{"numbers": "1,", "lists": "[],", "objects": "{},"} {
 		t.Run(name, func(t *testing.T) {
@@ -39,7 +40,9 @@
 
 // FuzzParse holds any bytes to be read or refused with a problem, and never to end the process.
 func FuzzParse(f *testing.F) {
-	for _, seed := range []string{`{"a":[1,{"b":null}],"c":"d"}`, `{"a":1,"a":2}`, `[`, `{"a":1e999}`, `{} x`, "\x00"} {
+	for _, seed := range []string{
+		`{"a":[1,{"b":null}],"c":"d"}`, `{"a":1,"a":2}`, `[`, `{"a":1e999}`, `{} x`, "\x00",
+	} {
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, raw []byte) {
