--- a/internal/peerwire/peerwire_test.go
+++ b/internal/peerwire/peerwire_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
 	"errors"
 	"io"
+	"math"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -74,3 +76,44 @@
 	_, err := ReadFrame(bufio.NewReader(bytes.NewReader(bytes.Repeat([]byte{0xff}, 64))))
 	qt.Assert(t, err, qt.ErrorMatches, "a frame of .* is beyond .*")
 }
+
+// messages returns one of each kind of message.
+func messages() []any {
+	return []any{&Hello{}, &Records{}, &Status{}, &Demands{}, &Work{}, &Follow{}, &Feed{}, &Comparison{},
+		&Proposal{}, &ChainMessage{}, &Result{}}
+}
+
+// TestHugeCountsAreRefused decodes few bytes that announce lists of any length, as those of a process with
+// another schema may look. Making room for what is announced would end the process.
+func TestHugeCountsAreRefused(t *testing.T) {
+	for _, count := range []int64{1 << 20, 1 << 40, -1 << 40, math.MinInt64, math.MaxInt64} {
+		announced := binary.AppendVarint(nil, count)
+		for _, message := range messages() {
+			for lead := range 24 { // fields of one zero byte each before the list
+				body := append(make([]byte, lead), announced...)
+				err := Decode(append(body, 2), message)
+				qt.Check(t, err != nil || !isLong(message), qt.IsTrue, qt.Commentf("%T, %d after %d", message, count, lead))
+			}
+		}
+	}
+}
+
+// isLong tells whether a message takes more memory than a frame may have bytes.
+func isLong(message any) bool { return len(Encode(message)) > MaxBody }
+
+// FuzzDecode holds any bytes to be read as a message of any kind or refused, and never to end the process.
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(&Records{[]directory.Record{record}}))
+	f.Add(Encode(&Feed{"f", 1, 2, []directory.Record{record}, 3, []byte("c"), 4, []MemberInfo{{"m", "10.0.0.1"}}}))
+	f.Add([]byte{0xfe, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f, 2})
+	f.Fuzz(func(_ *testing.T, body []byte) {
+		for _, message := range messages() {
+			if Decode(body, message) == nil {
+				Encode(message)
+			}
+		}
+		if document, err := Unpack(body); err == nil {
+			Pack(document)
+		}
+	})
+}
