--- a/internal/peerwire/messages.go
+++ b/internal/peerwire/messages.go
@@ -3,6 +3,8 @@
 package peerwire
 
 import (
+	"fmt"
+
 	"github.com/hamba/avro/v2"
 
 	"cresshub/internal/directory"
@@ -220,8 +222,19 @@
 	panic("peerwire: a message without a schema")
 }
 
+// mostElements bounds the lists of a message: room is made for as many elements as a list announces, before
+// they are read. The longest are some thousand records, prompts or past changes.
+const mostElements = 1 << 16
+
 // codec takes values as long as a frame may be; by default Avro's reader refuses values beyond 1 MiB.
-var codec = avro.Config{MaxByteSliceSize: MaxBody}.Freeze()
+var codec = avro.Config{MaxByteSliceSize: MaxBody, MaxSliceAllocSize: mostElements}.Freeze()
+
+// Unreadable tells that the bytes of a message are none of this release.
+type Unreadable struct{ Reason string }
+
+func (e *Unreadable) Error() string {
+	return "a message can't be read (" + e.Reason + "); check that its sender is a process of this release"
+}
 
 // Encode returns the Avro encoding of a message of this package.
 func Encode(message any) []byte {
@@ -232,5 +245,16 @@
 	return body
 }
 
-// Decode reads a message of this package; message is a pointer to it.
-func Decode(body []byte, message any) error { return codec.Unmarshal(schemaOf(message), body, message) }
+// Decode reads a message of this package; message is a pointer to it. The error is *Unreadable.
+func Decode(body []byte, message any) (err error) {
+	schema := schemaOf(message)
+	defer func() {
+		if mistake := recover(); mistake != nil { // the reader trusts some counts
+			err = &Unreadable{fmt.Sprint(mistake)}
+		}
+	}()
+	if err := codec.Unmarshal(schema, body, message); err != nil {
+		return &Unreadable{err.Error()}
+	}
+	return nil
+}
--- a/internal/peerwire/peerwire_test.go
+++ b/internal/peerwire/peerwire_test.go
@@ -92,7 +92,8 @@
 			for lead := range 24 { // fields of one zero byte each before the list
 				body := append(make([]byte, lead), announced...)
 				err := Decode(append(body, 2), message)
-				qt.Check(t, err != nil || !isLong(message), qt.IsTrue, qt.Commentf("%T, %d after %d", message, count, lead))
+				comment := qt.Commentf("%T, %d after %d", message, count, lead)
+				qt.Check(t, err != nil || !isLong(message), qt.IsTrue, comment)
 			}
 		}
 	}
@@ -104,7 +105,8 @@
 // FuzzDecode holds any bytes to be read as a message of any kind or refused, and never to end the process.
 func FuzzDecode(f *testing.F) {
 	f.Add(Encode(&Records{[]directory.Record{record}}))
-	f.Add(Encode(&Feed{"f", 1, 2, []directory.Record{record}, 3, []byte("c"), 4, []MemberInfo{{"m", "10.0.0.1"}}}))
+	members := []MemberInfo{{"m", "10.0.0.1"}}
+	f.Add(Encode(&Feed{"f", 1, 2, []directory.Record{record}, 3, []byte("c"), 4, members}))
 	f.Add([]byte{0xfe, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f, 2})
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		for _, message := range messages() {
