--- a/internal/callserver/callserver_test.go
+++ b/internal/callserver/callserver_test.go
@@ -55,3 +55,23 @@
 	}
 	return head.Status
 }
+
+// TestAPanicEndsOnlyItsCall: whoever sends a call that brings out a mistake of the program sends it to the next
+// process too, so that it must not end any.
+func TestAPanicEndsOnlyItsCall(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	server := &Server{Handle: func(call *Call) *http1.Response {
+		if call.Path == "/mistake" {
+			panic("a mistake")
+		}
+		return Text(200, call.Path)
+	}}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	c.Check(get(c, listener.Addr().String(), "/mistake"), qt.Equals, 500)
+	c.Check(get(c, listener.Addr().String(), "/here"), qt.Equals, 200)
+	listener.Close()
+	c.Assert(errors.Is(<-served, net.ErrClosed), qt.IsTrue)
+}
