--- a/internal/callserver/callserver.go
+++ b/internal/callserver/callserver.go
@@ -4,12 +4,15 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"cresshub/internal/acceptloop"
 	"cresshub/internal/http1"
+	"cresshub/internal/invariant"
 	"cresshub/internal/ring"
 )
 
@@ -36,6 +39,21 @@
 	Handle  Handler
 	// Failed is told of each connection that could not be accepted; it may be nil.
 	Failed func(error)
+	// Broke is told of each call that brought out a mistake of the program; it may be nil.
+	Broke func(*Mistake)
+}
+
+// Mistake is a panic that a call brought out.
+type Mistake struct {
+	Path  string // of the call
+	Value any    // of the panic
+	Stack []byte
+}
+
+// Error implements error.
+func (m *Mistake) Error() string {
+	return fmt.Sprintf("a call of %.80q brought out a mistake of the program: %v; report it with the stack",
+		m.Path, m.Value)
 }
 
 // Serve accepts connections until the listener closes, and then returns net.ErrClosed.
@@ -79,11 +97,31 @@
 	if int64(len(kept)) > s.MaxBody {
 		return Problem(413, "the body is too large"), nil
 	}
-	answer := s.Handle(&Call{Method: head.Method, Path: head.Target, Header: head.Header, Body: kept})
+	answer := s.handle(&Call{Method: head.Method, Path: head.Target, Header: head.Header, Body: kept})
 	answer.Close = answer.Close || head.Close
 	return answer, nil
 }
 
+// handle has a call handled. A mistake that it brings out ends neither the process nor other calls: its
+// sender would get no answer and send it to the next process. A broken invariant panics in tests only, and is
+// to end them.
+func (s *Server) handle(call *Call) (answer *http1.Response) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if violation, ok := value.(*invariant.Violation); ok {
+			panic(violation)
+		}
+		if s.Broke != nil {
+			s.Broke(&Mistake{Path: call.Path, Value: value, Stack: debug.Stack()})
+		}
+		answer = Problem(500, "a mistake of the program; its log has it")
+	}()
+	return s.Handle(call)
+}
+
 func rejection(err error) (*http1.Response, error) {
 	var malformed *http1.Malformed
 	if errors.As(err, &malformed) {
--- a/internal/callserver/callserver_test.go
+++ b/internal/callserver/callserver_test.go
@@ -56,8 +56,8 @@
 	return head.Status
 }
 
-// TestAPanicEndsOnlyItsCall: whoever sends a call that brings out a mistake of the program sends it to the next
-// process too, so that it must not end any.
+// TestAPanicEndsOnlyItsCall: whoever sends a call that brings out a mistake of the program sends it to the
+// next process too, so that it must not end any.
 func TestAPanicEndsOnlyItsCall(t *testing.T) {
 	c := qt.New(t)
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,13 +193,18 @@
 
 func (n *Node) serveCalls(l *listeners) {
 	if l.control != nil {
-		go (&callserver.Server{MaxBody: maxCallBody, Handle: n.handleCall, Failed: n.acceptFailed}).Serve(l.control)
+		go n.newCallServer(n.handleCall, maxCallBody).Serve(l.control)
 	}
 	if l.ready != nil {
-		go (&callserver.Server{Handle: n.handleReady, Failed: n.acceptFailed}).Serve(l.ready)
+		go n.newCallServer(n.handleReady, 0).Serve(l.ready)
 	}
 }
 
+// newCallServer returns a server of calls whose bodies have so many bytes at most.
+func (n *Node) newCallServer(handle callserver.Handler, maxBody int64) *callserver.Server {
+	return &callserver.Server{MaxBody: maxBody, Handle: handle, Failed: n.acceptFailed, Broke: n.callBroke}
+}
+
 // frontState is the part of a Node that the front sees.
 type frontState Node
 
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -30,6 +30,7 @@
 	droppedEvents metrics.Counter
 	reloadErrors  metrics.Counter
 	acceptErrors  metrics.Counter
+	mistakes      metrics.Counter // of the program, brought out by calls
 	persisted     metrics.Histogram
 	lastFence     atomic.Uint64 // of the last order sent
 }
@@ -79,6 +80,12 @@
 	n.acceptLog.Warn().Err(err).Msg("node: cannot accept a connection, trying again shortly")
 }
 
+// callBroke notes a call that brought out a mistake of the program.
+func (n *Node) callBroke(mistake *callserver.Mistake) {
+	n.figures.mistakes.Add(1)
+	n.log.Error().Bytes("stack", mistake.Stack).Msg("node: " + mistake.Error())
+}
+
 // serveMetrics tells the figures at their own port, where one is wanted, and returns what ends that. A
 // process that can't have the port carries on without.
 func (n *Node) serveMetrics() (end func()) {
@@ -90,7 +97,7 @@
 		n.log.Warn().Err(err).Msg("metrics: the port can't be had; call /metrics at the control address")
 		return func() {}
 	}
-	go (&callserver.Server{Handle: n.showMetrics, Failed: n.acceptFailed}).Serve(listener)
+	go n.newCallServer(n.showMetrics, 0).Serve(listener)
 	return func() { listener.Close() }
 }
 
@@ -164,6 +171,8 @@
 		f.reloadErrors.Value())
 	page.Counter("cresshub_accept_errors_total", "Connections that could not be accepted, but for clients'.",
 		f.acceptErrors.Value())
+	page.Counter("cresshub_call_mistakes_total", "Mistakes of the program that calls brought out.",
+		f.mistakes.Value())
 	page.Histogram("cresshub_disk_write_duration_seconds", "Writes of the control state, synced.", &f.persisted)
 	traffic := n.endpoint.Traffic()
 	for kind, volume := range traffic.Sent {
