--- a/internal/front/request_test.go
+++ b/internal/front/request_test.go
@@ -108,3 +108,46 @@
 		}
 	}
 }
+
+// requestOfRoute returns a request that has just come on a route with a timeout.
+func requestOfRoute(c *qt.C, route string, timeout time.Duration, deadline string) *request {
+	config, err := fleetconfig.Parse([]byte(testConfig(testLimits)))
+	c.Assert(err, qt.IsNil)
+	config.Match("h", "/"+route+"/").Timeout = timeout
+	head := &http1.Request{Target: "/" + route + "/", Header: http1.Header{{Name: "Host", Value: "h"}}}
+	if deadline != "" {
+		head.Header = append(head.Header, http1.Field{Name: deadlineHeader, Value: deadline})
+	}
+	return newRequest(head, time.Now(), config)
+}
+
+// A request has the time that its client and its route give it, however long that is, but for a tenth of a
+// second in which its answer reaches the client.
+func TestLongRequestsKeepTheirTime(t *testing.T) {
+	for _, test := range []struct {
+		timeout  time.Duration
+		deadline string
+		want     time.Duration
+	}{
+		{6 * time.Second, "", 6 * time.Second},
+		{18 * time.Second, "", 18 * time.Second},
+		{18 * time.Second, "12000", 12 * time.Second},
+		{5 * time.Minute, "", 5 * time.Minute},
+		{5 * time.Minute, "90000", 90 * time.Second},
+	} {
+		c := qt.New(t)
+		q := requestOfRoute(c, "safe", test.timeout, test.deadline)
+		given := q.end.Sub(q.arrived)
+		c.Check(given >= test.want-100*time.Millisecond, qt.IsTrue, qt.Commentf("%v: %v", test, given))
+		c.Check(given < test.want, qt.IsTrue, qt.Commentf("%v: %v", test, given))
+	}
+}
+
+// An answer that has begun is not ended before its time is over: nothing else could reach the client instead.
+func TestBegunAnswersGoOnToTheirDeadline(t *testing.T) {
+	c := qt.New(t)
+	q := requestOfRoute(c, "firm", time.Minute, "6000")
+	begun := &call{delivery: &delivery{request: q, relay: relay{begun: true}}}
+	end := (&relay{request: q, begun: true}).pauseUntil(begun)
+	c.Check(end.Sub(q.arrived), qt.Equals, 6*time.Second)
+}
