--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -184,12 +184,13 @@
 // other server is there.
 func (c *call) waitOn() bool {
 	d := c.delivery
-	over := d.reason() != goingOn || !time.Now().Before(d.request.end)
+	until := d.waitUntil()
+	over := d.reason() != goingOn || !time.Now().Before(until)
 	if over || c.role == pairing.Read || d.mayTryAgain() && d.relay.mayGoOn() && c.hasAlternative() {
 		return false
 	}
 	again := time.Now().Add(streamPatience(d.request.route.GapTarget))
-	c.conn.SetReadDeadline(earlier(d.request.end, again))
+	c.conn.SetReadDeadline(earlier(until, again))
 	return true
 }
 
--- a/internal/front/delivery.go
+++ b/internal/front/delivery.go
@@ -107,6 +107,15 @@
 
 func (d *delivery) left() time.Duration { return time.Until(d.request.end) }
 
+// waitUntil is how long a server's answer is waited for at most: one that has begun goes on to the request's
+// limit, as no answer of the proxy's own could take its place.
+func (d *delivery) waitUntil() time.Time {
+	if d.relay.begun {
+		return d.request.limit
+	}
+	return d.request.end
+}
+
 // over tells whether nothing more may be sent.
 func (d *delivery) over() bool { return d.reason() != goingOn || d.left() < leastLeft }
 
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -94,7 +94,7 @@
 	answer.Streams, answer.Length, answer.Body = true, body.Length(), kept.body
 	r.begun, r.unnumbered = true, true
 	r.client.noteAnswer()
-	c.conn.SetReadDeadline(r.request.end)
+	c.conn.SetReadDeadline(r.request.limit)
 	out, err := answer.Begin(r.client.socket.writer(), r.request.Old)
 	room := make([]byte, bufferSize)
 	for err == nil {
--- a/internal/front/request.go
+++ b/internal/front/request.go
@@ -13,10 +13,15 @@
 )
 
 const (
-	// deadlineMargin and deadlinePart of a request's time, whichever is more, are kept so that the answer given
-	// at its end still reaches the client.
-	deadlineMargin = 20 * time.Millisecond
-	deadlinePart   = 50
+	// deadlinePart of a request's time, within these bounds, is kept so that an answer of the proxy's own still
+	// reaches the client.
+	deadlinePart  = 50
+	leastMargin   = 20 * time.Millisecond
+	largestMargin = 100 * time.Millisecond
+	// heldUntold is how long a request is held that names no deadline and has no route.
+	heldUntold = time.Minute
+	// longestDeadline is the longest one that is taken for one.
+	longestDeadline = 24 * time.Hour
 )
 
 // request is a client's request with its route.
@@ -24,7 +29,8 @@
 	*http1.Request
 	tryID   string
 	arrived time.Time // when its first byte was there
-	end     time.Time // when the client has its answer at the latest
+	limit   time.Time // when its client's deadline or its route's timeout is reached
+	end     time.Time // when the proxy's own answer is given at the latest, a little before the limit
 	config  *fleetconfig.Config
 	route   *fleetconfig.Route // nil where there is none
 	service *fleetconfig.Service
@@ -34,10 +40,12 @@
 // newRequest finds the route of a request and draws its service.
 func newRequest(r *http1.Request, arrived time.Time, config *fleetconfig.Config) *request {
 	q := &request{Request: r, tryID: r.Header.Get(tryIDHeader), arrived: arrived, config: config}
-	q.end = arrived.Add(maxHeld)
-	if told, ok := deadline(r.Header.Get(deadlineHeader)); ok {
-		q.end = arrived.Add(told)
+	told, hasDeadline := deadline(r.Header.Get(deadlineHeader))
+	if !hasDeadline {
+		told = heldUntold
 	}
+	q.limit = arrived.Add(told)
+	q.end = q.limit
 	if config == nil {
 		return q
 	}
@@ -45,10 +53,12 @@
 	if q.route = config.Match(r.Header.Get("Host"), path); q.route == nil {
 		return q
 	}
-	if end := arrived.Add(q.route.Timeout); end.Before(q.end) {
-		q.end = end
+	held := q.route.Timeout
+	if hasDeadline {
+		held = min(held, told)
 	}
-	q.end = q.end.Add(-max(deadlineMargin, q.end.Sub(arrived)/deadlinePart))
+	q.limit = arrived.Add(held)
+	q.end = q.limit.Add(-min(max(held/deadlinePart, leastMargin), largestMargin))
 	q.service = config.Services[pickTarget(q.route, rand.Float64())]
 	q.pairing = pairingRequest(r.Header, q.service)
 	q.pairing.Idempotent = q.route.Idempotent()
@@ -58,13 +68,10 @@
 // writeUntil is when the client must have let its answer in.
 func (q *request) writeUntil() time.Time { return q.end.Add(lastWrite) }
 
-// maxHeld is how long a request is held that names no deadline and has no route.
-const maxHeld = time.Minute
-
 // deadline reads Cresshub-Deadline-Ms.
 func deadline(text string) (time.Duration, bool) {
 	ms, err := strconv.ParseInt(strings.TrimSpace(text), 10, 64)
-	if err != nil || ms < 0 || ms > maxHeld.Milliseconds() {
+	if err != nil || ms < 0 || ms > longestDeadline.Milliseconds() {
 		return 0, false
 	}
 	return time.Duration(ms) * time.Millisecond, true
--- a/internal/front/stream.go
+++ b/internal/front/stream.go
@@ -156,7 +156,7 @@
 		return c.silentUntil()
 	}
 	if !r.replaceable || !r.mayGoOn() { // silence alone ends nothing
-		return d.request.end
+		return d.request.limit
 	}
-	return earlier(d.request.end, time.Now().Add(streamPatience(d.request.route.GapTarget)))
+	return earlier(d.request.limit, time.Now().Add(streamPatience(d.request.route.GapTarget)))
 }
--- a/internal/front/stream_test.go
+++ b/internal/front/stream_test.go
@@ -271,16 +271,16 @@
 func TestSilenceEndsOnlyWhatIsTakenUp(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
-	q := &request{end: now.Add(time.Minute), route: &fleetconfig.Route{Kind: fleetconfig.Stream}}
+	q := &request{limit: now.Add(time.Minute), route: &fleetconfig.Route{Kind: fleetconfig.Stream}}
 	call := &call{delivery: &delivery{request: q}}
 	r := &relay{request: q, begun: true, replaceable: true, order: order{any: true}}
-	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
+	c.Assert(r.pauseUntil(call), qt.Equals, q.limit)
 	q.route.Resumable = true
-	c.Assert(r.pauseUntil(call).Before(q.end), qt.IsTrue)
+	c.Assert(r.pauseUntil(call).Before(q.limit), qt.IsTrue)
 	r.unnumbered = true
-	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
+	c.Assert(r.pauseUntil(call), qt.Equals, q.limit)
 	r.unnumbered, r.order.any = false, false
-	c.Assert(r.pauseUntil(call), qt.Equals, q.end)
+	c.Assert(r.pauseUntil(call), qt.Equals, q.limit)
 }
 
 // The rest of an answer that is no stream is nowhere to be had.
--- a/internal/front/waiton_test.go
+++ b/internal/front/waiton_test.go
@@ -52,7 +52,8 @@
 	near, far := net.Pipe()
 	defer near.Close()
 	route := r.state.config.Match("h", "/"+routeName+"/")
-	q := &request{Request: &http1.Request{}, end: time.Now().Add(patience), route: route,
+	end := time.Now().Add(patience)
+	q := &request{Request: &http1.Request{}, end: end, limit: end, route: route,
 		service: r.state.config.Services[route.Targets[0].Service]}
 	q.pairing.Service = q.service
 	socket := &socket{Conn: near}
