--- a/internal/front/leave_test.go
+++ b/internal/front/leave_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -323,3 +324,21 @@
 		}
 	}
 }
+
+// A process that had no turn for a while, or was frozen, is late with the answers that were due meanwhile. It
+// gives them all the same: to end the connection would tell the client nothing.
+func TestAnswersThatAreLateAreGiven(t *testing.T) {
+	r := newRig(t, nil)
+	near, far := net.Pipe()
+	defer far.Close()
+	late := &client{front: r.front, socket: &socket{Conn: near}}
+	q := &request{Request: &http1.Request{Method: "GET"}, tryID: "a", end: time.Now().Add(-time.Second)}
+	go func() {
+		defer near.Close()
+		late.socket.SetWriteDeadline(q.writeUntil())
+		late.refuse(q, errNoRoute)
+	}()
+	answer, err := (&person{Conn: far, in: bufio.NewReader(far)}).read()
+	r.Assert(err, qt.IsNil)
+	r.Assert(answer.Status, qt.Equals, 404)
+}
