--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -22,6 +22,8 @@
 	// lastWrite is how long it may take beyond its request's end: the operators want nothing held a quarter of a
 	// second past the route's timeout.
 	lastWrite = 200 * time.Millisecond
+	// lateWrite is how long it may take where this process is late itself: it had no turn, or was frozen.
+	lateWrite = 50 * time.Millisecond
 )
 
 // client is a client's connection. One goroutine serves it.
@@ -190,9 +192,7 @@
 		c.front.stats.failed.Add(1)
 	}
 	answer.Close = r.ends || c.ends(q)
-	if q == nil {
-		c.socket.SetWriteDeadline(time.Now().Add(writeTime))
-	}
+	c.allowWrite(q)
 	c.persistence(answer)
 	if out := c.socket.writer(); answer.Write(out) != nil || out.Flush() != nil {
 		return false
@@ -201,6 +201,21 @@
 	return !answer.Close
 }
 
+// allowWrite gives the client the time to let in an answer that is written whole; q is nil where no request
+// could be read. An answer that is late may still arrive, and a deadline that has passed would keep it from
+// being written.
+func (c *client) allowWrite(q *request) {
+	now := time.Now()
+	until := now.Add(writeTime)
+	if q != nil {
+		until = q.writeUntil()
+	}
+	if least := now.Add(lateWrite); until.Before(least) {
+		until = least
+	}
+	c.socket.SetWriteDeadline(until)
+}
+
 func seconds(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 3, 64) }
 
 // ends tells whether the connection ends with the answer to a request.
--- a/internal/front/relay.go
+++ b/internal/front/relay.go
@@ -132,6 +132,7 @@
 	r.client.noteAnswer()
 	answer := r.head(kept.head)
 	answer.Body = kept.body
+	r.client.allowWrite(r.request)
 	out := r.client.socket.writer()
 	return answer.Write(out) == nil && out.Flush() == nil && !answer.Close
 }
