Node decides what a panic in a call means, so that callserver imports no invariants

Change: whoever is told of a mistake (Node) ends tests at a broken invariant; callserver only contains panics.

--- a/internal/callserver/callserver.go
+++ b/internal/callserver/callserver.go
@@ -12,7 +12,6 @@
 
 	"cresshub/internal/acceptloop"
 	"cresshub/internal/http1"
-	"cresshub/internal/invariant"
 	"cresshub/internal/ring"
 )
 
@@ -103,17 +102,13 @@
 }
 
 // handle has a call handled. A mistake that it brings out ends neither the process nor other calls: its
-// sender would get no answer and send it to the next process. A broken invariant panics in tests only, and is
-// to end them.
+// sender would get no answer and send it to the next process.
 func (s *Server) handle(call *Call) (answer *http1.Response) {
 	defer func() {
 		value := recover()
 		if value == nil {
 			return
 		}
-		if violation, ok := value.(*invariant.Violation); ok {
-			panic(violation)
-		}
 		if s.Broke != nil {
 			s.Broke(&Mistake{Path: call.Path, Value: value, Stack: debug.Stack()})
 		}
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -80,8 +80,12 @@
 	n.acceptLog.Warn().Err(err).Msg("node: cannot accept a connection, trying again shortly")
 }
 
-// callBroke notes a call that brought out a mistake of the program.
+// callBroke notes a call that brought out a mistake of the program. A broken invariant panics in tests only,
+// and is to end them.
 func (n *Node) callBroke(mistake *callserver.Mistake) {
+	if violation, ok := mistake.Value.(*invariant.Violation); ok {
+		panic(violation)
+	}
 	n.figures.mistakes.Add(1)
 	n.log.Error().Bytes("stack", mistake.Stack).Msg("node: " + mistake.Error())
 }
