--- a/internal/chain/cluster_test.go
+++ b/internal/chain/cluster_test.go
@@ -160,6 +160,15 @@
 	return request
 }
 
+// confirm asks a node whether a change was committed and returns the request's number.
+func (l *cluster) confirm(at MemberID, expected, version int64, body string) uint64 {
+	l.request++
+	request := l.request
+	name := ChangeName{expected, version, digestOfBody([]byte(body))}
+	l.do(at, func(n *Node) Effects { return n.Confirm(l.now, request, name) })
+	return request
+}
+
 // read asks a node for a read and returns the request's number.
 func (l *cluster) read(at MemberID) uint64 {
 	l.request++
--- a/internal/chain/config.go
+++ b/internal/chain/config.go
@@ -17,6 +17,9 @@
 	TargetMembers int
 	// RequiredCopies is how many replicas a write needs at least, if there are as many members.
 	RequiredCopies int
+	// DigestOf names the change that a body came from. It has to be a function of the body alone, and two
+	// bodies with one digest have to be equal if the entries before them are. The default is SHA-256.
+	DigestOf func(body []byte) Digest
 	// Random draws backoffs and the start of the markers' numbers.
 	Random *rand.Rand
 
@@ -61,6 +64,9 @@
 	fill(&c.RequestTimeout, 2*time.Second)
 	fill(&c.CommitRecordAfter, time.Second)
 	fill(&c.RefoundAfter, 3*time.Second)
+	if c.DigestOf == nil {
+		c.DigestOf = digestOfBody
+	}
 	if c.QueueLimit == 0 {
 		c.QueueLimit = 256
 	}
--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -1,7 +1,5 @@
 package chain
 
-import "crypto/sha256"
-
 // durable is what a node keeps on its disk.
 type durable struct {
 	id MemberID
@@ -67,7 +65,7 @@
 }
 
 // apply reads one record.
-func (s *durable) apply(record []byte, historyLength int) error {
+func (s *durable) apply(record []byte, config *Config) error {
 	if len(record) == 0 {
 		return &BadRecord{Reason: "it is empty"}
 	}
@@ -83,10 +81,10 @@
 	case recordAcceptor:
 		s.acceptor = acceptorState{data.ballot(), data.ballot(), data.view()}
 	case recordEntry:
-		s.held = hold(data.entry(), nil) // the record of its history follows
+		s.held = config.hold(data.entry(), nil) // the record of its history follows
 	case recordSuccessor:
 		entry := data.entry()
-		s.held = s.held.successor(entry, sha256.Sum256(entry.Body), historyLength)
+		s.held = s.held.successor(entry, config.DigestOf(entry.Body), config.HistoryLength)
 	case recordPosition:
 		s.held.Epoch = data.number()
 		s.committedSequence = data.number()
--- a/internal/chain/entry.go
+++ b/internal/chain/entry.go
@@ -16,10 +16,13 @@
 	Body    []byte
 }
 
-// Digest is the SHA-256 of a body.
+// Digest names the change that a body came from; by default it is the SHA-256 of the body.
 type Digest [sha256.Size]byte
 
-// heldEntry is an entry with its body's digest and the committed entries before it, the oldest first.
+// digestOfBody is the digest of a body that is a change by itself.
+func digestOfBody(body []byte) Digest { return sha256.Sum256(body) }
+
+// heldEntry is an entry with its digest and the committed entries before it, the oldest first.
 type heldEntry struct {
 	Entry
 	digest  Digest
@@ -27,8 +30,8 @@
 }
 
 // hold computes an entry's digest.
-func hold(entry Entry, history []PastEntry) heldEntry {
-	return heldEntry{entry, sha256.Sum256(entry.Body), history}
+func (c *Config) hold(entry Entry, history []PastEntry) heldEntry {
+	return heldEntry{entry, c.DigestOf(entry.Body), history}
 }
 
 // is tells whether an entry is the one that a message tells of by digest.
--- a/internal/chain/fence_test.go
+++ b/internal/chain/fence_test.go
@@ -9,10 +9,10 @@
 
 // appendOf makes the message by which a predecessor passes an entry on.
 func appendOf(from MemberID, epoch uint64, entry Entry) Message {
-	held := hold(entry, nil)
+	digest := digestOfBody(entry.Body)
 	return Message{
 		Kind: Append, From: from, Epoch: epoch, Sequence: entry.Sequence, Version: entry.Version,
-		Digest: held.digest[:], HasBody: true, Body: entry.Body,
+		Digest: digest[:], HasBody: true, Body: entry.Body,
 	}
 }
 
--- a/internal/chain/forward.go
+++ b/internal/chain/forward.go
@@ -1,7 +1,6 @@
 package chain
 
 import (
-	"crypto/sha256"
 	"slices"
 	"time"
 )
@@ -25,6 +24,18 @@
 	return n.finish()
 }
 
+// Confirm asks whether a change was committed, of which the caller can't make the body any more: the one with
+// that digest that went from version Expected to Version. Nothing is ever written. Applied and Conflict mean
+// the same as for Propose; where the change could still be proposed there is no clear answer.
+func (n *Node) Confirm(now time.Duration, request uint64, change ChangeName) Effects {
+	n.begin(now)
+	n.forward(request, false, Message{
+		Kind: Forward, Request: request,
+		Expected: change.Expected, Version: change.Version, Digest: slices.Clone(change.Digest[:]),
+	})
+	return n.finish()
+}
+
 // Read asks for the committed entry; the reply is linearizable.
 func (n *Node) Read(now time.Duration, request uint64) Effects {
 	n.begin(now)
@@ -63,10 +74,24 @@
 		return
 	}
 	r.proposal = Proposal{m.Expected, m.Version, m.Body}
-	r.digest = sha256.Sum256(m.Body)
+	if len(m.Digest) > 0 {
+		r.confirm = copy(r.digest[:], m.Digest) == len(r.digest)
+		n.addConfirmation(r)
+		return
+	}
+	r.digest = n.config.DigestOf(m.Body)
 	n.addWrite(r)
 }
 
+// addConfirmation takes a question for a change at the head. It waits for a marker as a read does.
+func (n *Node) addConfirmation(r request) {
+	if !r.confirm {
+		n.answer(r, Unavailable) // the digest is none
+		return
+	}
+	n.addRead(r)
+}
+
 // addRead takes a read at the head.
 func (n *Node) addRead(r request) {
 	if len(n.head.all()) >= n.config.QueueLimit {
--- a/internal/chain/head.go
+++ b/internal/chain/head.go
@@ -29,6 +29,7 @@
 	from     MemberID
 	id       uint64
 	read     bool
+	confirm  bool   // asks whether a change was committed, and writes nothing
 	known    uint64 // the sequence of the entry that a reader holds
 	proposal Proposal
 	digest   Digest
@@ -145,7 +146,7 @@
 	for !h.pending && len(h.writes) > 0 {
 		next := h.writes[0]
 		h.writes = h.writes[1:]
-		if n.state.held.Version == next.proposal.Expected {
+		if !next.confirm && n.state.held.Version == next.proposal.Expected {
 			n.startWrite(next)
 		} else {
 			h.reads = append(h.reads, next)
@@ -210,6 +211,8 @@
 	switch {
 	case held.includes(r.proposal.Version, r.digest):
 		n.answer(r, Applied)
+	case r.confirm && held.Version == r.proposal.Expected:
+		n.answer(r, Unavailable) // it may be proposed now
 	case held.Version == r.proposal.Expected:
 		n.startWrite(r)
 	case held.mayHaveForgotten(r.proposal.Version):
--- a/internal/chain/history_test.go
+++ b/internal/chain/history_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,69 @@
 	}
 }
 
+// TestConfirm asks for changes by name: those that were committed are acknowledged, those that never were are
+// refused, and one that could still be proposed is neither. Nothing is written.
+func TestConfirm(t *testing.T) {
+	l := newCluster(t, 4, 3)
+	l.writeVersions(1, 3)
+	for _, at := range l.order {
+		for _, one := range []struct {
+			expected, version int64
+			body              string
+			want              Outcome
+		}{
+			{2, 3, "body 3", Applied},
+			{0, 1, "body 1", Applied},
+			{1, 2, "other body", Conflict},
+			{0, 2, "body 1", Conflict},
+			{7, 8, "body 8", Conflict},
+			{3, 4, "body 4", Unavailable},
+		} {
+			request := l.confirm(at, one.expected, one.version, one.body)
+			l.run(100 * time.Millisecond)
+			l.c.Assert(l.outcome(at, request), qt.Equals, one.want, qt.Commentf("%s: %v", at, one))
+		}
+		l.mustRead(at, 3, "body 3")
+	}
+	l.mustAnswer("b", 3, 4, "body 4", Applied)
+}
+
+// TestConfirmWaitsForThePendingWrite asks for the change that is on its way down the chain, and for another
+// one that builds on it.
+func TestConfirmWaitsForThePendingWrite(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	l.writeVersions(1, 1)
+	l.propose("a", 1, 2, "body 2")
+	pending, next := l.confirm("a", 1, 2, "body 2"), l.confirm("a", 2, 3, "body 3")
+	l.run(200 * time.Millisecond)
+	l.c.Assert(l.outcome("a", pending), qt.Equals, Applied)
+	l.c.Assert(l.outcome("a", next), qt.Equals, Unavailable)
+	l.mustRead("c", 2, "body 2")
+}
+
+// TestDigestsNameChanges has entries named by the part of their body before a stroke, also after a restart.
+func TestDigestsNameChanges(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	for _, id := range l.order {
+		l.machines[id].config.DigestOf = func(body []byte) Digest {
+			change, _, _ := strings.Cut(string(body), "|")
+			return digestOfBody([]byte(change))
+		}
+		l.restart(id)
+	}
+	l.run(100 * time.Millisecond)
+	l.mustWrite("a", 0, 1, "first|document 1")
+	l.mustWrite("a", 1, 2, "second|document 2")
+	l.restart("c")
+	l.run(2 * time.Second)
+	l.mustRead("c", 2, "second|document 2")
+	for _, change := range []string{"first", "second"} {
+		request := l.confirm("c", 0, int64(len(change)-4), change) // 1 and 2
+		l.run(100 * time.Millisecond)
+		l.c.Assert(l.outcome("c", request), qt.Equals, Applied, qt.Commentf(change))
+	}
+}
+
 // TestForgottenWriteIsNotRefused: what may have been in force before all that the history names gets no clear
 // answer; what the history rules out is refused.
 func TestForgottenWriteIsNotRefused(t *testing.T) {
--- a/internal/chain/message.go
+++ b/internal/chain/message.go
@@ -36,7 +36,8 @@
 	Ack
 	// Commit tells replicas that an entry is committed: Sequence.
 	Commit
-	// Forward passes a write on to the head: Request, Expected, Version, Body.
+	// Forward passes a write on to the head: Request, Expected, Version, Body. With a Digest, and no Body, it
+	// asks whether the change of that digest was committed.
 	Forward
 	// ForwardRead passes a read on to the head: Request, Sequence (of the entry that the asker knows).
 	ForwardRead
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -65,9 +65,9 @@
 		peers:    map[MemberID]*peer{},
 		forwards: map[uint64]forwarded{},
 	}
-	n.state.held = hold(Entry{}, nil)
+	n.state.held = n.config.hold(Entry{}, nil)
 	for _, record := range records {
-		if err := n.state.apply(record, n.config.HistoryLength); err != nil {
+		if err := n.state.apply(record, &n.config); err != nil {
 			return nil, Effects{}, err
 		}
 	}
--- a/internal/chain/replica.go
+++ b/internal/chain/replica.go
@@ -43,7 +43,7 @@
 		// The head begins a write only after the one before it is committed.
 		n.setCommitted()
 	}
-	next := hold(Entry{view.Epoch, m.Sequence, m.Version, m.Body}, m.History)
+	next := n.config.hold(Entry{view.Epoch, m.Sequence, m.Version, m.Body}, m.History)
 	if extends {
 		n.extendHeld(next.Entry, next.digest)
 		n.passWrite(m.Origin, m.Request)
--- a/internal/chain/request.go
+++ b/internal/chain/request.go
@@ -9,6 +9,13 @@
 	Body     []byte
 }
 
+// ChangeName names a change without its body.
+type ChangeName struct {
+	Expected int64
+	Version  int64
+	Digest   Digest
+}
+
 // Outcome says how a request ended.
 type Outcome uint8
 
--- a/internal/chain/sim_again_test.go
+++ b/internal/chain/sim_again_test.go
@@ -2,15 +2,21 @@
 
 import "github.com/anishathalye/porcupine"
 
-// again sends one of the client's earlier writes unchanged, to a machine that it draws.
+// again sends one of the client's earlier writes unchanged, or asks for it by name, at a machine it draws.
 func (s *simClient) again() {
 	w := s.world
 	input := s.sent[w.random.Intn(len(s.sent))]
-	proposal := Proposal{input.expected, input.version, []byte(input.body)}
-	s.machine().request(&proposal, func(reply Reply) {
+	judge := func(reply Reply) {
 		w.judgeAgain(input, reply)
 		s.next()
-	})
+	}
+	if w.random.Intn(2) == 0 {
+		name := ChangeName{input.expected, input.version, digestOfBody([]byte(input.body))}
+		s.machine().confirm(name, judge)
+		return
+	}
+	proposal := Proposal{input.expected, input.version, []byte(input.body)}
+	s.machine().request(&proposal, judge)
 }
 
 // judgeAgain checks the answer to a write that was sent again: it is acknowledged if it was ever in force,
--- a/internal/chain/sim_machine_test.go
+++ b/internal/chain/sim_machine_test.go
@@ -258,3 +258,16 @@
 		return n.Propose(w.now, request, *proposal)
 	})
 }
+
+// confirm asks whether a change was committed, as it is done where its body can't be made any more.
+func (m *simMachine) confirm(change ChangeName, done func(Reply)) {
+	w := m.world
+	if !m.up() {
+		done(Reply{Outcome: Unavailable})
+		return
+	}
+	w.requests++
+	request := w.requests
+	m.waiting[request] = done
+	m.step(func(n *Node) Effects { return n.Confirm(w.now, request, change) })
+}
--- a/internal/fleetcli/config.go
+++ b/internal/fleetcli/config.go
@@ -15,25 +15,48 @@
 }
 
 type configCheckCommand struct {
-	File string `arg:"" help:"A configuration as it is sent to /api/config." type:"existingfile"`
+	File  string `arg:"" help:"A configuration as it is sent to /api/config." type:"existingfile"`
+	Patch string `help:"A patch as it is sent to /api/config, checked on top of the file." type:"existingfile"`
+	JSON  bool   `help:"Print the configuration that results as JSON."`
 }
 
-// Run reads the file with the reader that the fleet itself uses.
+// Run reads the files with the readers that the fleet itself uses.
 func (c *configCheckCommand) Run(o *output) error {
-	raw, err := os.ReadFile(c.File)
+	config, err := c.read()
 	if err != nil {
+		o.code = exitFailed
 		return err
 	}
-	config, err := fleetconfig.Parse(raw)
-	if err != nil {
-		o.code = exitFailed
+	if c.JSON {
+		_, err := fmt.Fprintf(o.out, "%s\n", config.Raw())
 		return err
 	}
-	fmt.Fprintf(o.out, "edition %d: %d routes, %d services, no mistakes\n", config.Version, len(config.Routes),
+	fmt.Fprintf(o.out, "edition %d: %d routes, %d services, no mistakes\n", config.Version, config.RouteCount(),
 		len(config.Services))
 	return nil
 }
 
+// read returns the configuration of the file, with the patch applied where there is one.
+func (c *configCheckCommand) read() (*fleetconfig.Config, error) {
+	raw, err := os.ReadFile(c.File)
+	if err != nil {
+		return nil, err
+	}
+	config, err := fleetconfig.Parse(raw)
+	if err != nil || c.Patch == "" {
+		return config, err
+	}
+	body, err := os.ReadFile(c.Patch)
+	if err != nil {
+		return nil, err
+	}
+	next, err := config.ApplyBody(body)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.CheckSize()
+}
+
 type configShowCommand struct{ controlFlags }
 
 // Run prints a row for each route, or the document as the operator sent it.
@@ -50,10 +73,10 @@
 	if err != nil {
 		return fmt.Errorf("the configuration in force can't be read: %w", err)
 	}
-	fmt.Fprintf(o.out, "edition %d: %d routes, %d services\n\n", config.Version, len(config.Routes),
+	fmt.Fprintf(o.out, "edition %d: %d routes, %d services\n\n", config.Version, config.RouteCount(),
 		len(config.Services))
 	t := newTable("ROUTE", "HOST", "PREFIX", "KIND", "TIMEOUT", "TRIES", "SERVICES")
-	for _, r := range config.Routes {
+	for _, r := range config.Routes() {
 		t.add(r.Name, r.Host, r.Prefix, kindOf(r), r.Timeout, r.MaxTries, targetsOf(r))
 	}
 	return t.print(o.out)
--- a/internal/fleetcli/inspection_test.go
+++ b/internal/fleetcli/inspection_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -109,6 +111,31 @@
 	c.Assert(out, qt.Equals, configuration+"\n")
 }
 
+// fileWith returns the path of a file that holds a text.
+func fileWith(c *qt.C, text string) string {
+	path := filepath.Join(c.TempDir(), "document.json")
+	c.Assert(os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path
+}
+
+func TestPatchesAreChecked(t *testing.T) {
+	c := qt.New(t)
+	base := fileWith(c, configuration)
+	good := fileWith(c, `{"edition":8,"deliver":{"depots_list":[{"name":"three"}]}}`)
+	code, out, _ := run("config", "check", base, "--patch", good)
+	c.Assert(code, qt.Equals, 0)
+	c.Assert(lines(out), qt.DeepEquals, []string{"edition 8: 1 routes, 3 services, no mistakes"})
+	_, out, _ = run("config", "check", base, "--patch", good, "--json")
+	c.Assert(out, qt.Matches, `(?s)\{"edition":8,.*\{"name":"three"\}\]\}\n`)
+	bad := fileWith(c, `{"edition":8,"withdraw":{"depots_list":["one"],"models":[]}}`)
+	code, _, problem := run("config", "check", base, "--patch", bad)
+	c.Assert(code, qt.Equals, 1)
+	c.Assert(problem, qt.Matches, `(?s).*withdraw.models: is not known here; .*`)
+	bad = fileWith(c, `{"edition":8,"withdraw":{"depots_list":["one"]}}`)
+	_, _, problem = run("config", "check", base, "--patch", bad)
+	c.Assert(problem, qt.Matches, `(?s).*"one" is named by route "r1"; withdraw or replace .*`)
+}
+
 func TestErrorsNameTheRemedy(t *testing.T) {
 	c := qt.New(t)
 	code, _, problem := run("members", "--control", answers(c, nil))
--- a/internal/fleetconfig/fleetconfig.go
+++ b/internal/fleetconfig/fleetconfig.go
@@ -1,11 +1,9 @@
-// Package fleetconfig reads and checks a configuration that an operator sends, and keeps it as an immutable
-// table that requests are matched against.
+// Package fleetconfig reads and checks a configuration that an operator sends, keeps it as an immutable table
+// that requests are matched against, and applies patches of named items to it.
 package fleetconfig
 
 import (
-	"fmt"
-	"sort"
-	"strings"
+	"sync"
 	"time"
 
 	"cresshub/internal/pathreader"
@@ -47,6 +45,16 @@
 // Idempotent tells whether a request of the route may run more than once.
 func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// names tells whether a service is one of the route's targets.
+func (r *Route) names(service string) bool {
+	for _, target := range r.Targets {
+		if target.Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Engine describes the model servers of a service.
 type Engine struct {
 	Slots           int     // requests that run at once
@@ -78,36 +86,68 @@
 // Config is one version of the configuration. It is never changed.
 type Config struct {
 	Version  int64
-	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
 
-	raw    []byte
-	byHost map[string][]*Route // the longest prefix first
+	places placeIndex
+	// parsed are the routes of a whole document in their order; a patched configuration has them in its layout.
+	parsed []*Route
+	// values is how many JSON values the document holds.
+	values int
+	// patch is what made this version of another one, nil for a whole document.
+	patch *Patch
+
+	rawOnce sync.Once
+	raw     []byte // of a patched configuration made when it is first asked for
+
+	layoutOnce sync.Once
+	layout     *layout // made of the document when the first patch needs it
+}
+
+// Raw returns the document: as the operator sent it, or with the patches since then applied to it.
+func (c *Config) Raw() []byte {
+	c.rawOnce.Do(func() {
+		if c.raw == nil {
+			c.raw = c.layout.render(c.Version)
+		}
+	})
+	return c.raw
 }
 
-// Raw returns the document as the operator sent it.
-func (c *Config) Raw() []byte { return c.raw }
+// Patch returns the patch that made this version of the one before, nil where a whole document was sent.
+func (c *Config) Patch() *Patch { return c.patch }
 
-// Match returns the route of a request, nil where there is none. The host may carry a port.
-func (c *Config) Match(host, path string) *Route {
-	routes, ok := c.byHost[host]
-	if !ok {
-		routes = c.byHost[normalHost(host)]
+// Routes returns the routes in the order of the document.
+func (c *Config) Routes() []*Route {
+	if c.patch == nil {
+		return c.parsed
 	}
-	for _, route := range routes {
-		if strings.HasPrefix(path, route.Prefix) {
-			return route
-		}
+	return c.layout.routes.routesInOrder()
+}
+
+// RouteCount returns how many routes there are.
+func (c *Config) RouteCount() int {
+	if c.patch == nil {
+		return len(c.parsed)
 	}
-	return nil
+	return c.layout.routes.items.Len()
 }
 
-func normalHost(host string) string {
-	if at := strings.LastIndexByte(host, ':'); at >= 0 {
-		host = host[:at]
+// Match returns the route of a request, nil where there is none. The host may carry a port.
+func (c *Config) Match(host, path string) *Route { return c.places.match(host, path) }
+
+// emptyDocument is what a first patch builds on.
+const emptyDocument = `{"edition":0}`
+
+// Empty returns the version 0, on which a first configuration builds. It is never in force.
+func Empty() *Config {
+	document, err := pathreader.Parse([]byte(emptyDocument))
+	if err != nil {
+		panic("fleetconfig: " + err.Error()) // the document is fixed
 	}
-	return strings.ToLower(host)
+	return &Config{Services: map[string]*Service{}, raw: []byte(emptyDocument),
+		Limits: readLimits(document.Root().Get("size_limits")), values: document.Values(),
+		places: indexPlaces(nil, nil)}
 }
 
 // Parse reads and checks a configuration. The error is *pathreader.Invalid and names every mistake.
@@ -119,134 +159,19 @@
 	root := document.Root()
 	config := &Config{
 		Version: readVersion(root.Get("edition")), Services: map[string]*Service{}, raw: raw,
-		Limits: readLimits(root.Get("size_limits")),
+		Limits: readLimits(root.Get("size_limits")), values: document.Values(),
 	}
-	for _, node := range root.Get("depots_list").Items() {
+	for _, node := range root.Get(servicesList).Items() {
 		service := readService(node)
 		if config.Services[service.Name] != nil {
 			node.Reject("two services have this name", "give each service a name of its own")
 		}
 		config.Services[service.Name] = service
 	}
-	for _, node := range root.Get("routes").Items() {
-		config.Routes = append(config.Routes, readRoute(node, config.Services))
+	nodes := root.Get(routesList).Items()
+	for _, node := range nodes {
+		config.parsed = append(config.parsed, readRoute(node, config.Services))
 	}
-	config.index(root)
+	config.places = indexPlaces(config.parsed, nodes)
 	return config, document.Err()
 }
-
-func readVersion(node pathreader.Node) int64 {
-	version := node.Number(1)
-	if version != float64(int64(version)) {
-		node.Reject("is not a whole number", "give a whole number above the current version")
-	}
-	return int64(version)
-}
-
-func readLimits(node pathreader.Node) Limits {
-	return Limits{
-		HeaderBytes: int(node.Get("envelope_bytes").NumberOr(16<<10, 1)),
-		BodyBytes:   int(node.Get("contents_bytes").NumberOr(4<<20, 0)),
-		HeaderTime:  milliseconds(node.Get("envelope_ms").NumberOr(5000, 1)),
-		IdleTime:    milliseconds(node.Get("idle_ms").NumberOr(30000, 1)),
-	}
-}
-
-func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
-
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
-
-func readService(node pathreader.Node) *Service {
-	service := &Service{
-		Name:          node.Get("name").Text(),
-		HealthPath:    node.Get("health_path").TextOr(""),
-		ConnectionCap: int(node.Get("line_cap").NumberOr(0, 0)),
-	}
-	if engine := node.Get("engine"); engine.Present() {
-		service.Engine = readEngine(engine)
-	}
-	return service
-}
-
-func readEngine(node pathreader.Node) *Engine {
-	engine := &Engine{
-		Slots:           int(node.Get("bays").NumberOr(1, 1)),
-		CacheTokens:     int(node.Get("kv_tokens").NumberOr(0, 0)),
-		CacheTokenBytes: node.Get("kv_bytes").NumberOr(0, 0),
-		LinkMegabits:    node.Get("link_mbps").NumberOr(0, 0),
-		Stride:          int(node.Get("stride").NumberOr(1, 0)),
-		HandleLife:      seconds(node.Get("claim_s").NumberOr(0, 0)),
-		StageSwitch:     seconds(node.Get("switch_s").NumberOr(0, 0)),
-	}
-	for _, model := range node.Get("models").Items() {
-		engine.Models = append(engine.Models, model.Get("name").TextOr(""))
-	}
-	return engine
-}
-
-func readRoute(node pathreader.Node, services map[string]*Service) *Route {
-	route := &Route{
-		Name: node.Get("name").TextOr(node.Path()), Host: strings.ToLower(node.Get("town").Text()),
-		Prefix: node.Get("street_prefix").Text(), Kind: readKind(node.Get("mail_class")),
-		Timeout:   milliseconds(node.Get("timeout_ms").Number(0)),
-		Target:    milliseconds(node.Get("target_ms").NumberOr(0, 0)),
-		Priority:  int(node.Get("priority").NumberOr(0, 0)),
-		MaxTries:  max(int(node.Get("delivery_tries").NumberOr(1, 0)), 1),
-		Resumable: node.Get("redeliver").Bool(), Sticky: node.Get("same_courier").Bool(),
-		GapTarget: milliseconds(node.Get("gap_aim_ms").NumberOr(0, 0)),
-	}
-	if route.Timeout <= 0 {
-		node.Get("timeout_ms").Reject("is 0", "give the longest time in ms that a request may be held")
-	}
-	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
-		node.Get("street_prefix").Reject("does not begin and end with a slash", "write it like /path/")
-	}
-	readTargets(node, route, services)
-	return route
-}
-
-func readKind(node pathreader.Node) Kind {
-	kind := Kind(node.TextOr(string(Unsafe)))
-	if kind != Safe && kind != Unsafe && kind != Stream {
-		node.Reject(fmt.Sprintf("%q is no class of mail", kind), "give safe, unsafe or stream")
-	}
-	return kind
-}
-
-func readTargets(node pathreader.Node, route *Route, services map[string]*Service) {
-	add := func(at pathreader.Node, weight float64) {
-		name := at.Text()
-		if services[name] == nil && name != "" {
-			at.Reject(fmt.Sprintf("names %q, which is not in depots_list", name), "name a service of the list")
-		}
-		route.Targets = append(route.Targets, Target{name, weight})
-		route.WeightsSum += weight
-	}
-	if split := node.Get("apportion"); split.Present() {
-		for _, part := range split.Items() {
-			add(part.Get("depot"), part.Get("share").Number(0))
-		}
-		if route.WeightsSum <= 0 {
-			split.Reject("the shares sum to 0", "give at least one share above 0")
-		}
-		return
-	}
-	add(node.Get("depot"), 1)
-}
-
-// index sorts the routes by host and prefix, and rejects two routes at one place.
-func (c *Config) index(root pathreader.Node) {
-	c.byHost = map[string][]*Route{}
-	for i, route := range c.Routes {
-		for _, other := range c.byHost[route.Host] {
-			if other.Prefix == route.Prefix {
-				root.Get(fmt.Sprintf("routes[%d]", i)).Reject("has the host and prefix of route "+other.Name,
-					"give each route a place of its own")
-			}
-		}
-		c.byHost[route.Host] = append(c.byHost[route.Host], route)
-	}
-	for _, routes := range c.byHost {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
-	}
-}
--- /dev/null
+++ b/internal/fleetconfig/patch_test.go
@@ -0,0 +1,269 @@
+package fleetconfig
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/pathreader"
+)
+
+// baseDocument has two services and three routes, one of which has no name.
+const baseDocument = `{"edition":7,"extra":{"kept":[1,2]},"routes":[
+ {"name":"a","town":"a.example","street_prefix":"/","mail_class":"safe","timeout_ms":900,"depot":"one"},
+ {"name":"b","town":"b.example","street_prefix":"/x/","timeout_ms":800,"depot":"two","unknown":true},
+ {"town":"c.example","street_prefix":"/","timeout_ms":700,"depot":"one"}],
+ "depots_list":[{"name":"one","line_cap":5},{"name":"two"}],"size_limits":{"contents_bytes":99}}`
+
+func parsed(t *testing.T, document string) *Config {
+	t.Helper()
+	config, err := Parse([]byte(document))
+	qt.Assert(t, err, qt.IsNil)
+	return config
+}
+
+// route returns a route as an operator writes it.
+func route(name, host, service string) string {
+	const form = `{"name":%q,"town":%q,"street_prefix":"/","timeout_ms":500,"depot":%q}`
+	return fmt.Sprintf(form, name, host, service)
+}
+
+// sameDocument checks that two documents hold the same values.
+func sameDocument(t *testing.T, got, want []byte) {
+	t.Helper()
+	var one, other any
+	qt.Assert(t, json.Unmarshal(got, &one), qt.IsNil)
+	qt.Assert(t, json.Unmarshal(want, &other), qt.IsNil)
+	qt.Assert(t, one, qt.DeepEquals, other)
+}
+
+func TestPatchGivesAWholeConfiguration(t *testing.T) {
+	c := qt.New(t)
+	base := parsed(t, baseDocument)
+	next, err := base.ApplyBody([]byte(`{"edition":9,
+		"deliver":{"routes":[` + route("b", "a2.example", "three") + `,` + route("d", "b.example", "one") + `],
+			"depots_list":[{"name":"three"},{"name":"one","line_cap":6}]},
+		"withdraw":{"routes":["a","absent"],"depots_list":["two"]}}`))
+	c.Assert(err, qt.IsNil)
+	sameDocument(t, next.Raw(), []byte(`{"edition":9,"extra":{"kept":[1,2]},"routes":[`+
+		route("b", "a2.example", "three")+`,
+		{"town":"c.example","street_prefix":"/","timeout_ms":700,"depot":"one"},`+
+		route("d", "b.example", "one")+`],
+		"depots_list":[{"name":"one","line_cap":6},{"name":"three"}],"size_limits":{"contents_bytes":99}}`))
+	c.Assert(next.Match("a.example", "/"), qt.IsNil)
+	c.Assert(next.Match("b.example", "/x/y").Name, qt.Equals, "d") // the place of the old b is free
+	c.Assert(next.Match("A2.example:80", "/").Name, qt.Equals, "b")
+	c.Assert(next.Services["one"].ConnectionCap, qt.Equals, 6)
+	c.Assert(next.Services["two"], qt.IsNil)
+	c.Assert(next.Limits, qt.Equals, base.Limits)
+	c.Assert(next.RouteCount(), qt.Equals, 3)
+	c.Assert(base.Match("a.example", "/").Name, qt.Equals, "a") // the version before is not changed
+	sameDocument(t, base.Raw(), []byte(baseDocument))
+}
+
+// TestPatchedIsAsGoodAsWhole holds a patched configuration to be the one that its document gives.
+func TestPatchedIsAsGoodAsWhole(t *testing.T) {
+	c := qt.New(t)
+	config := Empty()
+	for version := int64(1); version <= 40; version++ {
+		name, old := fmt.Sprintf("r%d", version%13), fmt.Sprintf("r%d", (version*7)%13)
+		body := fmt.Sprintf(`{"edition":%d,"deliver":{"routes":[%s],"depots_list":[{"name":"s%d"}]}`, version,
+			route(name, name+".example", fmt.Sprintf("s%d", version)), version)
+		if old != name {
+			body += fmt.Sprintf(`,"withdraw":{"routes":[%q]}`, old)
+		}
+		next, err := config.ApplyBody([]byte(body + "}"))
+		c.Assert(err, qt.IsNil)
+		whole := parsed(t, string(next.Raw()))
+		c.Assert(whole.Version, qt.Equals, version)
+		c.Assert(whole.values, qt.Equals, next.values)
+		c.Assert(next.Routes(), qt.DeepEquals, whole.Routes())
+		c.Assert(next.Services, qt.DeepEquals, whole.Services)
+		for _, one := range whole.Routes() {
+			c.Assert(next.Match(one.Host, one.Prefix), qt.DeepEquals, one)
+		}
+		config = next
+	}
+}
+
+func TestPatchesThatAreRefused(t *testing.T) {
+	for _, test := range []struct{ name, patch, problem string }{
+		{"no object", `[1]`, "document: .*not an object.*"},
+		{"cut short", `{"edition":9,"deliver":{"routes":[`, "document: .*"},
+		{"unknown field", `{"edition":9,"routes":[]}`, "routes: is not known here; name no other field"},
+		{"unknown list", `{"edition":9,"deliver":{"size_limits":[]}}`,
+			"deliver.size_limits: is not known here; .*PUT"},
+		{"unknown list", `{"edition":9,"withdraw":{"models":["m"]}}`, "withdraw.models: is not known here; .*"},
+		{"no list", `{"edition":9,"deliver":{"routes":{}}}`, "deliver.routes: is not a list; give a list"},
+		{"no object", `{"edition":9,"withdraw":["a"]}`, "withdraw: is not an object; give an object"},
+		{"no name", `{"edition":9,"deliver":{"routes":[{"town":"x.example"}]}}`,
+			`deliver.routes\[0\].name: is missing.*`},
+		{"name is no text", `{"edition":9,"withdraw":{"routes":[3]}}`, `withdraw.routes\[0\]: is not a text.*`},
+		{"a name twice", `{"edition":9,"withdraw":{"routes":["a","a"]}}`,
+			`withdraw.routes\[1\]: "a" stands twice.*`},
+		{"a name delivered twice", `{"edition":9,"deliver":{"depots_list":[{"name":"n"},{"name":"n"}]}}`,
+			`deliver.depots_list\[1\]: "n" stands twice.*`},
+		{"delivered and withdrawn", `{"edition":9,"deliver":{"depots_list":[{"name":"two"}]},
+			"withdraw":{"depots_list":["two"]}}`, `withdraw.depots_list\[0\]: "two" stands twice.*`},
+		{"a service that a route names", `{"edition":9,"withdraw":{"depots_list":["two"]}}`,
+			`withdraw.depots_list\[0\]: "two" is named by route "b"; withdraw or replace that route.*`},
+		{"a service that is withdrawn", `{"edition":9,"deliver":{"routes":[` + route("d", "d.example", "two") + `]},
+			"withdraw":{"routes":["b"],"depots_list":["two"]}}`, `deliver.routes\[0\].depot: names "two".*`},
+		{"an unknown service", `{"edition":9,"deliver":{"routes":[` + route("d", "d.example", "none") + `]}}`,
+			`deliver.routes\[0\].depot: names "none".*`},
+		{"a place that is taken", `{"edition":9,"deliver":{"routes":[` + route("d", "A.example", "one") + `]}}`,
+			`deliver.routes\[0\]: has the host and prefix of route a.*`},
+		{"one place twice", `{"edition":9,"deliver":{"routes":[` + route("d", "d.example", "one") + `,` +
+			route("e", "d.example", "one") + `]}}`, `deliver.routes\[1\]: has the host and prefix of route d.*`},
+		{"weights of 0", `{"edition":9,"deliver":{"routes":[{"name":"d","town":"d","street_prefix":"/",
+			"timeout_ms":1,"apportion":[{"depot":"one","share":0}]}]}}`,
+			`deliver.routes\[0\].apportion: the shares sum to 0.*`},
+		{"no time", `{"edition":9,"deliver":{"routes":[{"name":"d","town":"d","street_prefix":"/","timeout_ms":0,
+			"depot":"one"}]}}`, `deliver.routes\[0\].timeout_ms: is 0.*`},
+		{"version", `{"edition":7}`, "edition: is not above the version it builds on.*"},
+		{"no version", `{"deliver":{}}`, "edition: is missing.*"},
+		{"a fraction", `{"edition":9.5}`, "edition: is not a whole number.*"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			base := parsed(t, baseDocument)
+			_, err := base.ApplyBody([]byte(test.patch))
+			var invalid *pathreader.Invalid
+			c.Assert(errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+			c.Assert(invalid.Problems, qt.HasLen, 1, qt.Commentf("%v", err))
+			c.Assert(invalid.Problems[0].String(), qt.Matches, test.problem)
+			sameDocument(t, base.Raw(), []byte(baseDocument))
+			c.Assert(base.Match("b.example", "/x/").Name, qt.Equals, "b")
+		})
+	}
+}
+
+func TestSmallPatches(t *testing.T) {
+	c := qt.New(t)
+	base := parsed(t, baseDocument)
+	for _, body := range []string{`{"edition":9}`, `{"edition":9,"deliver":{},"withdraw":null}`,
+		`{"edition":9,"deliver":{"routes":null},"withdraw":{"routes":[],"depots_list":["absent"]}}`} {
+		next, err := base.ApplyBody([]byte(body))
+		c.Assert(err, qt.IsNil)
+		sameDocument(t, next.Raw(), []byte(strings.Replace(baseDocument, `"edition":7`, `"edition":9`, 1)))
+	}
+	swapped, err := base.ApplyBody([]byte(`{"edition":8,"deliver":{"routes":[` + route("b", "a.example", "one") +
+		`,` + route("a", "b.example", "one") + `]}}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(swapped.Match("a.example", "/").Name, qt.Equals, "b")
+	_, err = base.Apply(&Patch{Base: 6, Version: 9, Body: []byte(`{"edition":9}`)})
+	c.Assert(err, qt.ErrorMatches, "the patch builds on version 6, and this is version 7; .*")
+	twins := parsed(t, strings.Replace(baseDocument, `"name":"b"`, `"name":"a"`, 1))
+	_, err = twins.ApplyBody([]byte(`{"edition":9,"withdraw":{"routes":["a"]}}`))
+	c.Assert(err, qt.ErrorMatches, `withdraw.routes\[0\]: several items have the name "a"; .*`)
+}
+
+// TestResultsOverTheBounds holds what a patch makes to the bounds of a document that is sent whole.
+func TestResultsOverTheBounds(t *testing.T) {
+	c := qt.New(t)
+	many := strings.Repeat("0,", pathreader.MostValues/2) + "0"
+	config := parsed(t, `{"edition":1,"depots_list":[{"name":"s","note":[`+many+`]}]}`)
+	withMany := func(name string) []byte {
+		return []byte(`{"edition":2,"deliver":{"depots_list":[{"name":"` + name + `","note":[` + many + `]}]}}`)
+	}
+	_, err := config.ApplyBody(withMany("t"))
+	c.Assert(err, qt.ErrorMatches, "deliver: the configuration would hold .* values; .*")
+	next, err := config.ApplyBody(withMany("s"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.CheckSize(), qt.IsNil)
+
+	long := strings.Repeat("x", MaxDocumentBytes*2/3)
+	config = parsed(t, `{"edition":1,"depots_list":[{"name":"s","note":"`+long+`"}]}`)
+	body := `{"edition":2,"deliver":{"depots_list":[{"name":"t","note":"` + long + `"}]}}`
+	next, err = config.ApplyBody([]byte(body))
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.CheckSize(), qt.ErrorMatches, "deliver: the configuration would have .* bytes; .*")
+}
+
+// largeDocument has so many routes.
+func largeDocument(routes int) string {
+	all := make([]string, routes)
+	for i := range all {
+		all[i] = route(fmt.Sprintf("r%d", i), fmt.Sprintf("h%d.example", i), "s")
+	}
+	return `{"edition":1,"routes":[` + strings.Join(all, ",") + `],"depots_list":[{"name":"s"}]}`
+}
+
+// allocationsOfAPatch counts what one small patch allots on a configuration of so many routes that has been
+// patched before.
+func allocationsOfAPatch(t *testing.T, routes int) float64 {
+	config, err := parsed(t, largeDocument(routes)).ApplyBody([]byte(`{"edition":2}`))
+	qt.Assert(t, err, qt.IsNil)
+	body := []byte(`{"edition":3,"deliver":{"routes":[` + route("r5", "new.example", "s") + `]}}`)
+	return testing.AllocsPerRun(20, func() {
+		if _, err := config.ApplyBody(body); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestCostOfASmallPatchDoesNotGrow compares a patch on 100 routes with the same on 10,000: the depth of the
+// trees may differ by a few steps.
+func TestCostOfASmallPatchDoesNotGrow(t *testing.T) {
+	small, large := allocationsOfAPatch(t, 100), allocationsOfAPatch(t, 10_000)
+	qt.Assert(t, large < 1.5*small, qt.IsTrue, qt.Commentf("%v and %v", small, large))
+}
+
+func TestStoredConfigurations(t *testing.T) {
+	c := qt.New(t)
+	base := parsed(t, baseDocument)
+	body := []byte(`{"edition":9,"withdraw":{"routes":["a"]}}`)
+	next, err := base.ApplyBody(body)
+	c.Assert(err, qt.IsNil)
+	stored := EncodeStored(next.Patch(), next.Raw())
+	for _, before := range []*Config{base, nil, next} { // also where it can't be made of the version before
+		got, err := FromStored(stored, before)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(got.Raw()), qt.Equals, string(next.Raw()))
+		c.Assert(got.Patch() != nil, qt.Equals, before == base)
+	}
+	whole, err := FromStored([]byte(baseDocument), nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(whole.Version, qt.Equals, int64(7))
+
+	digest := DigestOfStored(stored)
+	c.Assert(DigestOfStored(EncodePatch(&Patch{Base: 7, Body: body})), qt.Equals, digest)
+	c.Assert(DigestOfStored(EncodePatch(&Patch{Base: 6, Body: body})) == digest, qt.IsFalse)
+	c.Assert(DigestOfStored(next.Raw()) == digest, qt.IsFalse)
+	for cut := range EncodePatch(next.Patch()) {
+		if _, err := FromStored(stored[:cut], base); err == nil {
+			c.Errorf("a stored configuration cut at %d is read", cut)
+		}
+	}
+}
+
+// FuzzPatch holds any bytes to be refused as a patch, or to give a document that reads as what was applied.
+func FuzzPatch(f *testing.F) {
+	for _, seed := range []string{`{"edition":9}`,
+		`{"edition":9,"withdraw":{"routes":["a"],"depots_list":["two"]}}`,
+		`{"edition":9,"deliver":{"routes":[` + route("b", "z.example", "one") + `],
+			"depots_list":[{"name":"\u00e9"}]}}`,
+		`{"edition":9,"deliver":{"routes":[{"name":"\ud800"}]}}`, `{"edition":1e3}`, `{`, "\x01\x00"} {
+		f.Add([]byte(seed))
+	}
+	base, err := Parse([]byte(baseDocument))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		next, err := base.ApplyBody(body)
+		if err != nil {
+			return
+		}
+		whole, err := Parse(next.Raw())
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", next.Raw()))
+		qt.Assert(t, whole.Routes(), qt.DeepEquals, next.Routes())
+		qt.Assert(t, whole.Services, qt.DeepEquals, next.Services)
+		qt.Assert(t, whole.values, qt.Equals, next.values)
+		qt.Assert(t, whole.Version, qt.Equals, next.Version)
+	})
+}
--- a/internal/fleetstandin/configs.go
+++ b/internal/fleetstandin/configs.go
@@ -12,6 +12,7 @@
 type configVersion struct {
 	config  *fleetconfig.Config
 	base    int64 // the version that it builds on
+	patched bool  // it was sent as a patch, so that the fleet made its document
 	sentAt  time.Time
 	ackedAt time.Time // zero where it was not acknowledged
 	refused bool
@@ -24,10 +25,10 @@
 }
 
 // configSent notes a valid configuration before it is sent.
-func (o *Observations) configSent(config *fleetconfig.Config, base int64) *configVersion {
+func (o *Observations) configSent(config *fleetconfig.Config, base int64, patched bool) *configVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	v := &configVersion{config: config, base: base, sentAt: time.Now()}
+	v := &configVersion{config: config, base: base, patched: patched, sentAt: time.Now()}
 	o.configs = append(o.configs, v)
 	return v
 }
@@ -43,7 +44,7 @@
 				other.config.Version, v.config.Version, v.base)
 		}
 	}
-	allowed := o.bounds.Ack + time.Duration(len(v.config.Routes))*orderMargin
+	allowed := o.bounds.Ack + time.Duration(v.config.RouteCount())*orderMargin
 	took := v.ackedAt.Sub(v.sentAt)
 	if took > allowed && o.coreStable(v.sentAt, v.sentAt.Add(allowed)) {
 		o.verdicts.broken(Acks, "edition %d was acknowledged after %v", v.config.Version,
@@ -53,7 +54,14 @@
 
 // same tells whether two that were sent are one configuration, sent twice.
 func (v *configVersion) same(other *configVersion) bool {
-	return v.config.Version == other.config.Version && bytes.Equal(v.config.Raw(), other.config.Raw())
+	return v.config.Version == other.config.Version && v.patched == other.patched &&
+		bytes.Equal(v.config.Raw(), other.config.Raw())
+}
+
+// isShownBy tells whether a document that the fleet shows is what was sent: the same bytes, or for a patch
+// the same routes, services and limits.
+func (v *configVersion) isShownBy(raw []byte) bool {
+	return bytes.Equal(v.config.Raw(), raw) || v.patched && sameItems(v.config.Raw(), raw)
 }
 
 // CheckRead checks a configuration that a machine showed to someone who asked at a time: nothing older than
@@ -72,7 +80,7 @@
 			o.verdicts.broken(Config, "%s showed edition %d, and %d had been acknowledged %v before", machine,
 				shown.Version, v.config.Version, asked.Sub(v.ackedAt).Round(time.Millisecond))
 		}
-		if v.config.Version == shown.Version && bytes.Equal(v.config.Raw(), raw) {
+		if v.config.Version == shown.Version && v.isShownBy(raw) {
 			known = known || !v.refused
 		}
 	}
@@ -93,13 +101,13 @@
 }
 
 // newestAcked returns the newest acknowledged configuration, nil where there is none.
-func (o *Observations) newestAcked() *fleetconfig.Config {
+func (o *Observations) newestAcked() *configVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var newest *fleetconfig.Config
+	var newest *configVersion
 	for _, v := range o.configs {
-		if !v.ackedAt.IsZero() && (newest == nil || v.config.Version > newest.Version) {
-			newest = v.config
+		if !v.ackedAt.IsZero() && (newest == nil || v.config.Version > newest.config.Version) {
+			newest = v
 		}
 	}
 	return newest
--- a/internal/fleetstandin/document.go
+++ b/internal/fleetstandin/document.go
@@ -93,11 +93,11 @@
 	return &clone
 }
 
-// encode lays the document out as it is sent.
-func (d *Document) encode() ([]byte, error) {
-	raw, err := json.Marshal(d)
+// encode lays a document or a patch out as it is sent.
+func encode(version int64, document any) ([]byte, error) {
+	raw, err := json.Marshal(document)
 	if err != nil {
-		return nil, fmt.Errorf("edition %d can't be written as JSON: %w; check its numbers", d.Version, err)
+		return nil, fmt.Errorf("edition %d can't be written as JSON: %w; check its numbers", version, err)
 	}
 	return raw, nil
 }
--- a/internal/fleetstandin/operator.go
+++ b/internal/fleetstandin/operator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cresshub/internal/callclient"
@@ -24,6 +25,7 @@
 type Operator struct {
 	observations *Observations
 	caller       controlCaller
+	changes      atomic.Int64 // sent by Change
 
 	mu      sync.Mutex
 	current *Document // the last that was acknowledged, nil for none
@@ -83,7 +85,34 @@
 // Put sends a document until it is taken or refused for good, or ctx ends. An error that is no *Rejected
 // leaves open whether the change is taken.
 func (o *Operator) Put(ctx context.Context, document *Document) error {
-	raw, err := document.encode()
+	return o.send(ctx, "PUT", document, document)
+}
+
+// Patch sends the difference between the last document that was acknowledged and another one, as Put sends
+// the whole. What has no names can't be changed so.
+func (o *Operator) Patch(ctx context.Context, document *Document) error {
+	current := o.Current()
+	if current == nil {
+		current = &Document{}
+	}
+	return o.send(ctx, "PATCH", document, patchBetween(current, document))
+}
+
+// Change sends a document whole or as a patch, by turns.
+func (o *Operator) Change(ctx context.Context, document *Document) error {
+	if o.changes.Add(1)%2 == 0 {
+		return o.Put(ctx, document)
+	}
+	return o.Patch(ctx, document)
+}
+
+// send sends a change that makes a document.
+func (o *Operator) send(ctx context.Context, method string, document *Document, change any) error {
+	raw, err := encode(document.Version, document)
+	if err != nil {
+		return err
+	}
+	body, err := encode(document.Version, change)
 	if err != nil {
 		return err
 	}
@@ -95,8 +124,8 @@
 	if current := o.Current(); current != nil {
 		base = current.Version
 	}
-	sent := o.observations.configSent(config, base)
-	call := callclient.Call{Method: "PUT", Target: configPath, Body: raw,
+	sent := o.observations.configSent(config, base, method == "PATCH")
+	call := callclient.Call{Method: method, Target: configPath, Body: body,
 		Header: http1.Header{jsonType(), field("If-Match", strconv.FormatInt(base, 10))}}
 	answer, err := o.callUntilClear(ctx, document.patience(), call)
 	if err != nil {
@@ -153,10 +182,10 @@
 	case newest == nil:
 	case answer.Status != 200 || err != nil:
 		o.observations.Broken(Config, "the configuration read back is no configuration: %d, %v", answer.Status, err)
-	case config.Version < newest.Version:
+	case config.Version < newest.config.Version:
 		o.observations.Broken(Config, "edition %d was read back, %d was acknowledged", config.Version,
-			newest.Version)
-	case config.Version == newest.Version && !bytes.Equal(config.Raw(), newest.Raw()):
+			newest.config.Version)
+	case config.Version == newest.config.Version && !newest.isShownBy(answer.Body):
 		o.observations.Broken(Config, "edition %d was read back with another content", config.Version)
 	}
 	return nil
--- a/internal/fleettrial/change.go
+++ b/internal/fleettrial/change.go
@@ -20,7 +20,7 @@
 func (f *Fleet) Change(ctx context.Context) error {
 	next := nextConfiguration(f.Operator.Current())
 	f.event("edition %d is sent", next.Version)
-	if err := f.Operator.Put(ctx, next); err != nil {
+	if err := f.Operator.Change(ctx, next); err != nil {
 		return err
 	}
 	f.event("edition %d is acknowledged", next.Version)
--- a/internal/fleettrial/hunt_test.go
+++ b/internal/fleettrial/hunt_test.go
@@ -88,7 +88,7 @@
 		go func() { result <- play() }()
 	}
 	next := nextConfiguration(h.Operator.Current())
-	beside(changed, func() error { return h.Operator.Put(h.ctx, next) })
+	beside(changed, func() error { return h.Operator.Change(h.ctx, next) })
 	serverTroubles := []func(context.Context) error{h.crashServers, h.drainServers}
 	trouble := serverTroubles[h.random.IntN(len(serverTroubles))]
 	beside(troubled, func() error { return trouble(h.ctx) })
@@ -166,7 +166,7 @@
 	h.Assert(err, qt.IsNil)
 	h.tolerable()
 	next := nextConfiguration(h.Operator.Current())
-	h.Assert(h.Operator.Put(h.ctx, next), qt.IsNil)
+	h.Assert(h.Operator.Change(h.ctx, next), qt.IsNil)
 	lost := h.draw(true)
 	h.event("%s loses its disk right after edition %d, and all are killed", lost.Name, next.Version)
 	for _, m := range h.Machines {
--- a/internal/fleettrial/machine_faults_test.go
+++ b/internal/fleettrial/machine_faults_test.go
@@ -20,7 +20,7 @@
 	}
 	r.Assert(m.running().Send(cut), qt.IsNil)
 	m.correctFaults(m.running(), []string{cut})
-	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Operator.Change(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
 	r.await("the machine hears of the change", func() string {
 		if r.Probe(r.ctx, joiningKind)[200] < len(r.Machines) {
 			return "not yet"
--- a/internal/fleettrial/soak.go
+++ b/internal/fleettrial/soak.go
@@ -215,7 +215,7 @@
 		return err
 	}
 	next := nextConfiguration(s.Operator.Current())
-	err := s.Operator.Put(bounded, next)
+	err := s.Operator.Change(bounded, next)
 	var rejected *fleetstandin.Rejected
 	if errors.As(err, &rejected) {
 		s.Observations.Broken(fleetstandin.Config, "a change that nobody raced with was refused: %v", err)
--- a/internal/fleettrial/soak_callers.go
+++ b/internal/fleettrial/soak_callers.go
@@ -43,7 +43,7 @@
 	s.event("two operators race for editions %d and %d", one.Version, other.Version)
 	results := make(chan error, 2)
 	go func() { results <- s.Operator.Put(bounded, one) }()
-	go func() { results <- second.Put(bounded, other) }()
+	go func() { results <- second.Change(bounded, other) }()
 	first, last := <-results, <-results
 	var rejected *fleetstandin.Rejected
 	if errors.As(first, &rejected) && errors.As(last, &rejected) {
--- a/internal/fleettrial/trial_test.go
+++ b/internal/fleettrial/trial_test.go
@@ -74,7 +74,7 @@
 	r.serve(20)
 	results := make(chan error, 2)
 	go func() { results <- r.Operator.Put(r.ctx, one) }()
-	go func() { results <- second.Put(r.ctx, other) }()
+	go func() { results <- second.Patch(r.ctx, other) }()
 	var rejected *fleetstandin.Rejected
 	first, last := <-results, <-results
 	r.Assert((first == nil) != (last == nil), qt.IsTrue, qt.Commentf("%v and %v", first, last))
@@ -93,7 +93,7 @@
 	r := newRig(t)
 	killed := r.WithDisk(true)[0] // the founder, and the head of the chain at first
 	killed.Kill()
-	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Operator.Change(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
 	r.serve(60)
 	r.Assert(r.startAgain(r.ctx, killed), qt.IsNil)
 	r.Assert(r.AwaitServers(r.ctx), qt.IsNil)
@@ -112,7 +112,7 @@
 	r.Assert(sleepFor(r.ctx, catchUp), qt.IsTrue)
 	next.Kill()
 	r.Assert(next.Wipe(), qt.IsNil)
-	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Operator.Change(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
 	r.Assert(r.startAgain(r.ctx, next), qt.IsNil)
 	r.serve(30)
 	r.finish()
@@ -147,7 +147,7 @@
 func TestAllKilledComeBack(t *testing.T) {
 	long(t)
 	r := newRig(t)
-	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Operator.Change(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
 	r.Assert(r.killAll(r.ctx), qt.IsNil)
 	r.serve(60)
 	r.calm()
@@ -161,7 +161,7 @@
 func TestAllKilledComeBackToOtherSeeds(t *testing.T) {
 	long(t)
 	r := newRig(t)
-	r.Assert(r.Operator.Put(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
+	r.Assert(r.Operator.Change(r.ctx, nextConfiguration(r.Operator.Current())), qt.IsNil)
 	r.Assert(r.Trouble(r.ctx, Turnover), qt.IsNil)
 	r.Assert(r.AwaitServers(r.ctx), qt.IsNil)
 	r.serve(200) // longer than it takes until a server without a watcher is held to be lost
--- a/internal/node/chain_calls.go
+++ b/internal/node/chain_calls.go
@@ -5,6 +5,7 @@
 
 	"cresshub/internal/chain"
 	"cresshub/internal/directory"
+	"cresshub/internal/fleetconfig"
 	"cresshub/internal/peerwire"
 )
 
@@ -58,10 +59,14 @@
 }
 
 func resultOf(reply *chain.Reply) *peerwire.Result {
-	result := &peerwire.Result{Version: reply.Entry.Version, Body: reply.Entry.Body}
+	result := &peerwire.Result{Version: reply.Entry.Version}
 	switch reply.Outcome {
 	case chain.Applied:
-		result.Outcome = peerwire.OutcomeTaken
+		document, _, err := fleetconfig.DecodeStored(reply.Entry.Body)
+		if err != nil {
+			return unavailable(err.Error())
+		}
+		result.Outcome, result.Body = peerwire.OutcomeTaken, document
 	case chain.Conflict, chain.Invalid:
 		result.Outcome = peerwire.OutcomeConflict
 	default:
@@ -104,6 +109,10 @@
 	return unavailable("this machine has no disk")
 }
 
+func (noControlState) patch(*peerwire.Proposal, time.Duration) *peerwire.Result {
+	return unavailable("this machine has no disk")
+}
+
 func (noControlState) read(time.Duration) *peerwire.Result {
 	return unavailable("this machine has no disk")
 }
--- a/internal/node/chain_member.go
+++ b/internal/node/chain_member.go
@@ -52,7 +52,7 @@
 
 	sequence   uint64      // of the entry that was last known to be committed
 	version    int64       // of the committed configuration that was last handed over to be put in force
-	committed  chan []byte // the newest committed configuration that is not yet in force
+	committed  chan []byte // the newest committed configuration that is not yet in force, as it is stored
 	epoch      uint64
 	candidates int           // heard of by the founder
 	calmSince  time.Duration // when the last of them was heard of
@@ -202,8 +202,8 @@
 		select {
 		case <-done:
 			return
-		case document := <-m.committed:
-			m.node.takeConfig(document)
+		case stored := <-m.committed:
+			m.node.takeStored(stored)
 		}
 	}
 }
--- a/internal/node/chain_open.go
+++ b/internal/node/chain_open.go
@@ -68,6 +68,7 @@
 	settings := m.node.settings
 	config := chain.Config{
 		Self:           chain.Member{ID: chain.MemberID(randomID()), Address: settings.IP},
+		DigestOf:       digestOfStored,
 		HasDisk:        settings.DataDir != "",
 		FirstStart:     settings.FirstStart,
 		RequiredCopies: settings.TolerateMachines + 1,
--- /dev/null
+++ b/internal/node/chain_patch.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"time"
+
+	"cresshub/internal/chain"
+	"cresshub/internal/fleetconfig"
+	"cresshub/internal/peerwire"
+)
+
+// digestOfStored names the change that an entry of the chain came from.
+func digestOfStored(body []byte) chain.Digest { return fleetconfig.DigestOfStored(body) }
+
+// patch applies a patch to the version that it builds on and proposes the whole configuration that results.
+// Where that version is not current any more the patch can't be applied; it was acknowledged before, or it is
+// refused.
+func (m *chainMember) patch(change *peerwire.Proposal, timeout time.Duration) *peerwire.Result {
+	patch, err := fleetconfig.ParsePatch(change.Expected, change.Body)
+	if err != nil {
+		return invalidChange(err)
+	}
+	until := m.node.now() + timeout
+	base, failed := m.versionAt(patch.Base, timeout)
+	left := until - m.node.now()
+	switch {
+	case failed != nil:
+		return failed
+	case base == nil:
+		return m.confirm(patch, left)
+	}
+	config, err := base.Apply(patch)
+	if err == nil {
+		err = config.CheckSize()
+	}
+	if err != nil {
+		return invalidChange(err)
+	}
+	return m.propose(&peerwire.Proposal{Expected: patch.Base, Version: patch.Version,
+		Body: fleetconfig.EncodeStored(patch, config.Raw())}, left)
+}
+
+// versionAt returns the configuration of a version if it is in force here or current, else nil. The result is
+// not nil where that can't be told.
+func (m *chainMember) versionAt(version int64,
+	timeout time.Duration) (*fleetconfig.Config, *peerwire.Result) {
+	if config := m.node.state.Config(); config != nil && config.Version == version {
+		return config, nil
+	}
+	current := m.read(timeout)
+	switch {
+	case current.Outcome != peerwire.OutcomeTaken:
+		return nil, unavailable("the current configuration can't be read: " + current.Reason)
+	case current.Version != version:
+		return nil, nil
+	case version == 0:
+		return fleetconfig.Empty(), nil
+	}
+	config, err := fleetconfig.Parse(current.Body)
+	if err != nil {
+		return nil, unavailable(err.Error())
+	}
+	return config, nil
+}
+
+// confirm asks whether a patch was acknowledged before.
+func (m *chainMember) confirm(patch *fleetconfig.Patch, timeout time.Duration) *peerwire.Result {
+	name := chain.ChangeName{Expected: patch.Base, Version: patch.Version,
+		Digest: digestOfStored(fleetconfig.EncodePatch(patch))}
+	return m.request(timeout, func(now time.Duration, number uint64) chain.Effects {
+		return m.machine.Confirm(now, number, name)
+	})
+}
+
+func invalidChange(err error) *peerwire.Result {
+	return &peerwire.Result{Outcome: peerwire.OutcomeInvalid, Reason: err.Error()}
+}
--- a/internal/node/disk_member.go
+++ b/internal/node/disk_member.go
@@ -95,6 +95,10 @@
 	return d.current().propose(proposal, timeout)
 }
 
+func (d *diskMember) patch(change *peerwire.Proposal, timeout time.Duration) *peerwire.Result {
+	return d.current().patch(change, timeout)
+}
+
 func (d *diskMember) read(timeout time.Duration) *peerwire.Result { return d.current().read(timeout) }
 
 func (d *diskMember) take(peer string, body []byte) { d.current().take(peer, body) }
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -24,7 +24,7 @@
 		changed := n.state.next()
 		piece := n.feedPiece(place, epoch)
 		if config := n.state.Config(); config != nil && config.Version > version {
-			piece.Config, piece.Version = n.packed.of(config), config.Version
+			piece.Config, piece.Version = n.newsOfConfig(config, version), config.Version
 		}
 		if !c.Send(peerwire.Frame{Kind: peerwire.KindFeed, Body: peerwire.Encode(piece)}) {
 			return
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -220,6 +220,11 @@
 		n.log.Error().Err(err).Msg("feed: a configuration in force can't be read")
 		return
 	}
+	n.adopt(config)
+}
+
+// adopt puts a configuration that was acknowledged in force unless a newer one is.
+func (n *Node) adopt(config *fleetconfig.Config) {
 	if n.state.adopt(config) {
 		n.log.Info().Int64("version", config.Version).Msg("config: in force")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"cresshub/internal/callserver"
 	"cresshub/internal/directory"
+	"cresshub/internal/fleetconfig"
 	"cresshub/internal/front"
 	"cresshub/internal/nodesettings"
 	"cresshub/internal/peerlink"
@@ -23,7 +24,7 @@
 )
 
 // maxCallBody bounds the body of a call at the control address, in bytes; a configuration may be that large.
-const maxCallBody = 8 << 20
+const maxCallBody = fleetconfig.MaxDocumentBytes
 
 // mostAcceptLines is how many lines a second tell of connections that could not be accepted.
 const mostAcceptLines = 2
--- a/internal/node/observe.go
+++ b/internal/node/observe.go
@@ -54,6 +54,7 @@
 
 var controlOutcomes = map[peerwire.Outcome]string{
 	peerwire.OutcomeTaken: "taken", peerwire.OutcomeConflict: "refused", peerwire.OutcomeUnavailable: "unclear",
+	peerwire.OutcomeInvalid: "invalid",
 }
 
 func (n *Node) observeConfigCall(call string, result *peerwire.Result) {
--- a/internal/node/packed_config.go
+++ b/internal/node/packed_config.go
@@ -25,11 +25,25 @@
 	return p.packed
 }
 
-// takePacked puts a packed document that another process holds to be in force in force here.
+// newsOfConfig returns what a follower that has a version needs to have the one in force: patches, whose cost
+// does not grow with the document, or the whole of it.
+func (n *Node) newsOfConfig(config *fleetconfig.Config, version int64) []byte {
+	patches := n.state.patchesSince(version)
+	if len(patches) == 0 || patches[len(patches)-1].Version != config.Version {
+		return n.packed.of(config)
+	}
+	return peerwire.PackPatches(&peerwire.Patches{Patches: patches})
+}
+
+// takePacked puts a packed document, or patches, that another process holds to be in force in force here.
 func (n *Node) takePacked(packed []byte) {
 	if len(packed) == 0 {
 		return
 	}
+	if peerwire.ArePatches(packed) {
+		n.takePatches(packed)
+		return
+	}
 	document, err := peerwire.Unpack(packed)
 	if err != nil {
 		n.log.Error().Err(err).Msg("feed: a configuration can't be unpacked")
@@ -37,3 +51,38 @@
 	}
 	n.takeConfig(document)
 }
+
+// takePatches puts patches in force. One that does not build on the version in force here is left: the hub
+// tells its version with each answer to a ping, and the whole document is asked for.
+func (n *Node) takePatches(packed []byte) {
+	news, err := peerwire.UnpackPatches(packed)
+	if err != nil {
+		n.log.Error().Err(err).Msg("feed: patches of the configuration can't be unpacked")
+		return
+	}
+	for _, patch := range news.Patches {
+		config := n.state.Config()
+		if config == nil || config.Version != patch.Base {
+			continue
+		}
+		next, err := config.ApplyBody(patch.Body)
+		if err != nil {
+			n.log.Error().Err(err).Int64("version", patch.Version).Msg("feed: a patch can't be applied")
+			return
+		}
+		n.adopt(next)
+	}
+}
+
+// takeStored puts a configuration in force that the control state holds.
+func (n *Node) takeStored(stored []byte) {
+	if len(stored) == 0 {
+		return
+	}
+	config, err := fleetconfig.FromStored(stored, n.state.Config())
+	if err != nil {
+		n.log.Error().Err(err).Msg("chain: a configuration in force can't be read")
+		return
+	}
+	n.adopt(config)
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -29,7 +29,7 @@
 		n.takeCompare(c, frame)
 	case peerwire.KindConfigFetch:
 		c.Answer(frame, peerwire.KindResult, peerwire.Encode(n.configInForce()))
-	case peerwire.KindPropose, peerwire.KindRead:
+	case peerwire.KindPropose, peerwire.KindPatch, peerwire.KindRead:
 		go n.answerControl(c, frame)
 	case peerwire.KindWork:
 		n.work.fromFollower(c, frame.Body)
--- /dev/null
+++ b/internal/node/recent_patches.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"slices"
+
+	"cresshub/internal/fleetconfig"
+	"cresshub/internal/peerwire"
+)
+
+// The bounds of the patches that are kept for followers. One that is further behind gets the whole document.
+const (
+	recentPatchCount = 64
+	recentPatchBytes = 256 << 10
+)
+
+// recentPatches are the patches that led to the configuration in force, the oldest first. Each builds on the
+// one before.
+type recentPatches struct {
+	patches []peerwire.Patch
+	bytes   int
+}
+
+// follow notes that a configuration came into force in place of another one, which may be nil.
+func (r *recentPatches) follow(before, config *fleetconfig.Config) {
+	patch := config.Patch()
+	if before == nil || patch == nil || patch.Base != before.Version || len(patch.Body) > recentPatchBytes {
+		*r = recentPatches{}
+		return
+	}
+	r.patches = append(r.patches, peerwire.Patch{Base: patch.Base, Version: patch.Version, Body: patch.Body})
+	r.bytes += len(patch.Body)
+	for len(r.patches) > recentPatchCount || r.bytes > recentPatchBytes {
+		r.bytes -= len(r.patches[0].Body)
+		r.patches = r.patches[1:]
+	}
+}
+
+// since returns the patches that lead from a version to the one in force, none where that isn't known.
+func (r *recentPatches) since(version int64) []peerwire.Patch {
+	at := slices.IndexFunc(r.patches, func(p peerwire.Patch) bool { return p.Base == version })
+	if at < 0 {
+		return nil
+	}
+	return slices.Clone(r.patches[at:])
+}
--- /dev/null
+++ b/internal/node/recent_patches_test.go
@@ -0,0 +1,99 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/fleetconfig"
+	"cresshub/internal/peerwire"
+)
+
+// firstDocument returns a configuration of so many routes.
+func firstDocument(routes int) []byte {
+	all := make([]string, routes)
+	for i := range all {
+		all[i] = fmt.Sprintf(`{"name":"r%d","town":"h%d.example","street_prefix":"/","timeout_ms":%d,"depot":"s"}`,
+			i, i, 1+i*7919%10007)
+	}
+	return []byte(`{"edition":1,"routes":[` + strings.Join(all, ",") + `],"depots_list":[{"name":"s"}]}`)
+}
+
+// adoptPatch has a process adopt a patch of what is in force there.
+func adoptPatch(c *qt.C, n *Node, body string) {
+	next, err := n.state.Config().ApplyBody([]byte(body))
+	c.Assert(err, qt.IsNil)
+	n.adopt(next)
+}
+
+// TestSmallChangesAreSentAsPatches: what followers are sent for a small change does not grow with the
+// configuration, and they come to the same one.
+func TestSmallChangesAreSentAsPatches(t *testing.T) {
+	c := qt.New(t)
+	hub, follower := newTestNode(t), newTestNode(t)
+	document := firstDocument(10_000)
+	hub.takeConfig(document)
+	follower.takePacked(hub.newsOfConfig(hub.state.Config(), 0))
+	c.Assert(follower.state.version(), qt.Equals, int64(1))
+	for version := int64(2); version < 12; version++ {
+		known := follower.state.version()
+		adoptPatch(c, hub, fmt.Sprintf(`{"edition":%d,"deliver":{"routes":[{"name":"r%d","town":"new%d.example",
+			"street_prefix":"/","timeout_ms":5,"depot":"s"}]}}`, version, version, version))
+		if version%3 == 0 {
+			continue // the follower hears of two changes at once
+		}
+		news := hub.newsOfConfig(hub.state.Config(), known)
+		c.Assert(len(news) < 600, qt.IsTrue, qt.Commentf("%d bytes", len(news)))
+		follower.takePacked(news)
+		c.Assert(follower.state.version(), qt.Equals, version)
+	}
+	c.Assert(string(follower.state.Config().Raw()), qt.Equals, string(hub.state.Config().Raw()))
+	c.Assert(follower.state.Config().Match("new11.example", "/").Name, qt.Equals, "r11")
+	follower.takePacked(hub.newsOfConfig(hub.state.Config(), 5)) // again what it has
+	c.Assert(follower.state.version(), qt.Equals, int64(11))
+}
+
+// TestFollowersThatAreFarBehindGetAll: one that is further behind than the patches that are kept, or
+// has another version than they build on, is sent the whole document.
+func TestFollowersThatAreFarBehindGetAll(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(t)
+	n.takeConfig(firstDocument(3))
+	for version := 2; version < 3*recentPatchCount; version++ {
+		adoptPatch(c, n, fmt.Sprintf(`{"edition":%d}`, version))
+	}
+	config := n.state.Config()
+	oldest := config.Version - recentPatchCount
+	for version, patched := range map[int64]bool{
+		0: false, 1: false, oldest - 1: false, oldest: true, config.Version - 1: true, config.Version: false} {
+		got := peerwire.ArePatches(n.newsOfConfig(config, version))
+		c.Check(got, qt.Equals, patched, qt.Commentf("%d", version))
+	}
+	adoptPatch(c, n, fmt.Sprintf(`{"edition":500,"deliver":{"depots_list":[{"name":"t","note":%q}]}}`,
+		strings.Repeat("x", recentPatchBytes)))
+	c.Assert(peerwire.ArePatches(n.newsOfConfig(n.state.Config(), config.Version)), qt.IsFalse)
+	whole, err := fleetconfig.Parse([]byte(`{"edition":501,"depots_list":[]}`))
+	c.Assert(err, qt.IsNil)
+	n.adopt(whole)
+	c.Assert(peerwire.ArePatches(n.newsOfConfig(whole, 500)), qt.IsFalse)
+}
+
+// TestDamagedPatchesAreLeft takes patches that are cut, or build on another version, for none.
+func TestDamagedPatchesAreLeft(t *testing.T) {
+	c := qt.New(t)
+	n := newTestNode(t)
+	n.takeConfig(firstDocument(3))
+	packed := peerwire.PackPatches(&peerwire.Patches{Patches: []peerwire.Patch{
+		{Base: 1, Version: 2, Body: []byte(`{"edition":2}`)}, {Base: 2, Version: 3, Body: []byte(`{`)}}})
+	for cut := 1; cut < len(packed); cut++ {
+		n.takePacked(packed[:cut])
+		c.Assert(n.state.version(), qt.Equals, int64(1))
+	}
+	n.takePacked(peerwire.PackPatches(&peerwire.Patches{Patches: []peerwire.Patch{
+		{Base: 4, Version: 5, Body: []byte(`{"edition":5}`)}}}))
+	c.Assert(n.state.version(), qt.Equals, int64(1))
+	n.takePacked(packed)
+	c.Assert(n.state.version(), qt.Equals, int64(2))
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -36,6 +36,7 @@
 
 	mu        sync.Mutex
 	directory *directory.Directory
+	patches   recentPatches
 	view      view
 	synced    bool          // a snapshot of a feed was taken in, or this process keeps the control state
 	changed   chan struct{} // closed at the next change of anything above
@@ -125,10 +126,18 @@
 	before := s.config.Swap(config)
 	invariant.Holds(before == nil || before.Version < config.Version, invariant.ConfigVersionRises,
 		"version %d replaces a later one", config.Version)
+	s.patches.follow(before, config)
 	s.announce()
 	return true
 }
 
+// patchesSince returns the patches that lead from a version to the one in force, none where that isn't known.
+func (s *state) patchesSince(version int64) []peerwire.Patch {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.patches.since(version)
+}
+
 // learnView takes in who keeps the control state and tells whether that is news.
 func (s *state) learnView(epoch int64, members []peerwire.MemberInfo) bool {
 	s.mu.Lock()
--- a/internal/nodesim/operator.go
+++ b/internal/nodesim/operator.go
@@ -35,10 +35,44 @@
 			LinkMbps: 1000, Stride: 2, HandleLife: 5, StageSwitch: stageSwitch.Seconds(),
 			Models: []map[string]string{{"name": serviceName}}}
 	}
-	d := &fleetstandin.Document{Version: c.Version, Services: []fleetstandin.ServiceDoc{service},
-		Routes: []fleetstandin.RouteDoc{{Name: "r", Host: "a.example", Prefix: "/", Class: "safe",
-			TimeoutMs: firstTimeout + c.Mark, TargetMs: 500, Service: serviceName, Tries: 2}}}
-	body, err := json.Marshal(d)
+	return f.encode(&fleetstandin.Document{Version: c.Version, Services: []fleetstandin.ServiceDoc{service},
+		Routes: []fleetstandin.RouteDoc{c.route()}})
+}
+
+// route returns the one route after a change.
+func (c Change) route() fleetstandin.RouteDoc {
+	return fleetstandin.RouteDoc{Name: "r", Host: "a.example", Prefix: "/", Class: "safe",
+		TimeoutMs: firstTimeout + c.Mark, TargetMs: 500, Service: serviceName, Tries: 2}
+}
+
+// isPatch tells whether a change is sent as a patch: every second one, so that both kinds meet on one base.
+func (c Change) isPatch() bool { return c.Base > 0 && (c.Version+c.Mark)%2 == 0 }
+
+// patchDocument is a patch as an operator sends it.
+type patchDocument struct {
+	Version int64 `json:"edition"`
+	Deliver struct {
+		Routes []fleetstandin.RouteDoc `json:"routes"`
+	} `json:"deliver"`
+}
+
+// call returns the call by which a change is asked for.
+func (f *Fleet) call(c Change) callclient.Call {
+	header := http1.Header{{Name: "If-Match", Value: strconv.FormatInt(c.Base, 10)},
+		{Name: "Content-Type", Value: "application/json"}}
+	call := callclient.Call{Method: "PUT", Target: "/api/config", Header: header}
+	if !c.isPatch() {
+		call.Body = f.document(c)
+		return call
+	}
+	patch := &patchDocument{Version: c.Version}
+	patch.Deliver.Routes = []fleetstandin.RouteDoc{c.route()}
+	call.Method, call.Body = "PATCH", f.encode(patch)
+	return call
+}
+
+func (f *Fleet) encode(document any) []byte {
+	body, err := json.Marshal(document)
 	if err != nil {
 		f.TB.Error(err)
 	}
@@ -75,11 +109,8 @@
 
 // Put sends a change to one machine, once, and returns the status, 0 for none.
 func (o *Operator) Put(m *Machine, c Change) int {
-	header := http1.Header{{Name: "If-Match", Value: strconv.FormatInt(c.Base, 10)},
-		{Name: "Content-Type", Value: "application/json"}}
 	call := o.history.beginPut(o.fleet.Now(), m.Name, c)
-	answer, err := callFrom(o.network, m.Control(),
-		callclient.Call{Method: "PUT", Target: "/api/config", Header: header, Body: o.fleet.document(c)})
+	answer, err := callFrom(o.network, m.Control(), o.fleet.call(c))
 	status := 0
 	if err == nil {
 		status = answer.Status
--- /dev/null
+++ b/internal/nodesim/patch_test.go
@@ -0,0 +1,91 @@
+package nodesim
+
+import (
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/callclient"
+	"cresshub/internal/http1"
+)
+
+// patch sends a body as a patch to one machine and returns the status.
+func (o *Operator) patch(m *Machine, ifMatch int64, body string) int {
+	header := http1.Header{{Name: "If-Match", Value: strconv.FormatInt(ifMatch, 10)}}
+	answer, err := callFrom(o.network, m.Control(),
+		callclient.Call{Method: "PATCH", Target: "/api/config", Header: header, Body: []byte(body)})
+	if err != nil {
+		return 0
+	}
+	return answer.Status
+}
+
+// TestPatchesAtEachMachine sends patches to machines with and without a disk: each is acknowledged, also when
+// it is sent again elsewhere after later changes, and what is wrong is refused by all alike.
+func TestPatchesAtEachMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := New(t, Options{Disks: 3, Others: 4, Servers: 2, Seed: 3})
+		operator := f.AddOperator(&History{})
+		c.Assert(operator.PutUntil(f.Machines, Change{0, 1, 0}, 4*time.Second, 0), qt.Equals, 200)
+		first := `{"edition":3,"deliver":{"routes":[{"name":"q","town":"q.example","street_prefix":"/",
+			"timeout_ms":100,"depot":"` + serviceName + `"}]}}`
+		c.Assert(operator.patch(f.Machines[6], 1, first), qt.Equals, 200)
+		second := `{"edition":8,"withdraw":{"routes":["q"]}}`
+		c.Assert(operator.patch(f.Machines[5], 3, second), qt.Equals, 200)
+		f.Await("all follow the patches", 2*time.Second, f.Whole)
+		for _, m := range f.Machines {
+			for _, one := range []struct {
+				what    string
+				ifMatch int64
+				body    string
+				want    int
+			}{
+				{"the newest again", 3, second, 200},
+				{"an earlier one again", 1, first, 200},
+				{"another body under its version", 1, `{"edition":3}`, 412},
+				{"the same body on another version", 0, first, 412},
+				{"on an older version", 3, `{"edition":9}`, 412},
+				{"on a version to come", 9, `{"edition":10}`, 412},
+				{"not above its base", 8, `{"edition":8}`, 400},
+				{"a service that a route names", 8, `{"edition":9,"withdraw":{"depots_list":["` + serviceName + `"]}}`,
+					400},
+				{"cut short", 8, `{"edition":9`, 400},
+			} {
+				c.Check(operator.patch(m, one.ifMatch, one.body), qt.Equals, one.want,
+					qt.Commentf("%s at %s", one.what, m.Name))
+			}
+			version, status := operator.Get(m)
+			c.Check(version, qt.Equals, int64(8))
+			c.Check(status, qt.Equals, 200)
+		}
+	})
+}
+
+// TestPatchOutlivesALostDisk wipes the machine that acknowledged a patch while all others lose power.
+func TestPatchOutlivesALostDisk(t *testing.T) {
+	for lost := range 3 {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			f := New(t, Options{Disks: 3, Others: 4, Seed: int64(lost)})
+			history := &History{}
+			operator := f.AddOperator(history)
+			c.Assert(operator.PutUntil(f.Machines, Change{0, 1, 0}, 4*time.Second, 0), qt.Equals, 200)
+			f.Await("all agree", 4*time.Second, f.Whole)
+			wiped := f.Machines[lost]
+			c.Assert(operator.PutUntil([]*Machine{wiped}, Change{1, 2, 0}, 4*time.Second, 0), qt.Equals, 200)
+			f.PowerOffAll(f.Machines)
+			wiped.Wipe()
+			f.StartTogether(f.Machines, false)
+			f.Await("all agree again", 12*time.Second, f.Whole)
+			c.Assert(operator.PutUntil(f.Machines, Change{1, 2, 0}, 8*time.Second, 0), qt.Equals, 200)
+			c.Assert(operator.PutUntil(f.Machines, Change{2, 4, 0}, 8*time.Second, 0), qt.Equals, 200)
+			version, _ := operator.Get(f.Machines[6])
+			c.Assert(version, qt.Equals, int64(4))
+			c.Assert(history.Check(), qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/pathreader/decode.go
+++ b/internal/pathreader/decode.go
@@ -22,20 +22,21 @@
 	values int
 }
 
-func decode(raw []byte) (map[string]any, error) {
+// decode returns the top of a document, and how many values it holds.
+func decode(raw []byte) (map[string]any, int, error) {
 	d := &decoder{tokens: json.NewDecoder(bytes.NewReader(raw))}
 	root, err := d.value("")
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if _, extra := d.tokens.Token(); extra != io.EOF {
-		return nil, errors.New("text follows the end of the document")
+		return nil, 0, errors.New("text follows the end of the document")
 	}
 	object, ok := root.(map[string]any)
 	if !ok {
-		return nil, errors.New("the document is not an object")
+		return nil, 0, errors.New("the document is not an object")
 	}
-	return object, nil
+	return object, d.values, nil
 }
 
 func (d *decoder) value(path string) (any, error) {
--- a/internal/pathreader/pathreader.go
+++ b/internal/pathreader/pathreader.go
@@ -4,7 +4,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -31,23 +33,30 @@
 // Document is a decoded JSON document and the mistakes found in it so far.
 type Document struct {
 	root     any
+	values   int
 	problems []Problem
 }
 
+// MostValues is how many values a document holds at most.
+const MostValues = mostValues
+
 // Parse decodes a whole document whose top is an object. It rejects text after the document and objects that
 // name a field twice, because two readers could understand such a document differently. It rejects documents
 // beyond the bounds of decode.go, because these would take more memory than a process has.
 func Parse(raw []byte) (*Document, error) {
-	root, err := decode(raw)
+	root, values, err := decode(raw)
 	if err != nil {
 		return nil, &Invalid{[]Problem{{"document", err.Error(), "send one whole JSON object"}}}
 	}
-	return &Document{root: root}, nil
+	return &Document{root: root, values: values}, nil
 }
 
 // Root returns the top of the document.
 func (d *Document) Root() Node { return Node{document: d, value: d.root, present: true} }
 
+// Values returns how many values the document holds, objects and lists included.
+func (d *Document) Values() int { return d.values }
+
 // Err returns *Invalid with all mistakes noted so far, or nil.
 func (d *Document) Err() error {
 	if len(d.problems) == 0 {
@@ -88,6 +97,19 @@
 	return child
 }
 
+// Names returns the names of an object's fields in their alphabetical order; an absent object has none.
+func (n Node) Names() []string {
+	if !n.Present() {
+		return nil
+	}
+	object, ok := n.value.(map[string]any)
+	if !ok {
+		n.Reject("is not an object", "give an object")
+		return nil
+	}
+	return slices.Sorted(maps.Keys(object))
+}
+
 // Items returns the elements of a list; an absent list is empty.
 func (n Node) Items() []Node {
 	if !n.Present() {
--- a/internal/peerwire/kind_names.go
+++ b/internal/peerwire/kind_names.go
@@ -6,6 +6,7 @@
 	KindFeed: "feed", KindCompare: "compare", KindComparison: "comparison", KindPropose: "propose",
 	KindRead: "read", KindResult: "result", KindChain: "chain", KindDone: "done", KindConfigFetch: "fetch",
 	KindWork: "work", KindHubWork: "hub work", KindIntroduce: "introduce",
+	KindPatch: "patch",
 }
 
 // String implements fmt.Stringer.
--- a/internal/peerwire/messages.go
+++ b/internal/peerwire/messages.go
@@ -32,8 +32,9 @@
 	KindWork        Kind = 15 // Work: what the sender has under way, to a hub; or what all others have, from it
 	KindHubWork     Kind = 16 // Work: what a hub and its followers have under way, to another hub
 	KindIntroduce   Kind = 17 // Status, to a process that may not know the view; answered by KindPong
+	KindPatch       Kind = 18 // Proposal with a patch in its Body; answered by KindResult
 
-	Kinds = 18 // how many there are, 0 included
+	Kinds = 19 // how many there are, 0 included
 )
 
 // Records is a list of records of the directory.
@@ -140,6 +141,7 @@
 	OutcomeTaken       Outcome = 1 // acknowledged; for a read, Body holds the configuration
 	OutcomeConflict    Outcome = 2 // another version is current
 	OutcomeUnavailable Outcome = 3 // no clear answer can be had now
+	OutcomeInvalid     Outcome = 4 // what would result is no valid configuration, as Reason tells
 )
 
 // Result answers a call on the configuration.
@@ -194,6 +196,22 @@
 		{"name":"body","type":"bytes"},{"name":"reason","type":"string"}`)
 )
 
+// Patches are changes of the configuration, each of which builds on the one before.
+type Patches struct {
+	Patches []Patch `avro:"patches"`
+}
+
+// Patch is a change of named items of the configuration.
+type Patch struct {
+	Base    int64  `avro:"base"` // the version that it builds on
+	Version int64  `avro:"version"`
+	Body    []byte `avro:"body"`
+}
+
+var patchesSchema = recordOf("Patches", `{"name":"patches","type":{"type":"array","items":{"type":"record",
+	"name":"Patch","fields":[{"name":"base","type":"long"},{"name":"version","type":"long"},
+	{"name":"body","type":"bytes"}]}}}`)
+
 func schemaOf(message any) avro.Schema {
 	switch message.(type) {
 	case *Hello:
@@ -216,6 +234,8 @@
 		return proposalSchema
 	case *Result:
 		return resultSchema
+	case *Patches:
+		return patchesSchema
 	case *ChainMessage:
 		return chainSchema
 	}
--- a/internal/peerwire/pack.go
+++ b/internal/peerwire/pack.go
@@ -30,6 +30,33 @@
 	return packed.Bytes()
 }
 
+// patchesMark begins patches in place of a packed document, whose length is never 0.
+const patchesMark = 0
+
+// PackPatches returns patches in the form in which they are sent in place of a packed document.
+func PackPatches(patches *Patches) []byte {
+	return append([]byte{patchesMark}, Pack(Encode(patches))...)
+}
+
+// ArePatches tells whether patches were packed, and not a document.
+func ArePatches(packed []byte) bool { return len(packed) > 0 && packed[0] == patchesMark }
+
+// UnpackPatches returns patches of their packed form.
+func UnpackPatches(packed []byte) (*Patches, error) {
+	if !ArePatches(packed) {
+		return nil, errNotPacked
+	}
+	body, err := Unpack(packed[1:])
+	if err != nil {
+		return nil, err
+	}
+	patches := &Patches{}
+	if err := Decode(body, patches); err != nil {
+		return nil, err
+	}
+	return patches, nil
+}
+
 // Unpack returns the document of its packed form.
 func Unpack(packed []byte) ([]byte, error) {
 	length, size := binary.Uvarint(packed)
--- a/internal/peerwire/peerwire_test.go
+++ b/internal/peerwire/peerwire_test.go
@@ -80,7 +80,7 @@
 // messages returns one of each kind of message.
 func messages() []any {
 	return []any{&Hello{}, &Records{}, &Status{}, &Demands{}, &Work{}, &Follow{}, &Feed{}, &Comparison{},
-		&Proposal{}, &ChainMessage{}, &Result{}}
+		&Proposal{}, &ChainMessage{}, &Result{}, &Patches{}}
 }
 
 // TestHugeCountsAreRefused decodes few bytes that announce lists of any length, as those of a process with
