--- a/internal/fleetcli/fleetcli.go
+++ b/internal/fleetcli/fleetcli.go
@@ -25,9 +25,6 @@
 	Members membersCommand `cmd:"" help:"List the processes of the fleet."`
 	Servers serversCommand `cmd:"" help:"List the servers that the fleet knows."`
 
-	Hollow      hollowCommand      `cmd:"" help:"Measure the control protocol without traffic."`
-	HollowGroup hollowGroupCommand `cmd:"" hidden:""`
-
 	trialCommands
 }
 
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -58,8 +58,5 @@
 // WithMetricsPort has a process tell its figures at a port of its own too.
 func WithMetricsPort(port int) Option { return func(n *Node) { n.metricsPort = port } }
 
-// WithWorkload gives a process without a front the workload of one.
-func WithWorkload(workload Workload) Option { return func(n *Node) { n.workload = workload } }
-
 // WithStageOrders lets a process without a front give model servers their stages.
 func WithStageOrders() Option { return func(n *Node) { n.ordersStages = true } }
