A restarted replica knows the entry before the one it holds to be committed

That the held entry is committed is persisted up to a second later, except at the tail; the entry before it is committed for sure, as a write begins only then, and the log still has it.

Change: a node that opens takes that entry for the latest known to be committed, where the held one isn't known to be. Reads and writes go through the chain as before.

--- a/internal/chain/chain_test.go
+++ b/internal/chain/chain_test.go
@@ -257,6 +257,33 @@
 	l.mustWrite("b", 1, 2, "two")
 }
 
+// TestRestartKnowsTheEntryBefore stops all right after a write. Only the tail has persisted that it is
+// committed; until the chain is open again the others know that of the entry before it, and no more.
+func TestRestartKnowsTheEntryBefore(t *testing.T) {
+	l := newCluster(t, 3, 3)
+	l.mustWrite("a", 0, 1, "one")
+	l.run(2 * time.Second)
+	l.mustWrite("a", 1, 2, "two")
+	l.flights = nil
+	for _, id := range l.order {
+		l.restart(id)
+		l.flights = nil // none hears of another yet
+		entry, known := l.machines[id].node.Committed()
+		l.c.Assert(known, qt.IsTrue)
+		want := "one"
+		if id == "c" {
+			want = "two"
+		}
+		l.c.Assert(string(entry.Body), qt.Equals, want)
+	}
+	l.run(200 * time.Millisecond)
+	l.mustRead("b", 2, "two")
+	for _, id := range l.order {
+		entry, _ := l.machines[id].node.Committed()
+		l.c.Assert(string(entry.Body), qt.Equals, "two")
+	}
+}
+
 func TestOpeningSendsNoBodyThatIsThere(t *testing.T) {
 	l := newCluster(t, 3, 3)
 	l.mustWrite("a", 0, 1, "one")
--- a/internal/chain/durable.go
+++ b/internal/chain/durable.go
@@ -12,6 +12,9 @@
 	acceptor acceptorState
 	// held is the latest entry that this node accepted; its epoch is the one it was accepted in.
 	held heldEntry
+	// predecessor is the entry before the held one, where the disk still has it: it was committed, as a write
+	// begins only then. Nobody needs it once the node is open.
+	predecessor heldEntry
 	// committedSequence is the latest sequence known to be committed; it may be behind.
 	committedSequence uint64
 	// sealed is the epoch in which this node has promised not to accept a first entry.
@@ -82,8 +85,10 @@
 		s.acceptor = acceptorState{data.ballot(), data.ballot(), data.view()}
 	case recordEntry:
 		s.held = config.hold(data.entry(), nil) // the record of its history follows
+		s.predecessor = heldEntry{}
 	case recordSuccessor:
 		entry := data.entry()
+		s.predecessor = s.held
 		s.held = s.held.successor(entry, config.DigestOf(entry.Body), config.HistoryLength)
 	case recordPosition:
 		s.held.Epoch = data.number()
--- a/internal/chain/node.go
+++ b/internal/chain/node.go
@@ -75,9 +75,7 @@
 		n.state.id, n.state.fromFirstStart = config.Self.ID, config.FirstStart
 		n.changed[recordIdentity] = true
 	}
-	if n.state.committedSequence == n.state.held.Sequence && n.state.held.Sequence > 0 {
-		n.state.committed, n.state.committedKnown = n.state.held, true
-	}
+	n.recallCommitted()
 	n.saved = n.state
 	n.expectFounder()
 	n.startEpoch()
@@ -87,6 +85,19 @@
 	return n, n.finish(), nil
 }
 
+// recallCommitted takes what the disk tells of the latest committed entry. That the held one is committed is
+// persisted a while after the fact; until the chain confirms it, the one before it is the latest known to be.
+func (n *Node) recallCommitted() {
+	s := &n.state
+	switch {
+	case s.held.Sequence > 0 && s.committedSequence == s.held.Sequence:
+		s.committed, s.committedKnown = s.held, true
+	case s.predecessor.Sequence > 0:
+		s.committed, s.committedKnown = s.predecessor, true
+	}
+	s.predecessor = heldEntry{}
+}
+
 // SnapshotRecords returns records that stand for the whole durable state, what the last step changed
 // included.
 func (n *Node) SnapshotRecords() [][]byte {
