What servers hold is handed on also by a proxy that has made no decision yet

A hub loads what it had saved and hands it to its followers, but named servers by the list that the first decision makes, and there is no decision before a configuration is known. So followers were told that nothing is held, took that for complete, and the hub saved the empty list.

Change: servers are named by the table of those listed.

--- a/internal/catalog/server.go
+++ b/internal/catalog/server.go
@@ -2,7 +2,11 @@
 // with the highest sequence number of an incarnation wins and an ended incarnation stays ended.
 package catalog
 
-import "time"
+import (
+	"iter"
+	"maps"
+	"time"
+)
 
 // Stage is the part a model server plays.
 type Stage string
@@ -51,6 +55,9 @@
 // ByID returns a server that may get new requests, nil where there is none.
 func (t *Table) ByID(id string) *Server { return t.byID[id] }
 
+// All returns the servers that may get new requests, in no order.
+func (t *Table) All() iter.Seq[*Server] { return maps.Values(t.byID) }
+
 // Len returns how many servers may get new requests.
 func (t *Table) Len() int { return len(t.byID) }
 
--- a/internal/pairing/sharing.go
+++ b/internal/pairing/sharing.go
@@ -85,11 +85,12 @@
 	}
 }
 
-// KnownPrompts returns what is known of which listed servers hold what, the most recently used ones.
+// KnownPrompts returns what is known of which listed servers hold what, the most recently used ones. A proxy
+// that has made no decision yet tells what it was told itself.
 func (c *Chooser) KnownPrompts(most int) []NewPrompts {
 	ids := map[uint64]string{}
-	for id := range c.servers {
-		ids[serverHash(id)] = id
+	for s := range c.table.All() {
+		ids[serverHash(s.ID)] = s.ID
 	}
 	names := map[string][]uint64{}
 	for _, h := range c.holdings.newest(most) {
--- a/internal/pairing/sharing_test.go
+++ b/internal/pairing/sharing_test.go
@@ -1,6 +1,7 @@
 package pairing
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -132,3 +133,22 @@
 	c.Check(second2.holdings.tokens(call.state.hash, &chain), qt.Equals, 12000)
 	c.Check(first.KnownPrompts(0), qt.HasLen, 0)
 }
+
+// TestWhatWasToldIsHandedOnBeforeTheFirstDecision hands on what a proxy was told, as after a loss of all
+// processes, where it knows the servers and has not had a request yet.
+func TestWhatWasToldIsHandedOnBeforeTheFirstDecision(t *testing.T) {
+	c := qt.New(t)
+	known := settled(1, 7, 11)
+	known.Choose(10*second, prompted("a", 1), Read, nil)
+	told := known.KnownPrompts(100)
+	c.Assert(told, qt.HasLen, 1)
+
+	restarted := New("z1", 2)
+	restarted.NoteNewPrompts(told)
+	c.Check(restarted.KnownPrompts(100), qt.HasLen, 0, qt.Commentf("no server is known"))
+	restarted.Update(10*second, known.table)
+	again := restarted.KnownPrompts(100)
+	slices.Sort(again[0].Names)
+	slices.Sort(told[0].Names)
+	c.Check(again, qt.DeepEquals, told)
+}
