Prompts that no reader holds go to the best of a quarter of the readers

Each prompt had two readers to choose from, also where neither held any of it.

Without word from the other proxies nothing changes.

--- a/internal/pairing/affinity.go
+++ b/internal/pairing/affinity.go
@@ -2,13 +2,24 @@
 
 import "time"
 
-// ranked is k, the number of servers that a prompt which shares parts with others may go to at least. One
-// more would take load off the others for a moment and bring them a second reading of the same parts later.
-const ranked = 2
+const (
+	// ranked is k, the number of servers that a prompt which shares parts with others may go to at least. One
+	// more would take load off the others for a moment and bring them a second reading of the same parts later.
+	ranked = 2
+	// firstPart is the part of the readers, as its inverse, that a prompt may go to which no reader holds: it
+	// is read for the first time wherever that is, so that more choices cost nothing but a second reading by a
+	// proxy that has not heard of the first one. Of eight readers or fewer that is no more than ranked.
+	firstPart = 4
+)
 
-// affine returns the servers that a prompt may go to, and the n of what arrives: the servers that rank first
-// for what it shares with others. Of writers, which get memory by moves as well, also those that are known to
-// hold nearly all of it. A prompt that shares nothing may go to any.
+// affine returns the servers that a prompt may go to, and the n of what arrives. A prompt that shares nothing
+// may go to any server.
+//
+// Readers: those that rank first among the servers that hold what it shares, as proxies tell each other, then
+// among the others; where none holds it, the part of the readers that ranks first, and since other prompts
+// are read there for the first time too, n is their number. Without word from the others, the first ranks,
+// which are taken to hold it. Writers, which get memory by moves as well: the first ranks, and those that are
+// known to hold nearly all of the prompt.
 func (c *Chooser) affine(
 	now time.Duration, p *pool, role Role, all []candidate, chain *prompt,
 ) ([]candidate, int) {
@@ -17,19 +28,38 @@
 		c.price(p, role, all)
 		return all, len(all)
 	}
-	k := p.popular.width(name, len(all))
-	rank(all, name, k)
-	if role == Read && !c.knowsHolders(now) {
-		assume(all[:k-1], chain, shared)
-	}
-	if role != Read {
+	k, n := p.popular.width(name, len(all)), 1
+	switch {
+	case role != Read:
+		rank(all, name, k)
 		k = holders(all, k)
+	case p.sharing && markHolders(all, chain.tokens-shared):
+		rank(all, name, k)
+	case !c.knowsHolders(now):
+		rank(all, name, k)
+		assume(all[:k-1], chain, shared)
+	default:
+		k = max(k, (len(all)+firstPart-1)/firstPart)
+		n = k
+		rank(all, name, k)
 	}
 	c.price(p, role, all)
-	return all[:k], 1
+	return all[:k], n
+}
+
+// markHolders marks the servers that are known to hold a prompt but for so many tokens, and tells whether
+// there are any.
+func markHolders(all []candidate, rest int) bool {
+	found := false
+	for i := range all {
+		all[i].holds = all[i].uncached <= rest
+		found = found || all[i].holds
+	}
+	return found
 }
 
-// rank moves the k servers with the highest scores for a name to the front, in their order.
+// rank moves the k servers that rank first for a name to the front, in their order: those marked as its
+// holders, then those with the highest scores.
 func rank(all []candidate, name uint64, k int) {
 	for i := range all {
 		all[i].score = score(all[i].hash, name)
@@ -39,11 +69,19 @@
 	}
 }
 
-// raise moves the highest score from place i on to place i.
+// before tells whether a server ranks before another one.
+func (c *candidate) before(other *candidate) bool {
+	if c.holds != other.holds {
+		return c.holds
+	}
+	return c.score > other.score
+}
+
+// raise moves the server that ranks first from place i on to place i.
 func raise(all []candidate, i int) {
 	best := i
 	for j := i + 1; j < len(all); j++ {
-		if all[j].score > all[best].score {
+		if all[j].before(&all[best]) {
 			best = j
 		}
 	}
--- a/internal/pairing/affinity_test.go
+++ b/internal/pairing/affinity_test.go
@@ -195,3 +195,58 @@
 		chooser.Done(21*second, call, Abandoned)
 	}
 }
+
+// inTouch returns a chooser of a proxy that hears the others, which know of no prompt at any server.
+func inTouch(readers, servers int) *Chooser {
+	chooser := settled(1, readers, servers)
+	chooser.KnowHolders(10 * second)
+	chooser.Share(10*second, nil, true)
+	return chooser
+}
+
+// affineReaders returns the readers that a prompt may go to, and the n of what arrives.
+func affineReaders(chooser *Chooser, r *Request) ([]string, int) {
+	chain := newPrompt(r)
+	p := chooser.pool(10*second, r.Service)
+	eligible := chooser.eligible(10*second, p, r, Read, &chain)
+	candidates, n := chooser.affine(10*second, p, Read, eligible, &chain)
+	ids := make([]string, len(candidates))
+	for i := range candidates {
+		ids[i] = candidates[i].ID
+	}
+	return ids, n
+}
+
+// TestFirstReadingsMayGoToAPartOfTheReaders: where no reader holds what a prompt shares, the readers that
+// rank first for it may read it, more of them in a larger fleet.
+func TestFirstReadingsMayGoToAPartOfTheReaders(t *testing.T) {
+	for readers, want := range map[int]int{2: 2, 6: 2, 8: 2, 9: 3, 20: 5, 97: 25} {
+		chooser, r := inTouch(readers, readers+5), prompted("a", 1)
+		ids, n := affineReaders(chooser, r)
+		qt.Check(t, ids, qt.DeepEquals, ranks(chooser, r)[:want])
+		qt.Check(t, n, qt.Equals, want)
+	}
+}
+
+// TestHoldersRankBeforeOthers: a prompt goes to the readers that are told to hold what it shares, wherever
+// these rank; of many, to those that all proxies rank first, so that the other copies fall out of use.
+func TestHoldersRankBeforeOthers(t *testing.T) {
+	c := qt.New(t)
+	r := prompted("a", 1)
+	chain := newPrompt(r)
+	name, _, _ := chain.shared()
+	order := ranks(settled(1, 20, 25), r)
+	for _, test := range []struct{ holders, want []string }{
+		{[]string{order[9]}, []string{order[9], order[0]}},
+		{[]string{order[0]}, []string{order[0], order[1]}},
+		{[]string{order[15], order[7], order[11]}, []string{order[7], order[11]}},
+	} {
+		chooser := inTouch(20, 25)
+		for _, id := range test.holders {
+			chooser.NoteNewPrompts([]NewPrompts{{id, []uint64{name}}})
+		}
+		ids, n := affineReaders(chooser, r)
+		c.Check(ids, qt.DeepEquals, test.want)
+		c.Check(n, qt.Equals, 1)
+	}
+}
--- a/internal/pairing/level.go
+++ b/internal/pairing/level.go
@@ -46,6 +46,7 @@
 	least    int     // the fewest that it can have to read
 	most     int     // the most
 	score    uint64  // of the server for the prompt
+	holds    bool    // what the prompt shares, as its rank goes by
 	avoid    bool    // not taken while there are others
 }
 
