--- a/balance/api.go
+++ b/balance/api.go
@@ -4,7 +4,7 @@
 // event together with its own clock and carries out the actions that the call appends to its buffer.
 // The same settings and the same events give the same actions.
 //
-// This file is the whole interface; balance.go holds every decision.
+// This file is the whole interface; the policy files of deploy/balancer.toml hold every decision.
 package balance
 
 import "time"
--- a/balance/estimate.go
+++ b/balance/estimate.go
@@ -1,6 +1,6 @@
 package balance
 
-// What latencies tell of service times. What follows from them is decided in balance.go.
+// What latencies tell of service times. What follows from them the policy files decide.
 
 import "time"
 
--- a/balance/shares.go
+++ b/balance/shares.go
@@ -1,4 +1,4 @@
-// This file fills and draws the shares that balance.go sets up.
+// This file fills and draws the shares that candidates.go sets up.
 
 package balance
 
--- a/balance/state.go
+++ b/balance/state.go
@@ -1,6 +1,6 @@
 package balance
 
-// What a Balancer remembers, and the check of its settings. Every decision is in balance.go.
+// What a Balancer remembers, and the check of its settings. Every decision is in the policy files.
 
 import (
 	"fmt"
