cresshub-fleet late tells by the logs why answers were late

Cause: which answers were late for what reason could be told from debug logs only with scratch scripts, and these lacked the route, its target and what the prompt shares. Change: the line of a call names them, roles and outcomes by name and times in ms; a call that was not sent has taken no time (it was told as 9,223,372,028 ms). internal/calllog reads the lines, finds the largest part of each late answer's time, and takes the quickest twentieth of the long readings for the pace of reading. Measured: nothing changes but lines at the debug level.

--- a/internal/fleetcli/fleetcli.go
+++ b/internal/fleetcli/fleetcli.go
@@ -24,6 +24,7 @@
 
 	Members membersCommand `cmd:"" help:"List the processes of the fleet."`
 	Servers serversCommand `cmd:"" help:"List the servers that the fleet knows."`
+	Late    lateCommand    `cmd:"" help:"Tell by their logs why answers of model services were late."`
 
 	trialCommands
 }
--- a/internal/fleetcli/inspection_test.go
+++ b/internal/fleetcli/inspection_test.go
@@ -136,6 +136,25 @@
 	c.Assert(problem, qt.Matches, `(?s).*"one" is named by route "r1"; withdraw or replace .*`)
 }
 
+func TestLateAnswersAreExplained(t *testing.T) {
+	c := qt.New(t)
+	log := fileWith(c, `{"try":"t","route":"r1","target_ms":300,"role":"read","outcome":"served","shared":"1f",
+`+`{"try":"t","route":"r1","target_ms":300,"role":"read","outcome":"served","shared":"1f","prompt":40000,`+
+		`"reads":40000,"took_ms":700,"message":"front: call"}
+{"try":"t","route":"r1","target_ms":300,"role":"write","outcome":"served","at_ms":700,"event_ms":20,`+
+		`"took_ms":50,"message":"front: call"}
+`)
+	code, out, _ := run("late", log)
+	c.Assert(code, qt.Equals, 0)
+	c.Assert(lines(out), qt.DeepEquals, []string{
+		"2 calls; the quickest readings take 0.0175 ms a token", "",
+		"ROUTE TARGET ANSWERED LATE OWN_READING READ_AGAIN READER_QUEUE WRITER REPEATS READING",
+		"r1 300 ms 1 1 1 0 0 0 0 0",
+	})
+	_, out, _ = run("late", log, "--json")
+	c.Assert(out, qt.Contains, `"causes":{"own_reading":1}`)
+}
+
 func TestErrorsNameTheRemedy(t *testing.T) {
 	c := qt.New(t)
 	code, _, problem := run("members", "--control", answers(c, nil))
--- /dev/null
+++ b/internal/fleetcli/late.go
@@ -0,0 +1,51 @@
+package fleetcli
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"cresshub/internal/calllog"
+)
+
+// lateCommand tells why answers were late.
+type lateCommand struct {
+	Files []string `arg:"" help:"Logs of processes that ran with --log-level debug." type:"existingfile"`
+	JSON  bool     `help:"Print the summary as JSON."`
+}
+
+// Run prints a row for each route with its late answers by cause.
+func (c *lateCommand) Run(o *output) error {
+	var calls []calllog.Call
+	for _, path := range c.Files {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		some, err := calllog.Read(file)
+		file.Close()
+		if err != nil {
+			return err
+		}
+		calls = append(calls, some...)
+	}
+	summary := calllog.Summarize(calls)
+	if c.JSON {
+		return json.NewEncoder(o.out).Encode(summary)
+	}
+	fmt.Fprintf(o.out, "%d calls; the quickest readings take %.4f ms a token\n\n", len(calls), summary.TokenMs)
+	header := []string{"ROUTE", "TARGET", "ANSWERED", "LATE"}
+	for _, cause := range calllog.Causes {
+		header = append(header, strings.ToUpper(string(cause)))
+	}
+	t := newTable(header...)
+	for _, route := range summary.Routes {
+		row := []any{route.Name, fmt.Sprintf("%.0f ms", route.TargetMs), route.Answered, route.Late}
+		for _, cause := range calllog.Causes {
+			row = append(row, route.Causes[cause])
+		}
+		t.add(row...)
+	}
+	return t.print(o.out)
+}
--- a/internal/front/call.go
+++ b/internal/front/call.go
@@ -67,17 +67,27 @@
 	return f
 }
 
-// logEnd tells of the call beside what the decision reckoned with.
+// logEnd tells of the call beside what the decision reckoned with; package calllog reads these lines.
 func (c *call) logEnd(outcome pairing.Outcome) {
 	event := c.delivery.front.log.Debug()
 	if !event.Enabled() {
 		return
 	}
+	q, took := c.delivery.request, c.took()
 	tokens, wait := c.choice.Expected()
-	event.Str("try", c.delivery.request.tryID).Str("server", c.choice.Server.ID).Int("role", int(c.role)).
-		Int("outcome", int(outcome)).Int("prompt", c.delivery.request.pairing.PromptTokens).Int("reads", tokens).
-		Dur("expected", wait).Dur("head", c.headAt).
-		Dur("event", c.eventAt).Dur("took", time.Since(c.started)).Msg("front: call")
+	event.Str("try", q.tryID).Str("route", q.route.Name).Dur("target_ms", q.route.Target).
+		Str("server", c.choice.Server.ID).Str("role", roleNames[c.role]).Str("outcome", outcomeNames[outcome]).
+		Str("shared", strconv.FormatUint(c.choice.Shared(), 16)).Int("prompt", q.pairing.PromptTokens).
+		Int("reads", tokens).Dur("expected_ms", wait).Dur("at_ms", time.Since(q.arrived)-took).
+		Dur("head_ms", c.headAt).Dur("event_ms", c.eventAt).Dur("took_ms", took).Msg("front: call")
+}
+
+// took is how long the call has been under way, 0 where it was not sent.
+func (c *call) took() time.Duration {
+	if c.started.IsZero() {
+		return 0
+	}
+	return time.Since(c.started)
 }
 
 // exchange sends the request and reads the head of its answer.
--- a/internal/front/trace.go
+++ b/internal/front/trace.go
@@ -87,10 +87,7 @@
 	if sent && !notRun && c.role != pairing.Read && !d.request.route.Idempotent() {
 		t.unsafe = true
 	}
-	took := time.Duration(0)
-	if !c.started.IsZero() {
-		took = time.Since(c.started)
-	}
+	took := c.took()
 	t.failed = append(t.failed, failedCall{server: c.choice.Server.ID, role: c.role, outcome: f.outcome,
 		fate: f.fate, at: time.Since(d.request.arrived) - took, took: took})
 }
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -86,6 +86,12 @@
 	return c.tokens, time.Duration(c.expected * float64(time.Millisecond))
 }
 
+// Shared returns the name of what the prompt shares with others, 0 where it shares nothing.
+func (c *Call) Shared() uint64 {
+	name, _, _ := c.prompt.shared()
+	return name
+}
+
 // Longest returns the time until a call to read is answered if the server holds nothing of the prompt.
 func (c *Call) Longest() time.Duration { return time.Duration(c.uncached * float64(time.Millisecond)) }
 
