First readings stand for the arrivals at the readers beyond the usual ranks

Change: n is that number less the ranks that a prompt has anyhow, plus one, so that nothing changes where the choice is no wider.

--- a/internal/pairing/affinity.go
+++ b/internal/pairing/affinity.go
@@ -17,9 +17,9 @@
 //
 // Readers: those that rank first among the servers that hold what it shares, as proxies tell each other, then
 // among the others; where none holds it, the part of the readers that ranks first, and since other prompts
-// are read there for the first time too, n is their number. Without word from the others, the first ranks,
-// which are taken to hold it. Writers, which get memory by moves as well: the first ranks, and those that are
-// known to hold nearly all of the prompt.
+// are read there for the first time too, n grows with their number. Without word from the others, the first
+// ranks, which are taken to hold it. Writers, which get memory by moves as well: the first ranks, and those
+// that are known to hold nearly all of the prompt.
 func (c *Chooser) affine(
 	now time.Duration, p *pool, role Role, all []candidate, chain *prompt,
 ) ([]candidate, int) {
@@ -40,7 +40,7 @@
 		assume(all[:k-1], chain, shared)
 	default:
 		k = max(k, (len(all)+firstPart-1)/firstPart)
-		n = k
+		n = k - ranked + 1
 		rank(all, name, k)
 	}
 	c.price(p, role, all)
