--- a/internal/fleetsim/arrivals.go
+++ b/internal/fleetsim/arrivals.go
@@ -31,7 +31,7 @@
 	sizes := make([][]int, len(k.Shared))
 	for i, shared := range k.Shared {
 		for range shared.Things {
-			sizes[i] = append(sizes[i], 1+int(logNormal(random, shared.Tokens, shared.Spread)))
+			sizes[i] = append(sizes[i], 1+int(bounded(logNormal(random, shared.Tokens, shared.Spread), shared.Most)))
 		}
 	}
 	return sizes
@@ -47,13 +47,21 @@
 		r.Parts = append(r.Parts, pairing.Part{ID: id, Tokens: sizes[i][thing]})
 		r.PromptTokens += sizes[i][thing]
 	}
-	own := 1 + int(logNormal(random, k.Own, k.Spread))
+	own := 1 + int(bounded(logNormal(random, k.Own, k.Spread), k.MostOwn))
 	r.Parts = append(r.Parts, pairing.Part{ID: fmt.Sprintf("%s.own.%d", k.Name, number), Tokens: own})
 	r.PromptTokens += own
 	r.OutputTokens = 1 + int(logNormal(random, k.Output, k.Spread))
 	return r
 }
 
+// bounded returns a size that is at most a bound, 0 for none.
+func bounded(size, most float64) float64 {
+	if most > 0 {
+		return min(size, most)
+	}
+	return size
+}
+
 // logNormal draws a size around a mean.
 func logNormal(random *rand.Rand, mean, spread float64) float64 {
 	return mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -14,6 +14,7 @@
 	StepMs       float64 // a step of the batch: a token of each running request
 	StepSlotMs   float64 // what each running request adds to a step
 	ReadPerMs    float64 // tokens of prompts
+	PairsMs      float64 // what a million pairs of tokens add that reading a prompt compares with each other
 	SetupMs      float64 // of each request
 	Chunk        int     // tokens of prompts that a reading server reads in a step
 	CacheTokens  int
@@ -34,6 +35,8 @@
 	request *pairing.Request
 	unread  int // tokens
 	tokens  int // still to make
+	urgency int // prompts that are not begun are read in the order of their urgency, 0 first
+	begun   bool
 	pinned  int
 	gone    bool // its caller has left
 
@@ -153,22 +156,41 @@
 	if s.Stage == catalog.Writing {
 		piece, pace = piece/writerChunk, writerPace
 	}
-	read, making := 0, 0
-	for _, j := range s.running {
+	read, making, pairs := 0, 0, 0.0
+	for _, j := range s.byUrgency() {
 		part := min(j.unread, piece-read)
+		before := j.request.PromptTokens - j.unread
+		pairs += float64(part)*float64(before) + float64(part)*float64(part)/2
+		j.begun = j.begun || part > 0
 		j.unread -= part
 		read += part
 		if j.role != pairing.Read {
 			making++
 		}
 	}
-	ms := float64(read) / e.ReadPerMs * pace
+	const million = 1e6
+	ms := (float64(read)/e.ReadPerMs + pairs/million*e.PairsMs) * pace
 	if making > 0 {
 		ms += e.StepMs + e.StepSlotMs*float64(making)
 	}
 	return milliseconds(ms / s.speed)
 }
 
+// byUrgency returns the running jobs in the order in which their prompts are read: those begun first.
+func (s *server) byUrgency() []*job {
+	order := slices.Clone(s.running)
+	slices.SortStableFunc(order, func(a, b *job) int {
+		if a.begun != b.begun {
+			if a.begun {
+				return -1
+			}
+			return 1
+		}
+		return a.urgency - b.urgency
+	})
+	return order
+}
+
 // finishStep makes a token of each request that is read.
 func (s *server) finishStep() {
 	for at := 0; at < len(s.running); {
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -28,6 +28,7 @@
 	proxies  []*proxy
 	count    Counts
 	tables   uint64
+	queues   queues // for the clairvoyant
 }
 
 // Run plays a scenario with a policy.
@@ -35,6 +36,7 @@
 	e := &scenario.Engine
 	f := &fleet{
 		scenario: &scenario, random: rand.New(rand.NewPCG(scenario.Seed, 7)), servers: map[string]*server{},
+		queues: queues{},
 		service: &fleetconfig.Service{Name: "model", Engine: &fleetconfig.Engine{
 			Slots: e.Slots, CacheTokens: e.CacheTokens, CacheTokenBytes: e.TokenBytes,
 			LinkMegabits: e.LinkMegabits, Stride: 1,
@@ -55,11 +57,16 @@
 	}
 	for i := range f.scenario.Proxies {
 		zone := zoneName(i % f.scenario.Zones)
-		f.proxies = append(f.proxies, &proxy{
-			fleet: f, zone: zone, policy: policy.New(zone, f.scenario.Seed*1000+uint64(i)),
-		})
+		p := &proxy{fleet: f, zone: zone, policy: policy.New(zone, f.scenario.Seed*1000+uint64(i))}
+		if all, ok := p.policy.(*clairvoyant); ok {
+			all.queues = f.queues
+		}
+		f.proxies = append(f.proxies, p)
 	}
 	f.list()
+	if f.scenario.Shared > 0 {
+		f.startSharing()
+	}
 }
 
 func zoneName(i int) string { return fmt.Sprintf("zone-%d", i) }
--- a/internal/fleetsim/proxy.go
+++ b/internal/fleetsim/proxy.go
@@ -103,7 +103,7 @@
 		v.back(to, func() { v.retry(call, pairing.Unreachable) })
 		return
 	}
-	j := &job{role: call.Role, request: v.request, tokens: v.request.OutputTokens}
+	j := &job{role: call.Role, request: v.request, tokens: v.request.OutputTokens, urgency: v.urgency(call)}
 	v.job = j
 	ended := false
 	j.first = func() {
@@ -128,6 +128,13 @@
 	}
 }
 
+// urgency is that of a call: the route's, and less for each thousand tokens to be read.
+func (v *visit) urgency(call *pairing.Call) int {
+	const tokensPerStep, last = 1000, 9
+	tokens, _ := call.Expected()
+	return min(v.kind.Urgency+tokens/tokensPerStep, last)
+}
+
 func (v *visit) back(from *server, run func()) {
 	v.proxy.fleet.clock.after(v.proxy.fleet.transit(v.proxy.zone, from), run)
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -8,6 +8,8 @@
 	PerSecond float64 // over all proxies
 	Shared    []Shared
 	Own       float64 // tokens of the request's own part, on average
+	MostOwn   float64 // tokens that it has at most, 0 for no bound
+	Urgency   int     // of its route, 0 first
 	Spread    float64 // of sizes: the sigma of a log-normal distribution
 	Output    float64 // tokens on average
 	Aim       time.Duration
@@ -20,6 +22,7 @@
 	Things int
 	Tokens float64 // on average
 	Spread float64
+	Most   float64 // tokens that it has at most, 0 for no bound
 }
 
 // Fault is something that happens to a share of the servers of a stage.
@@ -54,6 +57,8 @@
 	Listed           time.Duration // until a crash or a start shows in the proxies' tables
 	Exchange         time.Duration // until proxies hear what the others were told; 0 for never
 	Fresh            bool          // proxies are told all loads before each decision: a bound
+	// Shared is until proxies hear what the others have under way, and what was sent where first; 0 for never.
+	Shared time.Duration
 }
 
 // ModelEngine is an engine of a usual size.
@@ -69,19 +74,51 @@
 	const prompts, answers = 0.9, 0.8
 	return []Kind{
 		{
-			Name: "long", PerSecond: 9, Shared: []Shared{{70, 13000, 0.6}}, Own: 3700,
+			Name: "long", PerSecond: 9, Shared: []Shared{{Things: 70, Tokens: 13000, Spread: 0.6}}, Own: 3700,
 			Spread: prompts, Output: 15,
 			Aim: 800 * time.Millisecond, Deadline: 6 * time.Second, Worth: 2,
 		}, {
-			Name: "middling", PerSecond: 6.5, Shared: []Shared{{4, 2500, 0.4}, {100, 3800, 0.6}}, Own: 2900,
+			Name: "middling", PerSecond: 6.5, Shared: []Shared{
+				{Things: 4, Tokens: 2500, Spread: 0.4}, {Things: 100, Tokens: 3800, Spread: 0.6}}, Own: 2900,
 			Spread: prompts, Output: 7, Aim: 600 * time.Millisecond, Deadline: 4 * time.Second, Worth: 3,
 		}, {
-			Name: "short", PerSecond: 10, Shared: []Shared{{8, 200, 0.4}, {80, 150, 0.6}}, Own: 1100,
+			Name: "short", PerSecond: 10, Shared: []Shared{
+				{Things: 8, Tokens: 200, Spread: 0.4}, {Things: 80, Tokens: 150, Spread: 0.6}}, Own: 1100,
 			Spread: answers, Output: 20, Aim: 500 * time.Millisecond, Deadline: 6 * time.Second, Worth: 1,
 		},
 	}
 }
 
+// Galleries is a fleet whose prompts are long beside its answers, and of which a third are read for the first
+// time: most late answers are late by their own length.
+func Galleries(seed uint64) Scenario {
+	engine := Engine{
+		Slots: 64, StepMs: 3.09, StepSlotMs: 0.0165, ReadPerMs: 61.8, PairsMs: 0.367, SetupMs: 3.7, Chunk: 2048,
+		CacheTokens: 390_191, TokenBytes: 163_840, LinkMegabits: 1_800_000,
+	}
+	kinds := []Kind{
+		{
+			Name: "album", PerSecond: 22.5, Shared: []Shared{{Things: 285, Tokens: 13300, Spread: 0.7, Most: 39900}},
+			Own: 3720, MostOwn: 53200, Spread: 1.1, Output: 8, Urgency: 1,
+			Aim: 600 * time.Millisecond, Deadline: 5 * time.Second, Worth: 2,
+		}, {
+			Name: "tag", PerSecond: 17.5, Shared: []Shared{
+				{Things: 4, Tokens: 2520, Spread: 0.4, Most: 6290}, {Things: 98, Tokens: 3780, Spread: 0.7, Most: 11300}},
+			Own: 2890, MostOwn: 39600, Spread: 1, Output: 3,
+			Aim: 500 * time.Millisecond, Deadline: 3 * time.Second, Worth: 3,
+		}, {
+			Name: "label", PerSecond: 40.5, Shared: []Shared{
+				{Things: 15, Tokens: 210, Spread: 0.4, Most: 524}, {Things: 229, Tokens: 140, Spread: 0.7, Most: 419}},
+			Own: 1110, MostOwn: 3790, Spread: 1, Output: 12, Urgency: 2,
+			Aim: 300 * time.Millisecond, Deadline: 5 * time.Second, Worth: 1,
+		},
+	}
+	return Scenario{
+		Name: "galleries", Seed: seed, Length: 34 * time.Second, Zones: 3, Proxies: 23, Readers: 20, Writers: 9,
+		Engine: engine, Kinds: kinds, Rate: 1, Listed: 1500 * time.Millisecond, Shared: 60 * time.Millisecond,
+	}
+}
+
 // Calm is a small fleet on a usual day.
 func Calm(seed uint64) Scenario {
 	return Scenario{
--- a/internal/fleetsim/table_test.go
+++ b/internal/fleetsim/table_test.go
@@ -1,6 +1,7 @@
 package fleetsim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,3 +99,42 @@
 	qt.Check(t, one.SharedRead, qt.Equals, other.SharedRead)
 	qt.Check(t, one.Moves, qt.Equals, other.Moves)
 }
+
+// TestGalleries tells what of the late answers is the prompts' own length: a clairvoyant with ten times as
+// many servers has no queues, one with the same servers loses little to them. With -v it prints what
+// docs/experiments/long-prompts.md shows.
+func TestGalleries(t *testing.T) {
+	const noise = 0.01
+	seeds := seedsOf(2)
+	aged := func(age time.Duration) func(uint64) Scenario {
+		return func(seed uint64) Scenario {
+			s := Galleries(seed)
+			s.Shared = age
+			return s
+		}
+	}
+	tenfold := func(seed uint64) Scenario {
+		s := Galleries(seed)
+		s.Readers, s.Writers = 10*s.Readers, 10*s.Writers
+		return s
+	}
+	heading(t, "galleries")
+	bound := Clairvoyant(Galleries(1).Engine)
+	alone, known := runs(tenfold, bound, seeds), runs(Galleries, bound, seeds)
+	row(t, "no queues", alone)
+	row(t, bound.Name, known)
+	ours := runs(Galleries, Pairing(), seeds)
+	row(t, "pairing", ours)
+	qt.Check(t, alone.Of(alone.InTime) > known.Of(known.InTime)-noise, qt.IsTrue)
+	qt.Check(t, known.Of(known.InTime) > ours.Of(ours.InTime)-noise, qt.IsTrue)
+	qt.Check(t, ours.Of(ours.InTime) > known.Of(known.InTime)-0.04, qt.IsTrue)
+	if !testing.Verbose() {
+		return
+	}
+	for _, age := range []time.Duration{15, 30, 120, 240, 0} {
+		row(t, fmt.Sprintf("pairing, %d ms old", age), runs(aged(age*time.Millisecond), Pairing(), seeds))
+	}
+	for _, rival := range Rivals() {
+		row(t, rival.Name, runs(Galleries, rival, seeds))
+	}
+}
