Hold many patches on 10,000 routes to what the feeds carry

Cause: that small changes cost followers no more on a large configuration was held for the parts only. Change: a test of whole processes: 20 patches at seven machines in turn, all follow, and each follower is sent at most 600 bytes a change or beat, where the document has a megabyte.

--- a/internal/nodesim/patch_test.go
+++ b/internal/nodesim/patch_test.go
@@ -1,7 +1,9 @@
 package nodesim
 
 import (
+	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +12,7 @@
 
 	"cresshub/internal/callclient"
 	"cresshub/internal/http1"
+	"cresshub/internal/peerwire"
 )
 
 // patch sends a body as a patch to one machine and returns the status.
@@ -89,3 +92,70 @@
 		})
 	}
 }
+
+// largeDocument returns a configuration of so many routes.
+func largeDocument(routes int) string {
+	all := make([]string, routes)
+	for i := range all {
+		all[i] = fmt.Sprintf(`{"name":"r%d","town":"h%d.example","street_prefix":"/","timeout_ms":%d,"depot":%q}`,
+			i, i, 100+i*7919%10007, serviceName)
+	}
+	return `{"edition":1,"routes":[` + strings.Join(all, ",") +
+		`],"depots_list":[{"name":"` + serviceName + `"}]}`
+}
+
+// feedBytes is how many bytes of feeds a machine has sent to its followers.
+func (o *Operator) feedBytes(c *qt.C, m *Machine) int {
+	answer, err := callFrom(o.network, m.Control(), callclient.Call{Method: "GET", Target: "/metrics"})
+	c.Assert(err, qt.IsNil)
+	line := fmt.Sprintf(`cresshub_peer_sent_bytes_total{kind="%d"} `, peerwire.KindFeed)
+	_, rest, found := strings.Cut(string(answer.Body), line)
+	if !found {
+		return 0
+	}
+	digits, _, _ := strings.Cut(rest, "\n")
+	bytes, err := strconv.Atoi(strings.TrimSpace(digits))
+	c.Assert(err, qt.IsNil)
+	return bytes
+}
+
+// TestManyPatchesOnALargeConfiguration changes one of 10,000 routes after the other: all follow, and the
+// feeds carry the changes, not the document.
+func TestManyPatchesOnALargeConfiguration(t *testing.T) {
+	const routes, changes, mostFeedBytes = 10_000, 20, 600
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := New(t, Options{Disks: 3, Others: 4, Seed: 5})
+		operator := f.AddOperator(&History{})
+		put := callclient.Call{Method: "PUT", Target: "/api/config", Body: []byte(largeDocument(routes)),
+			Header: http1.Header{{Name: "If-Match", Value: "0"}}}
+		f.Await("the document is taken", 10*time.Second, func() string {
+			answer, err := callFrom(operator.network, f.Machines[0].Control(), put)
+			if err != nil || answer.Status != 200 {
+				return fmt.Sprint(answer, err)
+			}
+			return ""
+		})
+		f.Await("all know it", 5*time.Second, f.Whole)
+		before := 0
+		for _, m := range f.WithDisk(true) {
+			before += operator.feedBytes(c, m)
+		}
+		began := f.Now()
+		for version := int64(2); version < 2+changes; version++ {
+			body := fmt.Sprintf(`{"edition":%d,"deliver":{"routes":[{"name":"r%d","town":"new%d.example",
+				"street_prefix":"/","timeout_ms":7,"depot":%q}]}}`, version, 97*version, version, serviceName)
+			c.Assert(operator.patch(f.Machines[version%7], version-1, body), qt.Equals, 200)
+		}
+		f.Await("all follow the patches", 2*time.Second, f.Whole)
+		feeds := -before
+		for _, m := range f.WithDisk(true) {
+			feeds += operator.feedBytes(c, m)
+		}
+		ticks := int((f.Now()-began)/(400*time.Millisecond)) + 1
+		most := 4 * (changes + ticks) * mostFeedBytes // of four followers
+		c.Check(feeds < most, qt.IsTrue, qt.Commentf("%d bytes, %d at most", feeds, most))
+		version, _ := operator.Get(f.Machines[6])
+		c.Check(version, qt.Equals, int64(1+changes))
+	})
+}
