Await a connection that was accepted and not admitted when the proxy shuts down

Cause: Shutdown looked at the admitted connections alone. One that Serve had accepted just before its listener closed, on a machine that ran its goroutine 100 ms later, was not among them: Shutdown returned, the ledger was closed, and the request was served after that, so that its client got an answer that no ledger counts. Also, a drain ended the reading of a request whose rest lay unread in the socket, though its goroutine was about to read it: no response. Change: Shutdown returns once Serve has returned; an incomplete request is left to its goroutine while there are bytes of it to read. Measured: TestShutdownAwaitsAnAcceptedConnection and TestDrainLeavesWhatHasArrived fail without the change; ingress passes. How often this caused the differences of TestExportIsExactThroughRestarts is not known yet.

--- a/internal/proxy/ingress/drain.go
+++ b/internal/proxy/ingress/drain.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// Shutdown drains for good: it answers everything that was accepted and returns once no connection is left.
+// Shutdown drains for good: it answers everything that was accepted and returns once no connection is left
+// and Serve has returned, which may have accepted one that it has not admitted yet.
 // After the signal to end clients still open connections for a while, and use those they have while these
 // stay open. So idle ones are closed while a client can still retry a request that crosses with that, and the
 // others some time after the last could have been opened.
@@ -68,7 +69,7 @@
 		}
 		s.mu.Lock()
 		s.closeBefore(p)
-		left := len(s.clients)
+		left := len(s.clients) + s.accepting
 		s.mu.Unlock()
 		if left == 0 && p.MayExit && len(s.rejecting) == 0 {
 			return
@@ -82,7 +83,7 @@
 	for c := range s.clients {
 		switch {
 		case !c.idle:
-		case c.receiving && c.since.Before(p.PartialBefore):
+		case c.receiving && c.since.Before(p.PartialBefore) && c.Still():
 			c.SetReadDeadline(pastDeadline) // its own goroutine then responds with an error
 		case !c.receiving && c.since.Before(p.IdleBefore) && c.Still():
 			s.closeIdle(c)
--- a/internal/proxy/ingress/drain_test.go
+++ b/internal/proxy/ingress/drain_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -328,3 +329,93 @@
 		}
 	}
 }
+
+// heldListener returns from Accept only once release is closed, like a process that is stalled just after a
+// connection was accepted.
+type heldListener struct {
+	net.Listener
+	accepted chan struct{} // closed with the first connection
+	release  chan struct{}
+	closes   atomic.Int64 // calls of Close
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		close(l.accepted)
+		<-l.release
+	}
+	return conn, err
+}
+
+func (l *heldListener) Close() error {
+	l.closes.Add(1)
+	return l.Listener.Close()
+}
+
+// A connection that was accepted, but not admitted when all others have ended, is served before Shutdown
+// returns: its response has to be counted before the ledger is closed.
+func TestShutdownAwaitsAnAcceptedConnection(t *testing.T) {
+	rig := newRig(t, nil)
+	zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("late") })
+	rig.list(zone.Address)
+	rig.listener.Close()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	held := &heldListener{Listener: inner, accepted: make(chan struct{}), release: make(chan struct{})}
+	rig.listener = held
+	go rig.Serve(held)
+	conn := nettest.Dial(t, inner.Addr().String())
+	io.WriteString(conn, getRequest("one"))
+	<-held.accepted
+
+	rig.drainTimes.Store(&drain.Times{})
+	rig.startShutdown(t)
+	nettest.Until(t, "Shutdown has looked twice whether all has ended", func() bool {
+		select {
+		case <-rig.ended:
+			return true
+		default:
+			return held.closes.Load() > 2
+		}
+	})
+	select {
+	case <-rig.ended:
+		t.Fatal("Shutdown has returned, and the connection is not served yet")
+	default:
+	}
+	close(held.release)
+	if got := nextOutcome(conn); got != "200 late" {
+		t.Errorf("the client reads %s", got)
+	}
+	<-rig.ended
+}
+
+// A connection whose request is incomplete is not ended by a drain while bytes of the rest are in the socket.
+func TestDrainLeavesWhatHasArrived(t *testing.T) {
+	server := newIdleServer()
+	far, near := tcpPair(t)
+	c := &client{Conn: connbuffer.NewConn(near), wakeup: make(chan struct{}, 1), idle: true, receiving: true}
+	server.clients[c] = struct{}{}
+	endPartial := func() (ended bool) {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		c.SetReadDeadline(time.Time{})
+		server.closeBefore(drain.Plan{PartialBefore: time.Now()})
+		return c.AwaitReadable() != nil
+	}
+	io.WriteString(far, "GET /one")
+	nettest.Until(t, "the bytes arrive", func() bool { return !c.Still() })
+	if endPartial() {
+		t.Error("it was ended before its goroutine had read what has arrived")
+	}
+	if _, err := c.In.Peek(len("GET /one")); err != nil {
+		t.Fatalf("what has arrived is not read: %v", err)
+	}
+	c.In.Discard(c.In.Buffered())
+	if !endPartial() {
+		t.Error("one that stalls was not ended")
+	}
+}
--- a/internal/proxy/ingress/server.go
+++ b/internal/proxy/ingress/server.go
@@ -41,6 +41,7 @@
 
 	mu          sync.Mutex
 	closingIdle bool // closeIdleLoop runs
+	accepting   int  // calls of Serve that have not returned: each may have accepted a connection not in clients
 	clients     map[*client]struct{}
 	openIDs     map[string]int // users by request id: its request and the attempts that are under way
 }
@@ -93,6 +94,8 @@
 
 // Serve accepts clients until the listener closes.
 func (s *Server) Serve(l net.Listener) error {
+	s.addAccepting(1)
+	defer s.addAccepting(-1)
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -118,6 +121,13 @@
 	}
 }
 
+// addAccepting changes the number of calls of Serve that have not returned.
+func (s *Server) addAccepting(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting += change
+}
+
 // admit serves a new connection.
 func (s *Server) admit(nc net.Conn) {
 	c := &client{Conn: connbuffer.NewConn(nc), wakeup: make(chan struct{}, 1), since: time.Now(), idle: true,
