--- a/internal/cluster/pending/flusher.go
+++ b/internal/cluster/pending/flusher.go
@@ -32,6 +32,7 @@
 	err := r.write(batch, committed)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.writing = queuedBatch{}
 	if err == nil {
 		r.committedKeys = r.committedKeys[len(committed):]
 	} else {
@@ -54,6 +55,7 @@
 		r.current.dropIDs()
 	case r.current.answers > 0:
 		batch = r.sealBatch()
+		r.writing = batch
 	}
 	return batch, r.committedKeys
 }
--- a/internal/cluster/pending/recorder.go
+++ b/internal/cluster/pending/recorder.go
@@ -5,9 +5,9 @@
 // and how much would be lost with this process or this machine's disk. A PeriodCloser proposes the end of
 // periods.
 //
-// Usage is in one of three states: current (in memory, not in a batch), queued (in a batch, which is in the
-// outbox unless the disk failed), and committed. A committed batch is deleted from the outbox at the next
-// flush.
+// Usage is in one of four states: current (in memory, not in a batch), writing (in a batch that a flush is
+// adding to the outbox), queued (in a batch, which is in the outbox unless the disk failed), and committed. A
+// committed batch is deleted from the outbox at the next flush.
 //
 // A Recorder has two goroutines, the flusher and the sender, between Run and Close. Its methods may be called
 // from any goroutine.
@@ -32,7 +32,8 @@
 	// maxQueuedBatches bounds the batches that wait for the group, as Options.MaxQueuedBytes does. While either
 	// is reached no batch is cut, and the current usage is summed up without request ids.
 	maxQueuedBatches = 4096
-	// maxCommitLatency is the longest latency that Stats know of, commitLatencyDigits the precision of all.
+	// maxCommitLatency is the longest latency that the quantiles in Stats tell apart; a longer one counts as it.
+	// commitLatencyDigits is their precision.
 	maxCommitLatency    = time.Minute
 	commitLatencyDigits = 3
 	// commitPollInterval is how often WaitCommitted looks.
@@ -87,7 +88,7 @@
 //
 // Its invariants: batches are queued and sent in the order of their sequence numbers, one at a time; the
 // batch at the head of the queue is the one that the sender proposes; every answer that Count has counted is
-// in current, in one batch that is queued or on its way into the queue, or committed, or lost.
+// in current, in the batch that is being written, in one that is queued, or committed, or lost.
 type Recorder struct {
 	opts        Options
 	outbox      *outbox
@@ -95,13 +96,15 @@
 
 	mu            sync.Mutex
 	current       current
-	seq           uint64 // of the last batch of this incarnation
-	lastKey       uint64 // of the last batch in the outbox
+	writing       queuedBatch // on its way to the outbox, and from there into the queue; the zero one for none
+	seq           uint64      // of the last batch of this incarnation
+	lastKey       uint64      // of the last batch in the outbox
 	queue         []queuedBatch
 	queuedBytes   int64
 	committedKeys []uint64 // committed and still in the outbox
 	stats         Stats
-	commitLatency *hdrhistogram.Histogram // in microseconds
+	commitLatency *hdrhistogram.Histogram // in microseconds, up to maxCommitLatency
+	maxLatency    time.Duration           // the longest, without a bound
 
 	queued     chan struct{}   // wakes the sender
 	ctx        context.Context // ends with Close
@@ -187,13 +190,11 @@
 	usage.BytesOutByID = append(usage.BytesOutByID, bytesOut)
 }
 
-// WaitCommitted waits until all that was counted is committed; it returns false after the timeout. It doesn't
-// see a batch that a flush is writing to the outbox at that moment, which Close keeps for the next
-// incarnation.
+// WaitCommitted waits until all that was counted is committed; it returns false after the timeout.
 func (r *Recorder) WaitCommitted(timeout time.Duration) bool {
 	for deadline := time.Now().Add(timeout); ; time.Sleep(commitPollInterval) {
 		r.mu.Lock()
-		uncommitted := len(r.queue) + int(r.current.answers)
+		uncommitted := int64(len(r.queue)) + r.writing.answers + r.current.answers
 		r.mu.Unlock()
 		if uncommitted == 0 {
 			return true
--- a/internal/cluster/pending/sender.go
+++ b/internal/cluster/pending/sender.go
@@ -90,9 +90,15 @@
 		}
 		r.stats.Committed += batch.answers
 		r.stats.Batches++
-		_ = r.commitLatency.RecordValue(latency.Microseconds()) // one beyond the histogram's minute is left out
+		r.recordLatency(latency)
 	default:
 		r.stats.Lost += batch.answers
 		r.opts.Log.Error("ledger: batch rejected for good", "answers", batch.answers, "result", result.String())
 	}
 }
+
+// recordLatency records the latency of a batch that was committed. The caller holds r.mu.
+func (r *Recorder) recordLatency(latency time.Duration) {
+	r.maxLatency = max(r.maxLatency, latency)
+	_ = r.commitLatency.RecordValue(min(latency, maxCommitLatency).Microseconds()) // it is within the bounds
+}
--- a/internal/cluster/pending/stats.go
+++ b/internal/cluster/pending/stats.go
@@ -7,7 +7,7 @@
 	Counted     int64   `json:"counted"`       // answers since the start, and those found in the outbox then
 	Committed   int64   `json:"promised"`      // answers committed by the group
 	Queued      int64   `json:"waiting"`       // answers in batches not committed: lost with this machine's disk
-	InMemory    int64   `json:"in_memory"`     // answers since the last flush: lost with this process
+	InMemory    int64   `json:"in_memory"`     // answers not in the outbox yet: lost with this process
 	OldestMS    int64   `json:"oldest_ms"`     // age of the oldest usage that isn't committed
 	Batches     int64   `json:"batches"`       // batches committed
 	Attempts    int64   `json:"tries"`         // proposals to the group
@@ -24,16 +24,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stats := r.stats
-	stats.InMemory = r.current.answers
+	stats.InMemory = r.current.answers + r.writing.answers
 	switch {
 	case len(r.queue) > 0:
 		stats.OldestMS = time.Since(r.queue[0].createdAt).Milliseconds()
+	case r.writing.answers > 0:
+		stats.OldestMS = time.Since(r.writing.createdAt).Milliseconds()
 	case r.current.answers > 0:
 		stats.OldestMS = time.Since(r.current.since).Milliseconds()
 	}
 	stats.CommitP50MS = millis(r.commitLatency.ValueAtQuantile(50))
 	stats.CommitP99MS = millis(r.commitLatency.ValueAtQuantile(99))
-	stats.CommitMaxMS = millis(r.commitLatency.Max())
+	stats.CommitMaxMS = millis(r.maxLatency.Microseconds())
 	return stats
 }
 
--- a/internal/testbed/proxystandin/sink.go
+++ b/internal/testbed/proxystandin/sink.go
@@ -72,14 +72,17 @@
 	conflicts int // entries sent again with different content, refused with 422
 }
 
+// NewSink returns an empty sink that listens nowhere: calls are handed to ServeHTTP.
+func NewSink() *Sink { return &Sink{entries: map[string]SinkEntry{}} }
+
 // StartSink starts an empty sink at address.
 func StartSink(address string) (*Sink, error) {
-	s := &Sink{entries: map[string]SinkEntry{}}
+	s := NewSink()
 	var err error
 	if s.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, err
 	}
-	s.server = http.Server{Handler: http.HandlerFunc(s.serve), ReadTimeout: 10 * time.Second,
+	s.server = http.Server{Handler: s, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute}
 	go func() { _ = s.server.Serve(s.listener) }() // returns an error in any case, once Close is called
 	return s, nil
@@ -123,7 +126,8 @@
 	return s.conflicts
 }
 
-func (s *Sink) serve(w http.ResponseWriter, req *http.Request) {
+// ServeHTTP answers one call.
+func (s *Sink) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	if req.URL.Path != "/entries" || req.Method != http.MethodPost {
 		http.Error(w, "there is POST /entries alone", http.StatusNotFound)
 		return
