Give each rig addresses of its own, and let its clients say what they cannot know

Cause: clients of a rig go on calling a member that has ended, whose port of 127.0.0.1 the kernel may by then have given to a member of another rig, or to any other process: an answer from there is in no ledger of this rig, and the other rig's ledger counts one that none of its clients got. Besides, a request that a client gave up after 5 s, or that net/http sent again on another connection, may have been answered and counted without the client's knowledge. Change: members listen for clients and operators at a loopback IP that is drawn for the rig (package loopback, which has nettest's OwnIP too). Clients wait for 30 s, longer than any wait of a proxy, and count the attempts whose answer they have not read; the ledger has to count each answer, and beyond these no more than such attempts of the same tenant and class. Without any the check is as before.

--- a/internal/testbed/clusterrig/clients.go
+++ b/internal/testbed/clusterrig/clients.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -18,21 +19,30 @@
 
 // Clients send requests to members and count the final answers by the ledger's keys. The methods may be
 // called from any goroutine.
+//
+// A request that was sent and whose answer a client has not read to its end is unknown: its member may have
+// written and counted an answer, or not. So is each attempt but the last of a request that the HTTP client
+// sent again by itself, on another connection, as the first one broke off.
 type Clients struct {
 	mu       sync.Mutex
 	answers  map[ledger.Key]int64
-	byMember map[string]int64 // answers by member name
-	lost     int64            // requests without a complete answer
+	unknown  map[ledger.Key]int64 // keys without an answer
+	byMember map[string]int64     // answers by member name
+	lost     int64                // requests without a complete answer
 	next     int
 	client   http.Client
 }
 
 // NewClients returns clients that haven't sent anything yet.
 func NewClients() *Clients {
-	return &Clients{answers: map[ledger.Key]int64{}, byMember: map[string]int64{},
-		client: http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return &Clients{answers: map[ledger.Key]int64{}, unknown: map[ledger.Key]int64{}, byMember: map[string]int64{},
+		client: http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
+// clientTimeout is longer than any wait of a proxy, and than a stall of the machine that a test outlasts: a
+// client that gives up does not know whether it was answered.
+const clientTimeout = 30 * time.Second
+
 // Send sends one request to a member. id "" draws a new one; first is the id of the first attempt, "" for
 // none.
 func (c *Clients) Send(m *Member, tenant, class, id, first string) error {
@@ -51,18 +61,24 @@
 	if first != "" {
 		req.Header.Set("X-First-Request-ID", first)
 	}
-	resp, err := c.client.Do(req)
+	var attempts int64 // each on a connection of its own
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { attempts++ }}
+	resp, err := c.client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err == nil {
 		_, err = io.Copy(io.Discard, resp.Body)
 		resp.Body.Close()
 	}
+	key := ledger.Key{Tenant: tenant, Class: class}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if err != nil {
 		c.lost++
+		c.unknown[key] += attempts
 		return err
 	}
-	c.answers[ledger.Key{Tenant: tenant, Class: class, Answer: answerOf(resp.StatusCode)}]++
+	c.unknown[key] += attempts - 1
+	key.Answer = answerOf(resp.StatusCode)
+	c.answers[key]++
 	c.byMember[m.Name]++
 	return nil
 }
@@ -126,6 +142,30 @@
 	return maps.Clone(c.answers)
 }
 
+// Check returns an error unless the counts of a ledger or sink are those of the clients' answers: of each key
+// as many as answers, and of each tenant and class as many more as are unknown at the most.
+func (c *Clients) Check(counted map[ledger.Key]int64) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	surplus := map[ledger.Key]int64{}
+	for key, count := range counted {
+		surplus[ledger.Key{Tenant: key.Tenant, Class: key.Class}] += count
+	}
+	for key, count := range c.answers {
+		if counted[key] < count {
+			return fmt.Errorf("%v: %d were counted, clients got %d", key, counted[key], count)
+		}
+		surplus[ledger.Key{Tenant: key.Tenant, Class: key.Class}] -= count
+	}
+	for key, count := range surplus {
+		if count > c.unknown[key] {
+			return fmt.Errorf("%s, %s: %d more were counted than clients got, who do not know of %d", key.Tenant,
+				key.Class, count, c.unknown[key])
+		}
+	}
+	return nil
+}
+
 // TotalAnswers returns the number of final answers.
 func (c *Clients) TotalAnswers() int64 {
 	var total int64
@@ -137,15 +177,25 @@
 
 // Merge adds the counts of other clients.
 func (c *Clients) Merge(other *Clients) {
-	answers, lost := other.Answers(), other.Lost()
+	answers, unknown, lost := other.Answers(), other.Unknown(), other.Lost()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for key, count := range answers {
 		c.answers[key] += count
 	}
+	for key, count := range unknown {
+		c.unknown[key] += count
+	}
 	c.lost += lost
 }
 
+// Unknown returns how many attempts were sent and not answered to their end, by keys without an answer.
+func (c *Clients) Unknown() map[ledger.Key]int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.unknown)
+}
+
 // Lost returns how many requests got no complete answer.
 func (c *Clients) Lost() int64 {
 	c.mu.Lock()
--- a/internal/testbed/clusterrig/configuration.go
+++ b/internal/testbed/clusterrig/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"path/filepath"
 	"strings"
 	"time"
@@ -29,12 +30,13 @@
 // configuration returns a member's configuration. It gossips where its earlier incarnation did unless moved.
 func (r *Rig) configuration(m *Member, moved bool) (string, error) {
 	var b strings.Builder
-	fmt.Fprintf(&b, "name = %q\noperator = \"127.0.0.1:0\"\n", m.Name)
+	listen := net.JoinHostPort(r.host, "0")
+	fmt.Fprintf(&b, "name = %q\noperator = %q\n", m.Name, listen)
 	if len(r.opts.Halls) > 0 {
 		fmt.Fprintf(&b, "halls = %s\nkinds = [\"standard\", \"half-speed\"]\n[policy]\nhall = %q\n",
 			tomlList(r.opts.Halls), m.Hall)
 	}
-	fmt.Fprintf(&b, "[listen]\naddress = \"127.0.0.1:0\"\n[discovery]\naddress = %q\n", r.Discovery.Address())
+	fmt.Fprintf(&b, "[listen]\naddress = %q\n[discovery]\naddress = %q\n", listen, r.Discovery.Address())
 	b.WriteString("[limits]\ncores = 1\n")
 	if r.opts.Standalone {
 		return b.String() + classes + r.opts.ExtraTOML, nil
--- a/internal/testbed/clusterrig/rig.go
+++ b/internal/testbed/clusterrig/rig.go
@@ -18,6 +18,7 @@
 
 	"cresshub/internal/childprocess"
 	"cresshub/internal/testbed/faultnet"
+	"cresshub/internal/testbed/loopback"
 	"cresshub/internal/testbed/proxystandin"
 )
 
@@ -58,6 +59,7 @@
 	// label keeps the members apart from those of other rigs, which have the same names: a member may get a
 	// gossip port at which members of another rig still look for one of theirs that was killed.
 	label string
+	host  string // the IP at which members listen for clients and operators; no other process listens there
 	log   *lockedWriter
 }
 
@@ -78,7 +80,7 @@
 
 // Start starts the stand-ins and the members: the seeds one after the other, then the others concurrently.
 func Start(ctx context.Context, o Options) (*Rig, error) {
-	r := &Rig{opts: o, label: newLabel()}
+	r := &Rig{opts: o, label: newLabel(), host: loopback.DrawIP()}
 	if o.Log != nil {
 		r.log = &lockedWriter{w: o.Log}
 	}
--- a/internal/testbed/nettest/nettest.go
+++ b/internal/testbed/nettest/nettest.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -188,16 +187,6 @@
 	return fmt.Sprintf(`{"index":7,"snapshot":%v,"endpoints":[%s]}`, snapshot, strings.Join(entries, ","))
 }
 
-// OwnIP returns a loopback IP that this process has for itself. A port of 127.0.0.1 that a test closes may be
-// given to any process of the machine before the test listens there again; one of this IP is not.
-func OwnIP() string {
-	pid := os.Getpid()
-	return net.IPv4(127, byte(firstOwnIP+pid>>16&0x3f), byte(pid>>8), byte(pid)).String()
-}
-
-// firstOwnIP is the second octet of the first IP that OwnIP returns.
-const firstOwnIP = 128
-
 // Dial connects as a client; the connection is closed when the test ends.
 func Dial(tb testing.TB, address string) *connbuffer.Conn {
 	tb.Helper()
