Let no stall of a router count against servers, nor end a client's wait

A dial that this process missed named its server suspect; a call ended as timed out though the response had come; a late process marked servers lost that had called meanwhile. A server that was sent to another proxy (no_majority) was marked lost by the one that had sent it away, as it called no more there. The kernel's timeout of a large body that its server does not read ended at the same moment as the deadline, and counted as a machine that is down. Change: connections, dials and the failure detector count the time in which the process runs, and take in what has come first. A call that ends by its client's deadline in or after a stall is abandoned, not timed out. A probe in which the process stalled proves nothing. A redirected server has the time of one without a watcher. The kernel's timeout ends a second after the deadline. The detector's own threshold of 800 ms, which began all timeouts anew, is gone. Metrics tell the time of stalls (cresshub_stalled_milliseconds_total).

--- a/internal/router/agent/agent.go
+++ b/internal/router/agent/agent.go
@@ -114,7 +114,7 @@
 	if a.settings.Front == "" {
 		return
 	}
-	a.proxy = dataplane.New(a.settings, a.dataplaneState, a.log)
+	a.proxy = dataplane.New(a.settings, a.dataplaneState, a.clock, a.log)
 	if a.settings.FirstStart {
 		a.proxy.MarkFleetStart()
 	}
@@ -139,6 +139,7 @@
 		return err
 	}
 	done := make(chan struct{})
+	go a.clock.Run(done)
 	a.startDisk(done)
 	a.self.announce(func(*directory.Record) {})
 	a.startTasks(done)
--- a/internal/router/agent/failure_detector.go
+++ b/internal/router/agent/failure_detector.go
@@ -15,10 +15,8 @@
 const (
 	// failureCheckInterval is how often the monitored processes are checked.
 	failureCheckInterval = 250 * time.Millisecond
-	// stallThreshold is the time between two checks from which on this process counts as stalled: it was not
-	// running, so that it may have missed calls.
-	stallThreshold = 800 * time.Millisecond
-	// proxyTimeout is how long after its last call a proxy counts as lost, hubTimeout a hub.
+	// proxyTimeout is how long after its last call a proxy counts as lost, hubTimeout a hub. These timeouts
+	// count the time in which this process runs: what was sent while it stalled is still to be read.
 	proxyTimeout = 1600 * time.Millisecond
 	hubTimeout   = 2500 * time.Millisecond
 	// maxMissedHeartbeats is the same for a server, in intervals of heartbeats.
@@ -40,38 +38,29 @@
 	probes   probeSet
 
 	// State of the goroutine of run.
-	lastCheck     time.Duration
 	reachesFleet  bool
 	lastSeenPrune time.Duration
 
-	// observingSince is since when this process could receive calls: silence before it proves nothing. It is
-	// guarded by the lock of the state, because probes read it too.
+	// observingSince is since when this process takes the calls of servers: silence before it proves nothing. It
+	// is guarded by the lock of the state, because probes read it too.
 	observingSince time.Duration
 }
 
 // run marks processes lost until done closes.
 func (f *failureDetector) run(done <-chan struct{}) {
-	f.lastCheck, f.reachesFleet = f.now(), true
+	f.reachesFleet = true
 	runEvery(failureCheckInterval, done, f.check)
 }
 
-// check marks the processes lost whose timeout is over. Timeouts begin anew after a stall of this process,
-// and while it sends servers elsewhere because it does not reach the fleet.
+// check marks the processes lost whose timeout is over. Timeouts begin anew while this process sends servers
+// elsewhere because it does not reach the fleet.
 func (f *failureDetector) check() {
-	now := f.now()
-	gap := now - f.lastCheck
-	stalled := gap > stallThreshold
 	reaches := f.quorum.reachesFleet()
 	if reaches != f.reachesFleet {
 		f.reachesFleet = reaches
 		f.log.Info().Bool("reached", reaches).Msg("agent: majority of the members reached or lost")
 	}
-	if stalled {
-		f.metrics.stalls.Add(1)
-		f.log.Warn().Dur("gap_ms", gap).Msg("agent: process stalled")
-	}
-	f.lastCheck = now
-	f.markTimedOut(now, stalled || !reaches)
+	f.markTimedOut(f.now(), !reaches)
 }
 
 // markTimedOut marks the monitored processes lost whose timeout is over. With restartTimeouts, all timeouts
@@ -83,7 +72,7 @@
 			f.observingSince = now
 		}
 		for _, record := range d.WatchedBy(f.id) {
-			if record.ID != f.id && f.isTimedOut(now, d, record, f.timeoutOf(record)) {
+			if record.ID != f.id && f.isTimedOut(d, record, f.timeoutOf(record)) {
 				markLost(f.process, now, d, record, "silent")
 			}
 		}
@@ -94,7 +83,7 @@
 		d.Expire(now)
 	})
 	if isHub && f.quorum.reachesMajority() {
-		f.checkUnwatched(now)
+		f.checkUnwatched()
 	}
 	if now-f.lastSeenPrune > lastSeenRetention {
 		f.lastSeenPrune = now
@@ -114,17 +103,18 @@
 	f.lastSeen.remove(stale)
 }
 
-// isTimedOut reports whether a process has neither called this one nor answered its requests for a timeout.
-func (f *failureDetector) isTimedOut(now time.Duration, d *directory.Directory, record *directory.Record,
+// isTimedOut reports whether a process has neither called this one nor answered its requests for a timeout in
+// which this process ran.
+func (f *failureDetector) isTimedOut(d *directory.Directory, record *directory.Record,
 	timeout time.Duration) bool {
 	lastSign := max(f.observingSince, d.ModifiedAt(record.ID))
 	if lastSeen, ok := f.lastSeen.of(record.ID); ok {
 		lastSign = max(lastSign, lastSeen)
 	}
-	if now-lastSign <= timeout {
+	if f.left(lastSign, timeout) > 0 {
 		return false
 	}
-	return record.Kind != directory.KindServer || now-f.lastAnswerAt(record.ID) > timeout
+	return record.Kind != directory.KindServer || f.left(f.lastAnswerAt(record.ID), timeout) <= 0
 }
 
 // lastAnswerAt returns when a server last answered a request of this process, 0 for never.
@@ -136,10 +126,14 @@
 	return max(f.now()-success.Age, 0)
 }
 
-// timeoutOf returns how long after its last call a process counts as lost at its watcher.
+// timeoutOf returns how long after its last call a process counts as lost at its watcher. A server that was
+// sent elsewhere has the time of one without a watcher, which is what it needs to find the next.
 func (f *failureDetector) timeoutOf(record *directory.Record) time.Duration {
-	if record.Kind == directory.KindProxy {
+	switch {
+	case record.Kind == directory.KindProxy:
 		return proxyTimeout
+	case f.lastSeen.wasRedirected(record.ID):
+		return unwatchedHeartbeats * f.settings.HeartbeatInterval
 	}
 	return time.Duration(maxMissedHeartbeats * float64(f.settings.HeartbeatInterval))
 }
@@ -161,7 +155,7 @@
 			continue
 		}
 		lastSeen, ok := f.lastSeen.of(record.ID)
-		if ok && now-max(lastSeen, f.observingSince) > hubTimeout {
+		if ok && f.left(max(lastSeen, f.observingSince), hubTimeout) <= 0 {
 			markLost(f.process, now, d, record, "silent hub")
 		}
 	}
--- a/internal/router/agent/feed_subscription.go
+++ b/internal/router/agent/feed_subscription.go
@@ -70,7 +70,7 @@
 		s.unsubscribe()
 		return
 	}
-	if s.source != nil && now-s.lastReceived < feedTimeout && s.isUsable(s.source) {
+	if s.source != nil && s.left(s.lastReceived, feedTimeout) > 0 && s.isUsable(s.source) {
 		return
 	}
 	next := s.chooseSource(s.source)
--- a/internal/router/agent/metrics.go
+++ b/internal/router/agent/metrics.go
@@ -18,6 +18,7 @@
 	orders          metrics.CounterFamily // to model servers, by status
 	sourceChanges   metrics.Counter       // of the hub that is followed
 	stalls          metrics.Counter       // of this process
+	stalledTime     metrics.Counter       // of all of them, in milliseconds
 	diskErrors      metrics.Counter       // steps of the chain that could not be persisted
 	failedDiskOpens metrics.Counter
 	droppedEvents   metrics.Counter // of the chain
--- a/internal/router/agent/metrics_endpoint.go
+++ b/internal/router/agent/metrics_endpoint.go
@@ -93,6 +93,8 @@
 		m.sourceChanges.Value())
 	page.Counter("cresshub_stood_still_total", "Stalls of this process: intervals in which it did not run.",
 		m.stalls.Value())
+	page.Counter("cresshub_stalled_milliseconds_total", "Time in which this process did not run.",
+		m.stalledTime.Value())
 	page.Counter("cresshub_disk_errors_total", "Steps of the chain that could not be persisted.",
 		m.diskErrors.Value())
 	page.Counter("cresshub_disk_openings_failed_total", "Failed attempts to open the chain's store.",
--- a/internal/router/agent/process.go
+++ b/internal/router/agent/process.go
@@ -14,6 +14,7 @@
 	"cresshub/internal/router/peerproto"
 	"cresshub/internal/router/transport"
 	"cresshub/internal/segmentlog"
+	"cresshub/internal/stallclock"
 )
 
 // process is what a part of the agent may need to know of the process itself, whatever its job: who this is,
@@ -27,6 +28,7 @@
 	network  transport.Network
 	files    segmentlog.FS
 	log      zerolog.Logger
+	clock    *stallclock.Clock // of the stalls of this process
 
 	// Safe for concurrent use without a lock.
 	seedList     atomic.Pointer[[]string]
@@ -38,10 +40,29 @@
 func newProcess(settings *agentsettings.Settings, log zerolog.Logger) *process {
 	p := &process{settings: settings, log: log, network: transport.HostNetwork{}, files: segmentlog.OSFS{},
 		id: settings.IP + "-" + randomID(), started: time.Now()}
+	p.clock = stallclock.New(p.recordStall)
 	p.seedList.Store(&settings.Seeds)
 	return p
 }
 
+// recordStall records that this process has run again after a stall.
+func (p *process) recordStall(length time.Duration) {
+	p.metrics.stalls.Add(1)
+	p.metrics.stalledTime.Add(length.Milliseconds())
+	if length >= minLoggedStall {
+		p.log.Warn().Dur("gap_ms", length).Msg("agent: process stalled")
+	}
+}
+
+// minLoggedStall is the shortest stall that is logged.
+const minLoggedStall = 800 * time.Millisecond
+
+// left returns what is left of a timeout that began at from: until this process has run for that long, and
+// for a moment after a stall, in which it takes in what has come.
+func (p *process) left(from, timeout time.Duration) time.Duration {
+	return p.clock.Left(p.started.Add(from), timeout)
+}
+
 // now returns the time on the monotonic clock since the process started.
 func (p *process) now() time.Duration { return time.Since(p.started) }
 
--- a/internal/router/agent/server_endpoint.go
+++ b/internal/router/agent/server_endpoint.go
@@ -154,6 +154,7 @@
 
 // reject sends a server to another proxy. The reason goes to the metrics and the log.
 func (e *serverEndpoint) reject(server, reason string) *http1.Response {
+	e.lastSeen.recordRedirect(server, e.now())
 	e.metrics.countHeartbeat(reason)
 	e.log.Debug().Str("server", server).Str("reason", reason).Msg("servers: heartbeat rejected")
 	return callAnotherProxy()
--- a/internal/router/agent/unwatched.go
+++ b/internal/router/agent/unwatched.go
@@ -32,11 +32,11 @@
 
 // checkUnwatched marks unwatched proxies lost, and probes the unwatched servers for which this hub ranks
 // first.
-func (f *failureDetector) checkUnwatched(now time.Duration) {
+func (f *failureDetector) checkUnwatched() {
 	var unwatched []*directory.Record
 	f.state.read(func(d *directory.Directory) {
 		for _, record := range slices.Concat(d.LiveServers(), d.Proxies()) {
-			if f.isUnwatched(now, d, record) {
+			if f.isUnwatched(d, record) {
 				unwatched = append(unwatched, record)
 			}
 		}
@@ -53,8 +53,7 @@
 
 // isUnwatched reports whether a process has no live watcher, and has not called here either, for so long that
 // it should have found another one.
-func (f *failureDetector) isUnwatched(now time.Duration, d *directory.Directory,
-	record *directory.Record) bool {
+func (f *failureDetector) isUnwatched(d *directory.Directory, record *directory.Record) bool {
 	isHub := record.Kind == directory.KindProxy && record.Watcher == ""
 	if record.ID == f.id || isHub {
 		return false
@@ -64,10 +63,10 @@
 		return false
 	}
 	timeout := unwatchedHeartbeats * f.settings.HeartbeatInterval
-	if watcher != nil && now-d.ModifiedAt(watcher.ID) <= timeout {
+	if watcher != nil && f.left(d.ModifiedAt(watcher.ID), timeout) > 0 {
 		return false
 	}
-	return f.isTimedOut(now, d, record, timeout)
+	return f.isTimedOut(d, record, timeout)
 }
 
 // ranksFirst reports whether this hub ranks first for an id, by rendezvous hashing over the members that
@@ -115,9 +114,11 @@
 	}
 	go func() {
 		defer f.probes.end(record.ID)
-		if f.probeServer(record) {
+		started := time.Now()
+		switch {
+		case f.probeServer(record):
 			f.lastSeen.record(record.ID, f.now())
-		} else {
+		case f.clock.StalledSince(started) == 0: // else it may have answered in vain; the next check probes it
 			f.markUnwatchedLost(record, "its watcher is gone and it does not answer")
 		}
 	}()
@@ -152,7 +153,7 @@
 func (f *failureDetector) markUnwatchedLost(record *directory.Record, reason string) {
 	now := f.now()
 	f.state.update(now, func(d *directory.Directory) {
-		if d.Get(record.ID) == record && f.isUnwatched(now, d, record) {
+		if d.Get(record.ID) == record && f.isUnwatched(d, record) {
 			markLost(f.process, now, d, record, reason)
 		}
 	})
--- a/internal/router/agent/unwatched_test.go
+++ b/internal/router/agent/unwatched_test.go
@@ -55,6 +55,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		agent := newTestAgent(t)
+		runClock(t, agent)
 		agent.network = healthNetwork{"10.0.0.1:80": "alive", "10.0.0.2:80": "another", "10.0.0.3:80": ""}
 		for id, address := range map[string]string{"alive": "10.0.0.1:80", "replaced": "10.0.0.2:80",
 			"silent": "10.0.0.3:80", "gone": "10.0.0.4:80"} {
@@ -83,6 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		agent := newTestAgent(t)
+		runClock(t, agent)
 		agent.state.learnView(2, membersAt(agent.settings.IP, "10.9.0.1", "10.9.0.2"))
 		agent.network = healthNetwork{}
 		agent.state.merge(agent.now(), []directory.Record{{Kind: directory.KindServer, ID: "a", Sequence: 1,
@@ -106,6 +108,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		agent := newTestAgent(t)
+		runClock(t, agent)
 		agent.handleCall(heartbeat("ready", "1"))
 		agent.failures.workload = answeringWorkload{}
 		time.Sleep(4 * agent.settings.HeartbeatInterval)
--- a/internal/router/dataplane/accept.go
+++ b/internal/router/dataplane/accept.go
@@ -17,7 +17,7 @@
 
 // accept starts to serve a client, or closes its connection if there are too many.
 func (p *Proxy) accept(conn net.Conn) {
-	socket, err := newSocket(conn)
+	socket, err := newSocket(conn, p.clock)
 	if err != nil {
 		conn.Close()
 		return
--- a/internal/router/dataplane/buffered.go
+++ b/internal/router/dataplane/buffered.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"cresshub/internal/http1"
 )
@@ -21,7 +22,7 @@
 func (c *call) bufferResponse(response serverResponse) (*bufferedResponse, error) {
 	body := response.body
 	buffered := &bufferedResponse{head: response.head}
-	c.conn.SetReadDeadline(c.bufferDeadline())
+	c.setReadDeadline(time.Now(), c.bufferDeadline(), c.roundTrip.request.deadline)
 	for !body.Complete() {
 		if len(buffered.body) == cap(buffered.body) && !c.roundTrip.client.growBuffer(buffered, body.Length()) {
 			return buffered, nil
--- a/internal/router/dataplane/call.go
+++ b/internal/router/dataplane/call.go
@@ -65,12 +65,13 @@
 	sendFailure := c.send()
 	switch {
 	case sendFailure == nil:
-		c.conn.SetReadDeadline(c.firstByteDeadline())
+		c.setReadDeadline(c.started, c.firstByteDeadline(), c.roundTrip.request.deadline)
 	case sendFailure.execution == notSent:
 		return serverResponse{}, sendFailure
 	default: // a server that rejects a request need not read all of it
 		c.outOfSync, c.partlySent = true, true
-		c.conn.SetReadDeadline(earlier(c.roundTrip.request.deadline, time.Now().Add(earlyResponseTime)))
+		now := time.Now()
+		c.setReadDeadline(now, now.Add(earlyResponseTime), c.roundTrip.request.deadline)
 	}
 	c.roundTrip.proxy.counters.calls.Add(1)
 	if sendFailure == nil {
--- a/internal/router/dataplane/conclude.go
+++ b/internal/router/dataplane/conclude.go
@@ -42,7 +42,7 @@
 // connection ends it, the connection is reset.
 func (rt *roundTrip) truncate() {
 	rt.client.truncated = true
-	if conn, ok := rt.client.socket.Conn.(*net.TCPConn); ok && rt.request.HTTP10 {
+	if conn, ok := rt.client.socket.NetConn().(*net.TCPConn); ok && rt.request.HTTP10 {
 		conn.SetLinger(0)
 	}
 }
--- a/internal/router/dataplane/connect.go
+++ b/internal/router/dataplane/connect.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"time"
 
 	"cresshub/internal/invariant"
@@ -19,7 +20,8 @@
 func (c *call) connect() *callFailure {
 	rt := c.roundTrip
 	abandoned := &callFailure{outcome: scheduler.Abandoned, execution: notSent}
-	ctx, cancel := context.WithDeadline(context.Background(), c.connectDeadline())
+	started := time.Now()
+	ctx, cancel := c.connectContext()
 	defer cancel()
 	if !rt.setAbortable(canceller(cancel)) {
 		return abandoned
@@ -28,6 +30,8 @@
 	switch {
 	case errors.Is(err, errNoConnectionFree):
 		return abandoned
+	case c.dialCutByStall(err, started):
+		return abandoned
 	case err != nil:
 		c.reportSuspect(err)
 		return &callFailure{outcome: scheduler.Unreachable, execution: notSent}
@@ -58,11 +62,27 @@
 	return spec
 }
 
-// connectDeadline is when the connection counts as failed that is not open yet.
-func (c *call) connectDeadline() time.Time {
-	req := c.roundTrip.request
-	timeout := min(max(req.route.LatencyTarget/2, minDialTimeout), maxDialTimeout)
-	return earlier(req.deadline, time.Now().Add(timeout))
+// dialCutByStall reports whether the request's time was over before the server had its own, as this process
+// did not run.
+func (c *call) dialCutByStall(err error, started time.Time) bool {
+	clock := c.roundTrip.proxy.clock
+	timedOut := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, os.ErrDeadlineExceeded)
+	return timedOut && clock.StalledSince(started) > 0 && clock.Left(started, c.dialTimeout()) > 0
+}
+
+// connectContext ends when the connection counts as failed that is not open yet.
+func (c *call) connectContext() (context.Context, context.CancelFunc) {
+	untilDeadline, cancelDeadline := context.WithDeadline(context.Background(), c.roundTrip.request.deadline)
+	ctx, cancel := c.roundTrip.proxy.clock.WithTimeout(untilDeadline, c.dialTimeout())
+	return ctx, func() {
+		cancel()
+		cancelDeadline()
+	}
+}
+
+// dialTimeout is how long a connection may take to open, in time in which this process runs.
+func (c *call) dialTimeout() time.Duration {
+	return min(max(c.roundTrip.request.route.LatencyTarget/2, minDialTimeout), maxDialTimeout)
 }
 
 // disconnect returns the connection to the pool, or closes it where it must not be used again.
--- a/internal/router/dataplane/failure.go
+++ b/internal/router/dataplane/failure.go
@@ -40,6 +40,9 @@
 	c.reportSuspect(err)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		failure.outcome = scheduler.TimedOut
+		if !c.conn.TimedOut() { // this process did not run for a part of the time, which says nothing of the server
+			failure.outcome = scheduler.Abandoned
+		}
 		return failure
 	}
 	if c.conn.reused && !c.responseStarted && !errors.As(err, new(*http1.MalformedError)) {
--- a/internal/router/dataplane/linger.go
+++ b/internal/router/dataplane/linger.go
@@ -23,7 +23,7 @@
 
 // linger ends the sending and reads what the client still sends, for a bounded time.
 func (c *client) linger() {
-	half, ok := c.socket.Conn.(interface{ CloseWrite() error })
+	half, ok := c.socket.NetConn().(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
--- a/internal/router/dataplane/pool.go
+++ b/internal/router/dataplane/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cresshub/internal/invariant"
+	"cresshub/internal/stallclock"
 )
 
 const (
@@ -24,6 +25,7 @@
 // pool keeps the connections to servers, by incarnation. It is safe for concurrent use.
 type pool struct {
 	counters *counters
+	clock    *stallclock.Clock
 	isListed func(server string) bool // reports whether the server is in the present table
 	maxOpen  int                      // to all servers together
 
@@ -39,8 +41,9 @@
 	idle []*connection // the one used last at the end
 }
 
-func newPool(counters *counters, maxOpen int, isListed func(server string) bool) *pool {
-	return &pool{counters: counters, maxOpen: maxOpen, isListed: isListed,
+func newPool(counters *counters, clock *stallclock.Clock, maxOpen int,
+	isListed func(server string) bool) *pool {
+	return &pool{counters: counters, clock: clock, maxOpen: maxOpen, isListed: isListed,
 		servers: map[string]*serverConnections{}}
 }
 
@@ -117,7 +120,7 @@
 		p.releaseSlot(spec.server.ID)
 		return nil, err
 	}
-	socket, err := newSocket(conn)
+	socket, err := newSocket(conn, p.clock)
 	if err != nil {
 		conn.Close()
 		p.releaseSlot(spec.server.ID)
--- a/internal/router/dataplane/proxy.go
+++ b/internal/router/dataplane/proxy.go
@@ -11,6 +11,7 @@
 	"cresshub/internal/router/agentsettings"
 	"cresshub/internal/router/catalog"
 	"cresshub/internal/router/fleetconfig"
+	"cresshub/internal/stallclock"
 )
 
 // State is what the data plane reads for each request, as immutable snapshots, and what it reports back.
@@ -31,7 +32,8 @@
 	settings     *agentsettings.Settings
 	state        State
 	log          zerolog.Logger
-	started      time.Time // when the steady clock began
+	clock        *stallclock.Clock // of this process's stalls
+	started      time.Time         // when the steady clock began
 	chooser      *lockedChooser
 	budgets      *retryBudgets
 	bodies       *bodybudget.Budget
@@ -51,10 +53,10 @@
 	drainStarted   time.Time            // when the drain began
 }
 
-// New returns a Proxy. It opens nothing before Serve.
-func New(settings *agentsettings.Settings, state State, log zerolog.Logger) *Proxy {
+// New returns a Proxy. It opens nothing before Serve. The clock may be nil.
+func New(settings *agentsettings.Settings, state State, clock *stallclock.Clock, log zerolog.Logger) *Proxy {
 	p := &Proxy{
-		settings: settings, state: state, log: log, started: time.Now(),
+		settings: settings, state: state, clock: clock, log: log, started: time.Now(),
 		budgets:      newRetryBudgets(settings.Bounds),
 		bodies:       bodybudget.NewBudget(settings.MemoryBytes / bodyMemoryDivisor),
 		prefillTimes: newPrefillTimes(), clients: map[*client]struct{}{}, clientsChanged: make(chan struct{}),
@@ -62,7 +64,7 @@
 	p.observer.setLogger(log)
 	p.chooser = newLockedChooser(settings.Zone, state, p.now)
 	listed := func(server string) bool { return p.servers().ByID(server) != nil }
-	p.pool = newPool(&p.counters, p.connectionLimit(), listed)
+	p.pool = newPool(&p.counters, clock, p.connectionLimit(), listed)
 	p.handles = newHandleReleaser(p.pool)
 	return p
 }
--- a/internal/router/dataplane/readdeadline.go
+++ b/internal/router/dataplane/readdeadline.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cresshub/internal/router/scheduler"
+	"cresshub/internal/stallclock"
 )
 
 // firstByteDeadline is when the call counts as timed out if no byte of its response has arrived.
@@ -33,11 +34,17 @@
 	if rt.couldRetry() && rt.relay.canSwitchServer() && c.hasAlternative() {
 		return false
 	}
-	next := time.Now().Add(streamTimeout(rt.request.route.GapTarget))
-	c.conn.SetReadDeadline(earlier(deadline, next))
+	now := time.Now()
+	c.setReadDeadline(now, now.Add(streamTimeout(rt.request.route.GapTarget)), deadline)
 	return true
 }
 
+// setReadDeadline sets until when the server is waited for that has been waited for since from: until at,
+// plus the time in which this process does not run, but not after the limit.
+func (c *call) setReadDeadline(from, at, limit time.Time) {
+	c.conn.SetRead(stallclock.Deadline{From: from, At: earlier(at, limit), Limit: limit})
+}
+
 // hasAlternative reports whether another server could replace this one. A client that has a part of a stream
 // would lose the rest if all other servers rejected the request, so one of them must have a free slot. Before
 // the response has begun, the existence of another server is enough.
--- a/internal/router/dataplane/readrequest.go
+++ b/internal/router/dataplane/readrequest.go
@@ -8,6 +8,7 @@
 
 	"cresshub/internal/http1"
 	"cresshub/internal/router/fleetconfig"
+	"cresshub/internal/stallclock"
 )
 
 // initialBodyBuffer is what is reserved at first for a body of unknown length, in bytes.
@@ -21,7 +22,7 @@
 func (c *client) readRequest() (*request, error) {
 	arrived := time.Now()
 	limits := c.proxy.limits()
-	c.socket.SetReadDeadline(arrived.Add(limits.HeaderTimeout))
+	c.socket.SetRead(stallclock.Deadline{From: arrived, At: arrived.Add(limits.HeaderTimeout)})
 	head, body, err := http1.ReadRequestHeadWithin(c.socket.reader(), limits.MaxHeaderBytes)
 	if err != nil {
 		return nil, c.readError(err)
--- a/internal/router/dataplane/readstate.go
+++ b/internal/router/dataplane/readstate.go
@@ -50,15 +50,19 @@
 // awaitReadable waits until bytes or an end can be read, and leaves them in the system. It returns
 // notReadable where the read deadline passed.
 func (s *socket) awaitReadable() readState {
-	state := notReadable
-	err := s.raw.Read(func(fd uintptr) bool {
-		state = peek(fd)
-		return state != notReadable
-	})
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		return readClosed
+	for {
+		state := notReadable
+		err := s.raw.Read(func(fd uintptr) bool {
+			state = peek(fd)
+			return state != notReadable
+		})
+		switch {
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			return readClosed
+		case state != notReadable || !s.ExtendRead():
+			return state
+		}
 	}
-	return state
 }
 
 // hungUp reports whether the other side has ended its sending or the connection is broken, also where bytes
--- a/internal/router/dataplane/relay.go
+++ b/internal/router/dataplane/relay.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"cresshub/internal/http1"
 )
@@ -103,7 +104,7 @@
 	response.Streaming, response.Length, response.Body = true, body.Length(), buffered.body
 	r.started, r.hasUnnumbered = true, true
 	r.client.recordResponse()
-	call.conn.SetReadDeadline(r.request.hardDeadline)
+	call.setReadDeadline(time.Now(), r.request.hardDeadline, r.request.hardDeadline)
 	out, err := response.Begin(r.client.socket.writer(), r.request.HTTP10)
 	if err != nil || !copyBody(&out, body) {
 		return call.brokenFailure()
--- a/internal/router/dataplane/send.go
+++ b/internal/router/dataplane/send.go
@@ -2,15 +2,18 @@
 
 import (
 	"strconv"
+	"time"
 
 	"cresshub/internal/http1"
 	"cresshub/internal/router/scheduler"
+	"cresshub/internal/stallclock"
 )
 
 // send writes the complete request.
 func (c *call) send() *callFailure {
 	c.conn.bytesSent = 0
-	c.conn.SetWriteDeadline(c.roundTrip.request.deadline)
+	deadline := c.roundTrip.request.deadline
+	c.conn.SetWrite(stallclock.Deadline{From: time.Now(), At: deadline, Limit: deadline})
 	c.roundTrip.trace.beginCall(c)
 	err := c.writeRequest(c.buildRequest())
 	switch {
--- a/internal/router/dataplane/socket.go
+++ b/internal/router/dataplane/socket.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cresshub/internal/stallclock"
 )
 
 const (
@@ -26,16 +28,14 @@
 var (
 	readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 	writerPool = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
-	// pastDeadline is a read deadline that wakes a waiting reader.
-	pastDeadline = time.Unix(1, 0)
 )
 
 // socket is a TCP connection that borrows buffers while it reads or writes; one that waits has none. The
 // goroutine that serves it may touch the buffers and the fields. Another one may meanwhile wait in
 // awaitReadable, set deadlines and close it. While a client's request is in flight, in does not change, and
-// the disconnectWatcher reads it.
+// the disconnectWatcher reads it. Its deadlines count only the time in which this process runs.
 type socket struct {
-	net.Conn
+	*stallclock.Conn
 	raw syscall.RawConn
 	in  *bufio.Reader // nil while none is borrowed
 	out *bufio.Writer // likewise
@@ -52,7 +52,7 @@
 }
 
 // newSocket returns a socket over a TCP connection; others have no descriptor and are an error.
-func newSocket(conn net.Conn) (*socket, error) {
+func newSocket(conn net.Conn, clock *stallclock.Clock) (*socket, error) {
 	system, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.New("the connection has no descriptor; give a TCP connection")
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &socket{Conn: conn, raw: raw}, nil
+	return &socket{Conn: clock.Wrap(conn), raw: raw}, nil
 }
 
 // Write counts what the system takes.
--- a/internal/router/dataplane/stream.go
+++ b/internal/router/dataplane/stream.go
@@ -55,7 +55,7 @@
 		case eventTooLarge:
 			return call.brokenFailure()
 		}
-		call.conn.SetReadDeadline(r.gapDeadline(call))
+		call.setReadDeadline(time.Now(), r.gapDeadline(call), r.request.hardDeadline)
 	}
 }
 
--- a/internal/router/dataplane/upload.go
+++ b/internal/router/dataplane/upload.go
@@ -25,11 +25,15 @@
 		}
 	}()
 	return func() {
-		conn.SetReadDeadline(pastDeadline)
+		conn.Wake()
 		<-done
 	}
 }
 
+// unackedMargin is how much longer than its request's deadline a large body may stay unacknowledged: the
+// deadline has to end the call first, or a server that does not read would count as a machine that is down.
+const unackedMargin = time.Second
+
 // setUnackedTimeout sets how long sent bytes may stay unacknowledged. A process that does not read them
 // keeps them waiting just as a dead machine does; those of a large body get the time of their request.
 func (c *connection) setUnackedTimeout(large bool, timeLeft time.Duration) {
@@ -38,7 +42,7 @@
 	}
 	timeout := serverTimeout
 	if large {
-		timeout = max(timeLeft, serverTimeout)
+		timeout = max(timeLeft+unackedMargin, serverTimeout)
 	}
 	_ = setUserTimeout(c.raw, timeout) // as for a new connection
 	c.largeBody.Store(large)
@@ -56,7 +60,7 @@
 // Close closes the connection, and resets it if a part of a large body is still unsent. An orderly end would
 // be queued after that part, where a server that does not read would not notice it.
 func (c *connection) Close() error {
-	conn, ok := c.Conn.(*net.TCPConn)
+	conn, ok := c.NetConn().(*net.TCPConn)
 	if ok && c.largeBody.Load() && c.unsentBytes() > 0 {
 		_ = conn.SetLinger(0) // fails only on a connection that is closed already
 	}
