Let no stall of the client proxy count against servers, nor its clients' requests

Change: connections of both sides and dials count the time in which the process runs (package stallclock). An attempt ends by its client's deadline all the same, but is no verdict on its server then. The counters have the stalls.

--- a/internal/connbuffer/connbuffer.go
+++ b/internal/connbuffer/connbuffer.go
@@ -195,6 +195,16 @@
 	return time.Time{}
 }
 
+// TCP returns the TCP connection below, also where it is wrapped; false if it is another kind.
+func (c *Conn) TCP() (*net.TCPConn, bool) {
+	below := c.Conn
+	if wrapped, ok := below.(interface{ NetConn() net.Conn }); ok {
+		below = wrapped.NetConn()
+	}
+	tcp, ok := below.(*net.TCPConn)
+	return tcp, ok
+}
+
 // HasBuffered reports whether bytes were read from the socket and not yet consumed.
 func (c *Conn) HasBuffered() bool { return c.In.Buffered() > 0 || c.in.ring.Len() > 0 }
 
--- a/internal/proxy/daemon/daemon.go
+++ b/internal/proxy/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"cresshub/internal/proxy/logging"
 	"cresshub/internal/proxy/stats"
 	"cresshub/internal/proxy/upstream"
+	"cresshub/internal/stallclock"
 )
 
 // logCloseTimeout bounds how long Run waits at its end for whoever reads the log.
@@ -47,6 +48,7 @@
 	startConfig *config.Config // in force at the start: keys that need a restart keep its values
 
 	log       *logging.Logger
+	clock     *stallclock.Clock // of this process's stalls
 	stats     *stats.Set
 	decider   *dispatch.Decider
 	pool      *upstream.Pool
@@ -71,6 +73,7 @@
 	settings := cfg.Settings()
 	p := &Proxy{cfg: cfg, startConfig: cfg, log: newLogger(cfg, w), stats: stats.New(settings.ClassNames),
 		firstNamed: map[string]time.Time{}}
+	p.clock = stallclock.New(p.recordStall)
 	p.shutdownTimes.Store(&cfg.Shutdown)
 	var err error
 	if p.decider, err = dispatch.New(settings.Settings, cfg.Policy.ResponseMargin, p); err != nil {
@@ -86,6 +89,17 @@
 	return p, nil
 }
 
+// minLoggedStall is the shortest stall of this process that is logged.
+const minLoggedStall = time.Second
+
+// recordStall records that this process has run again after a stall.
+func (p *Proxy) recordStall(length time.Duration) {
+	p.stats.Stalls.Add()
+	if length >= minLoggedStall {
+		p.log.Warn("proxy: process stalled", "for", length.Round(time.Millisecond))
+	}
+}
+
 // newLogger returns a logger whose records have the instance's name.
 func newLogger(cfg *config.Config, w io.Writer) *logging.Logger {
 	log := logging.New(w, logging.Options{
@@ -125,7 +139,8 @@
 	p.bodies = bodybudget.NewBudget(p.bodyBytes())
 	p.discovery = discovery.New(cfg.Discovery.Address, cfg.Upstream.DialLimit(), listLimits(cfg),
 		discovery.Names{Zones: settings.ZoneNames, Kinds: settings.KindNames}, p.budget, p.stats, p.log.Logger)
-	p.pool = upstream.New(p.discovery, poolLimits(cfg), settings.ReportNames, p.budget, p.bodies, p.stats)
+	p.pool = upstream.New(p.discovery, p.clock, poolLimits(cfg), settings.ReportNames, p.budget, p.bodies,
+		p.stats)
 }
 
 // newIngress makes what serves clients.
@@ -134,7 +149,7 @@
 	p.server = ingress.New(ingress.Options{
 		Decider: p.decider, Pool: p.pool, Name: p.discovery.Name, Classes: settings.ClassNames,
 		Tenants: settings.TenantNames, Limits: p.cfg.Clients, Drain: p.drainTimes, Budget: p.budget,
-		Bodies: p.bodies, Stats: p.stats, RecordUsage: p.usageRecorder(), Log: p.log.Logger,
+		Bodies: p.bodies, Stats: p.stats, Clock: p.clock, RecordUsage: p.usageRecorder(), Log: p.log.Logger,
 	})
 	p.server.LogRequests(p.requestLog())
 }
@@ -206,6 +221,7 @@
 func (p *Proxy) Run(signals <-chan os.Signal, reread func() (*config.Config, error)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	go p.clock.Run(ctx.Done())
 	go p.decider.Run(ctx.Done())
 	go p.discovery.Run(ctx, p.decider, p.pool.Sweep)
 	go p.acceptClients()
--- a/internal/proxy/ingress/reject.go
+++ b/internal/proxy/ingress/reject.go
@@ -17,7 +17,7 @@
 func (s *Server) rejectConn(nc net.Conn) {
 	defer func() { <-s.rejecting }()
 	defer nc.Close()
-	c := connbuffer.NewConn(nc)
+	c := connbuffer.NewConn(s.Clock.Wrap(nc))
 	c.SetDeadline(time.Now().Add(s.limits.Load().RejectTimeout))
 	message, body, err := http1.ReadRequestHead(c.In)
 	if err != nil {
@@ -63,7 +63,7 @@
 // linger ends the sending and reads on for a while after a response that ends the connection: a close with
 // unread bytes is a reset, which could overtake the response.
 func (s *Server) linger(c *connbuffer.Conn, wait time.Duration) {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t, ok := c.TCP(); ok {
 		_ = t.CloseWrite() // where it fails the connection has ended
 		c.SetReadDeadline(time.Now().Add(wait))
 		_, _ = io.Copy(io.Discard, t) // until the client closes or the time is over, which is an error too
--- a/internal/proxy/ingress/response.go
+++ b/internal/proxy/ingress/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"time"
 
 	"cresshub/internal/http1"
@@ -50,7 +49,7 @@
 // of its body that were written before.
 func (s *Server) streamResponse(c *client, w http1.BodyWriter, f *finalResponse, written int64,
 	stall time.Duration) bool {
-	if t, ok := c.Conn.Conn.(*net.TCPConn); ok {
+	if t, ok := c.TCP(); ok {
 		_ = t.SetWriteBuffer(sendBuffer) // with the system's own size it works too
 	}
 	buffer, release := s.Bodies.Buffer()
@@ -85,7 +84,7 @@
 // must be able to tell that the response is not complete, also where the end of the connection delimits it.
 func (s *Server) failStream(c *client, f *finalResponse, written int64) {
 	s.countAnswer(c, f.class, answerBadGateway, written)
-	if t, ok := c.Conn.Conn.(*net.TCPConn); ok {
+	if t, ok := c.TCP(); ok {
 		t.SetLinger(0)
 	}
 }
--- a/internal/proxy/ingress/rig_test.go
+++ b/internal/proxy/ingress/rig_test.go
@@ -16,6 +16,7 @@
 	"cresshub/internal/proxy/drain"
 	"cresshub/internal/proxy/stats"
 	"cresshub/internal/proxy/upstream"
+	"cresshub/internal/stallclock"
 	"cresshub/internal/testbed/nettest"
 )
 
@@ -86,7 +87,10 @@
 		[]string{"lookup", "assign"})
 	wait := nettest.Patience
 	limits := upstream.Limits{Dial: wait, MaxIdle: wait, Probe: wait, BufferTime: time.Second, Stall: wait}
-	pool := upstream.New(rig, limits, nil, budget, room, count)
+	clock, done := stallclock.New(nil), make(chan struct{})
+	go clock.Run(done)
+	tb.Cleanup(func() { close(done) })
+	pool := upstream.New(rig, clock, limits, nil, budget, room, count)
 	rig.Server = New(Options{
 		Decider: decider, Pool: pool, Name: func(dispatch.ServerID) string { return "s" },
 		Classes: []string{"lookup", "assign"}, Tenants: []string{"acme"},
@@ -95,7 +99,7 @@
 			MaxRejecting: 8,
 			Linger:       time.Second, DiscardTimeout: time.Second},
 		Drain:  func() drain.Times { return *rig.drainTimes.Load() },
-		Budget: budget, Bodies: room, Stats: count, Log: slog.New(slog.DiscardHandler),
+		Budget: budget, Bodies: room, Stats: count, Clock: clock, Log: slog.New(slog.DiscardHandler),
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/proxy/ingress/server.go
+++ b/internal/proxy/ingress/server.go
@@ -26,6 +26,7 @@
 	"cresshub/internal/proxy/logging"
 	"cresshub/internal/proxy/stats"
 	"cresshub/internal/proxy/upstream"
+	"cresshub/internal/stallclock"
 )
 
 // Server serves the clients of one listener.
@@ -58,7 +59,8 @@
 	Budget      *descriptors.Budget
 	Bodies      *bodybudget.Budget
 	Stats       *stats.Set
-	RecordUsage func(Usage) // called for each final response that was written; nil where usage is not counted
+	Clock       *stallclock.Clock // of this process's stalls; nil for one that never stalls
+	RecordUsage func(Usage)       // called for each final response written; nil where usage is not counted
 	Log         *slog.Logger
 }
 
@@ -130,8 +132,8 @@
 
 // admit serves a new connection.
 func (s *Server) admit(nc net.Conn) {
-	c := &client{Conn: connbuffer.NewConn(nc), wakeup: make(chan struct{}, 1), since: time.Now(), idle: true,
-		unused: true}
+	c := &client{Conn: connbuffer.NewConn(s.Clock.Wrap(nc)), wakeup: make(chan struct{}, 1), since: time.Now(),
+		idle: true, unused: true}
 	s.mu.Lock()
 	s.clients[c] = struct{}{}
 	s.mu.Unlock()
--- /dev/null
+++ b/internal/proxy/ingress/stalls_test.go
@@ -0,0 +1,49 @@
+package ingress
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"cresshub/internal/http1"
+	"cresshub/internal/testbed/nettest"
+)
+
+// A client whose request is late as this process did not run gets its response; one that is slow itself is
+// told so.
+func TestRequestIsNotLateForAStallOfTheProxy(t *testing.T) {
+	for _, stalled := range []bool{false, true} {
+		rig := newRig(t, nil)
+		if stalled {
+			rig.Clock.Inject(time.Now().Add(time.Hour), time.Hour) // from now on
+		}
+		limits := *rig.limits.Load()
+		limits.HeadTimeout = time.Millisecond
+		rig.SetLimits(limits)
+		zone := nettest.Serve(t, func(*http1.Request) *http1.Response { return nettest.OK("x") })
+		rig.list(zone.Address)
+		conn := nettest.Dial(t, rig.address)
+		request := getRequest("one")
+		io.WriteString(conn, request[:20])
+		want := "200 x"
+		if !stalled {
+			want = "408 "
+		} else {
+			nettest.Until(t, "the beginning is read", func() bool { return rig.isReceiving() })
+			io.WriteString(conn, request[20:])
+		}
+		if got := nextOutcome(conn); got[:4] != want[:4] {
+			t.Errorf("stalled %v: the client reads %s", stalled, got)
+		}
+	}
+}
+
+// isReceiving reports whether a client's request has begun and is not complete.
+func (r *testRig) isReceiving() bool {
+	r.Server.mu.Lock()
+	defer r.Server.mu.Unlock()
+	for c := range r.clients {
+		return c.receiving
+	}
+	return false
+}
--- a/internal/proxy/stats/stats.go
+++ b/internal/proxy/stats/stats.go
@@ -63,6 +63,8 @@
 	ListsRead, ListsFailed Counter
 	// Attempts whose request was written completely to a server.
 	RequestsSent Counter
+	// Stalls of this process: times in which it did not run.
+	Stalls Counter
 	// Requests received that have no final response yet.
 	InProgress Gauge
 
@@ -148,5 +150,6 @@
 		s.Attempts.attr("sent", resultNames), s.Probes.attr("probed", resultNames),
 		counter("probed_without_report", &s.ProbesWithoutReport),
 		slog.Group("connections", counter("opened", &s.Opened), counter("reused", &s.Reused)),
-		slog.Group("lists", counter("read", &s.ListsRead), counter("failed", &s.ListsFailed)))
+		slog.Group("lists", counter("read", &s.ListsRead), counter("failed", &s.ListsFailed)),
+		counter("stalls", &s.Stalls))
 }
--- a/internal/proxy/upstream/attempt.go
+++ b/internal/proxy/upstream/attempt.go
@@ -58,10 +58,20 @@
 	Response *http1.Response // nil if none was read
 	Stream   *Stream         // what follows Response's Body; nil if that is all
 	Load     []float64       // the server's load report; nil if none came
+	Stalled  bool            // it timed out, but this process did not run for a part of the time
 
 	reserved int // bytes taken from the budget for Response's Body
 }
 
+// Verdict is the result by which the server is judged: a timeout proves nothing where this process did not
+// run.
+func (o Outcome) Verdict() dispatch.Result {
+	if o.Stalled {
+		return dispatch.Cancelled
+	}
+	return o.Result
+}
+
 // Cancel aborts the attempt if it is still under way: its connection is closed.
 func (a *Attempt) Cancel() { a.cancel() }
 
--- a/internal/proxy/upstream/attempt_test.go
+++ b/internal/proxy/upstream/attempt_test.go
@@ -32,7 +32,7 @@
 
 // newPool returns a pool whose time-outs a stalled machine cannot reach.
 func newPool(p *fakeDirectory, reuse time.Duration) *Pool {
-	return New(p, Limits{Dial: nettest.Patience, MaxIdle: reuse, Probe: nettest.Patience,
+	return New(p, nil, Limits{Dial: nettest.Patience, MaxIdle: reuse, Probe: nettest.Patience,
 		BufferTime: nettest.Patience, Stall: nettest.Patience},
 		[]string{"active", "waiting", "cpu"}, descriptors.NewBudget(100, 0.6, 0.25), bodybudget.NewBudget(1<<20),
 		&stats.Set{})
--- a/internal/proxy/upstream/conn.go
+++ b/internal/proxy/upstream/conn.go
@@ -11,6 +11,7 @@
 	"cresshub/internal/connbuffer"
 	"cresshub/internal/proxy/descriptors"
 	"cresshub/internal/proxy/dispatch"
+	"cresshub/internal/stallclock"
 )
 
 // conn is one connection to a server. Its goroutine is run.
@@ -19,6 +20,7 @@
 	server    dispatch.ServerID
 	address   string
 	netConn   *connbuffer.Conn
+	deadlines *stallclock.Conn // below netConn
 	closeOnce sync.Once
 
 	// The pool's lock guards these while the connection is idle.
@@ -125,11 +127,12 @@
 	if boundByAttempt {
 		deadline = latest
 	}
-	ctx, cancel := context.WithDeadline(a.ctx, deadline)
+	ctx, cancel := c.dialContext(a.ctx, deadline, boundByAttempt)
 	defer cancel()
 	netConn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err == nil {
-		c.netConn = connbuffer.NewConn(netConn)
+		c.deadlines = c.pool.clock.Wrap(netConn)
+		c.netConn = connbuffer.NewConn(c.deadlines)
 		c.pool.stats.Opened.Add()
 		return dispatch.Served, true
 	}
@@ -142,3 +145,13 @@
 	}
 	return dispatch.NoConnection, false
 }
+
+// dialContext ends when the connection counts as failed that is not open yet: at a deadline of the attempt,
+// or once this process has run until Limits.Dial is over.
+func (c *conn) dialContext(parent context.Context, deadline time.Time, boundByAttempt bool) (context.Context,
+	context.CancelFunc) {
+	if boundByAttempt {
+		return context.WithDeadline(parent, deadline)
+	}
+	return c.pool.clock.WithTimeout(parent, time.Until(deadline))
+}
--- a/internal/proxy/upstream/exchange.go
+++ b/internal/proxy/upstream/exchange.go
@@ -8,6 +8,7 @@
 
 	"cresshub/internal/http1"
 	"cresshub/internal/proxy/dispatch"
+	"cresshub/internal/stallclock"
 )
 
 // exchange sends one request and reads its response, or the beginning of a large one. reusable reports
@@ -32,7 +33,8 @@
 	uninterrupted := stopClosing()
 	if err != nil {
 		c.pool.Release(&outcome)
-		return Outcome{Result: a.receiveFailure(err)}, false
+		result := a.receiveFailure(err)
+		return Outcome{Result: result, Stalled: result == dispatch.TimedOut && !c.deadlines.TimedOut()}, false
 	}
 	outcome.Result, outcome.Response = a.classify(response), response
 	outcome.Load = c.pool.reportFormat.parse(response, a.probe)
@@ -73,7 +75,7 @@
 	if a.Upload != nil {
 		return c.sendUpload(a)
 	}
-	c.netConn.SetDeadline(a.GiveUpAt)
+	c.setDeadline(a)
 	_, err := a.message(c.address).Begin(c.netConn.Out)
 	if err == nil {
 		err = c.netConn.Flush()
@@ -103,10 +105,21 @@
 		return a.resultOr(dispatch.NoConnection)
 	}
 	a.GiveUpAt = a.Upload.Sent()
-	c.netConn.SetDeadline(a.GiveUpAt)
+	c.setDeadline(a)
 	return dispatch.Served
 }
 
+// setDeadline has the exchange end when the attempt gives up. A probe waits longer by the time in which this
+// process does not run; an attempt's client does not.
+func (c *conn) setDeadline(a *Attempt) {
+	d := stallclock.Deadline{From: time.Now(), At: a.GiveUpAt}
+	if !a.probe {
+		d.Limit = a.GiveUpAt
+	}
+	c.deadlines.SetRead(d)
+	c.deadlines.SetWrite(d)
+}
+
 var errBodyClaimed = errors.New("another attempt has the body")
 
 // upload writes the part of a body that is not buffered, at the pace of the slower side.
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -21,6 +21,7 @@
 	"cresshub/internal/proxy/descriptors"
 	"cresshub/internal/proxy/dispatch"
 	"cresshub/internal/proxy/stats"
+	"cresshub/internal/stallclock"
 )
 
 // Directory resolves servers.
@@ -49,6 +50,7 @@
 // Pool holds the connections to all zone servers.
 type Pool struct {
 	directory    Directory
+	clock        *stallclock.Clock
 	limits       atomic.Pointer[Limits]
 	budget       *descriptors.Budget
 	stats        *stats.Set
@@ -60,11 +62,11 @@
 }
 
 // New returns a pool without connections. report names the values of a load report, by the words of the
-// settings, in the order in which they are reported.
-func New(directory Directory, limits Limits, report []string, budget *descriptors.Budget,
-	bodies *bodybudget.Budget, counters *stats.Set) *Pool {
+// settings, in the order in which they are reported. The clock may be nil.
+func New(directory Directory, clock *stallclock.Clock, limits Limits, report []string,
+	budget *descriptors.Budget, bodies *bodybudget.Budget, counters *stats.Set) *Pool {
 	p := &Pool{
-		directory: directory, budget: budget, stats: counters, reportFormat: newReportFormat(report),
+		directory: directory, clock: clock, budget: budget, stats: counters, reportFormat: newReportFormat(report),
 		bodies: bodies, idle: map[dispatch.ServerID][]*conn{},
 	}
 	p.SetLimits(limits)
@@ -98,7 +100,7 @@
 		p.stats.Probes.Add(int(o.Result))
 		p.countMissingReport(o)
 		p.Release(&o)
-		done(o.Result, time.Since(began), o.Load)
+		done(o.Verdict(), time.Since(began), o.Load)
 	}
 	p.start(a)
 }
--- /dev/null
+++ b/internal/proxy/upstream/stalls_test.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"cresshub/internal/connbuffer"
+	"cresshub/internal/http1"
+	"cresshub/internal/proxy/dispatch"
+	"cresshub/internal/stallclock"
+	"cresshub/internal/testbed/nettest"
+)
+
+// A server that has not answered in time is not judged by that if this process did not run for a part of the
+// time. The attempt ends all the same, as its client does not wait any longer.
+func TestStalledProcessJudgesNoServer(t *testing.T) {
+	address := nettest.Listen(t, func(conn *connbuffer.Conn) {
+		_, _ = http1.ReadRequest(conn.In)
+		_, _ = io.Copy(io.Discard, conn)
+	})
+	for _, stalled := range []bool{false, true} {
+		p := newPool(&fakeDirectory{address: address}, time.Hour)
+		p.clock = stallclock.New(nil)
+		done := make(chan struct{})
+		go p.clock.Run(done)
+		want := dispatch.TimedOut
+		if stalled {
+			p.clock.Inject(time.Now().Add(time.Hour), time.Hour) // from now on
+			want = dispatch.Cancelled
+		}
+		_, ended := startAttempt(p, time.Now().Add(200*time.Millisecond))
+		outcome := <-ended
+		if outcome.Result != dispatch.TimedOut || outcome.Stalled != stalled || outcome.Verdict() != want {
+			t.Errorf("stalled %v: it ended with %v, the server is judged by %v", stalled, outcome.Result,
+				outcome.Verdict())
+		}
+		close(done)
+	}
+}
+
+// A probe is waited for longer by the time in which this process did not run.
+func TestProbeOutlastsAStall(t *testing.T) {
+	address := nettest.Listen(t, func(conn *connbuffer.Conn) {
+		for {
+			if _, err := http1.ReadRequest(conn.In); err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool(&fakeDirectory{address: address}, time.Hour)
+	p.clock = stallclock.New(nil)
+	p.clock.Inject(time.Now().Add(time.Hour), time.Hour)
+	limits := *p.limits.Load()
+	limits.Probe = time.Millisecond // less than any server needs to answer here
+	p.SetLimits(limits)
+	result := make(chan dispatch.Result)
+	p.Probe(1, func(r dispatch.Result, _ time.Duration, _ []float64) { result <- r })
+	if got := <-result; got != dispatch.Served {
+		t.Errorf("the probe ended with %v", got)
+	}
+}
