Leave stalls of a router out of what its calls teach, and play stalls in virtual time

Cause: to a process that had stalled every call in flight seemed stuck, and calls that lasted through the stall taught that their servers are slow. The simulation of whole processes had no machines that stall or lack processor time, and no figure told how often servers were ejected.

--- a/internal/router/agent/agent.go
+++ b/internal/router/agent/agent.go
@@ -10,6 +10,7 @@
 	"cresshub/internal/router/directory"
 	"cresshub/internal/router/peerproto"
 	"cresshub/internal/router/transport"
+	"cresshub/internal/stallclock"
 )
 
 const (
@@ -80,6 +81,9 @@
 	return a, nil
 }
 
+// Clock returns the clock of this process's stalls.
+func (a *Agent) Clock() *stallclock.Clock { return a.clock }
+
 // createParts creates the parts of the agent, each after those that it calls. None of them runs yet.
 func (a *Agent) createParts() {
 	p := a.process
--- a/internal/router/cli/soak.go
+++ b/internal/router/cli/soak.go
@@ -32,12 +32,18 @@
 	Program string   `help:"Program that has the router role." hidden:""`
 }
 
-// soaksBrokenError reports how many soaks failed.
-type soaksBrokenError struct{ broken, total int }
+// soaksFailedError reports how many soaks broke rules, and how many could not be played to their end.
+type soaksFailedError struct{ broken, unplayed, total int }
 
-func (e *soaksBrokenError) Error() string {
-	return fmt.Sprintf("%d of %d soaks broke rules or could not be played; play one again with --first SEED, "+
-		"--seeds 1 and --logs DIR", e.broken, e.total)
+func (e *soaksFailedError) Error() string {
+	var parts []string
+	if e.broken > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d soaks broke rules", e.broken, e.total))
+	}
+	if e.unplayed > 0 {
+		parts = append(parts, fmt.Sprintf("%d of %d could not be played to their end", e.unplayed, e.total))
+	}
+	return strings.Join(parts, ", ") + "; play one again with --first SEED, --seeds 1 and --logs DIR"
 }
 
 // Run runs the soaks and prints the report of each. It fails if any could not be run to its end or broke
@@ -51,22 +57,25 @@
 			return err
 		}
 	}
-	broken := 0
+	failed := soaksFailedError{total: c.Seeds}
 	for i := range c.Seeds {
 		seed := c.First + uint64(i)
 		report, err := c.soak(ctx, seed)
 		if ctx.Err() != nil {
 			return errInterrupted
 		}
-		if err != nil || report.Violations() > 0 {
-			broken++
+		switch {
+		case report != nil && report.Violations() > 0:
+			failed.broken++
+		case err != nil:
+			failed.unplayed++
 		}
 		if printErr := c.print(out.stdout, seed, report, err); printErr != nil {
 			return printErr
 		}
 	}
-	if broken > 0 {
-		return &soaksBrokenError{broken, c.Seeds}
+	if failed.broken+failed.unplayed > 0 {
+		return &failed
 	}
 	return nil
 }
@@ -78,6 +87,9 @@
 		LogLevel: c.Level,
 	}
 	if c.Logs != "" {
+		if err := os.MkdirAll(c.Logs, 0o755); err != nil {
+			return nil, err
+		}
 		file, err := os.Create(filepath.Join(c.Logs, fmt.Sprintf("soak-%d.log", seed)))
 		if err != nil {
 			return nil, err
@@ -116,8 +128,10 @@
 // soakSummary is one line on the soak of a seed.
 func soakSummary(seed uint64, report *routertrial.SoakReport) string {
 	total := &report.Total
-	return fmt.Sprintf("seed %d: %.0f s, asked %d, served %d, refused %d, failed %d; %s\n", seed,
-		report.Seconds, total.Asked, total.Served(), total.Rejected, total.Failed, playedFaults(report))
+	verdicts := &report.Verdicts
+	return fmt.Sprintf("seed %d: %.0f s, asked %d, served %d, refused %d, failed %d; servers: %d marked lost, "+
+		"%d ejected, %d calls timed out; %s\n", seed, report.Seconds, total.Asked, total.Served(), total.Rejected,
+		total.Failed, verdicts.MarkedLost, verdicts.Ejected, verdicts.TimedOut, playedFaults(report))
 }
 
 // printFailedSoak prints the summary, the events and the rules of a soak that broke rules, or whose run ended
--- a/internal/router/dataplane/chooser.go
+++ b/internal/router/dataplane/chooser.go
@@ -7,6 +7,7 @@
 
 	"cresshub/internal/router/catalog"
 	"cresshub/internal/router/scheduler"
+	"cresshub/internal/stallclock"
 )
 
 // chooser is what the data plane asks of the scheduler; *scheduler.Scheduler in the program. Times are on the
@@ -28,6 +29,10 @@
 	FirstEvent(now time.Duration, call *scheduler.Call)
 	Done(now time.Duration, call *scheduler.Call, outcome scheduler.Outcome)
 	ObserveLoad(now time.Duration, server string, load scheduler.Load)
+	// RecordStall records that this process has not run for that long until now.
+	RecordStall(length time.Duration)
+	// Ejections returns how often servers were ejected.
+	Ejections() int64
 	// LastSuccess returns the newest call that a server answered with success.
 	LastSuccess(server string) scheduler.LastSuccess
 	// QueueDelay estimates how long a request would wait for a slot.
@@ -42,23 +47,31 @@
 	// inFlightChanged holds a token when calls began or ended since the last one was taken.
 	inFlightChanged chan struct{}
 	now             func() time.Duration // the steady clock
+	clock           *stallclock.Clock    // of this process's stalls
 	demandMeter     *demandMeter         // of model servers
 
 	mu    sync.Mutex // guards what follows
 	inner chooser
-	table *catalog.Table // that inner has
+	table *catalog.Table   // that inner has
+	known stallclock.Stats // the stalls that inner knows
 }
 
-func newLockedChooser(zone string, state State, now func() time.Duration) *lockedChooser {
-	return &lockedChooser{state: state, now: now, demandMeter: newDemandMeter(),
+func newLockedChooser(zone string, state State, clock *stallclock.Clock,
+	now func() time.Duration) *lockedChooser {
+	return &lockedChooser{state: state, now: now, clock: clock, demandMeter: newDemandMeter(),
 		inFlightChanged: make(chan struct{}, 1),
 		inner:           scheduler.New(zone, rand.Uint64())}
 }
 
-// lock locks mu, which the caller unlocks, and updates the chooser if there is a newer table of servers. It
-// returns the time.
+// lock locks mu, which the caller unlocks, and updates the chooser if there is a newer table of servers or
+// this process has stalled. It returns the time.
 func (lc *lockedChooser) lock() time.Duration {
 	lc.mu.Lock()
+	lc.clock.Notice()
+	if stalls := lc.clock.Stats(); stalls != lc.known {
+		lc.inner.RecordStall(stalls.Total - lc.known.Total)
+		lc.known = stalls
+	}
 	now := lc.now()
 	if table := servers(lc.state); table != lc.table {
 		lc.table = table
@@ -118,6 +131,12 @@
 	}
 }
 
+func (lc *lockedChooser) ejections() int64 {
+	lc.lock()
+	defer lc.mu.Unlock()
+	return lc.inner.Ejections()
+}
+
 func (lc *lockedChooser) queueDelay(req *scheduler.Request) scheduler.SlotDelay {
 	now := lc.lock()
 	defer lc.mu.Unlock()
--- a/internal/router/dataplane/fakechooser_test.go
+++ b/internal/router/dataplane/fakechooser_test.go
@@ -77,6 +77,10 @@
 	f.loads = append(f.loads, load)
 }
 
+func (f *fakeChooser) RecordStall(time.Duration) {}
+
+func (f *fakeChooser) Ejections() int64 { return 0 }
+
 func (f *fakeChooser) FirstEvent(time.Duration, *scheduler.Call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/router/dataplane/metrics.go
+++ b/internal/router/dataplane/metrics.go
@@ -43,6 +43,7 @@
 	page.Family("cresshub_requests_not_taken_total", "Requests answered without a call to a server, by reason.",
 		&p.observer.notForwarded)
 	p.callCounts.write(page)
+	page.Counter("cresshub_ejections_total", "Ejections of servers for their failures.", p.chooser.ejections())
 	page.Histogram("cresshub_request_duration_seconds",
 		"Time from a request's arrival to the end of its response.",
 		&p.observer.durations)
--- a/internal/router/dataplane/proxy.go
+++ b/internal/router/dataplane/proxy.go
@@ -62,7 +62,7 @@
 		prefillTimes: newPrefillTimes(), clients: map[*client]struct{}{}, clientsChanged: make(chan struct{}),
 	}
 	p.observer.setLogger(log)
-	p.chooser = newLockedChooser(settings.Zone, state, p.now)
+	p.chooser = newLockedChooser(settings.Zone, state, clock, p.now)
 	listed := func(server string) bool { return p.servers().ByID(server) != nil }
 	p.pool = newPool(&p.counters, clock, p.connectionLimit(), listed)
 	p.handles = newHandleReleaser(p.pool)
--- a/internal/router/scheduler/call.go
+++ b/internal/router/scheduler/call.go
@@ -72,6 +72,7 @@
 	uncachedMs float64 // the same for a prefill if the server has cached nothing of the prompt
 
 	startedAt    time.Duration
+	stalled      time.Duration // of the time since then, in which this process did not run
 	firstEventAt time.Duration
 	answered     bool // the first event has come
 	ended        bool
--- a/internal/router/scheduler/estimates.go
+++ b/internal/router/scheduler/estimates.go
@@ -45,8 +45,12 @@
 	return false
 }
 
-// learn adjusts the estimates by a served call that has just ended.
+// learn adjusts the estimates by a served call that has just ended, unless this process did not run for a
+// part of it: how long its server took is not known then.
 func (p *servicePool) learn(now time.Duration, call *Call) {
+	if call.stalled > 0 {
+		return
+	}
 	tookMs := ms(now - call.startedAt)
 	switch {
 	case p.service.Engine == nil:
--- a/internal/router/scheduler/outlier_detection.go
+++ b/internal/router/scheduler/outlier_detection.go
@@ -51,25 +51,28 @@
 func (d *outlierDetector) recordSuccess(now time.Duration) { *d = outlierDetector{lastSuccess: now} }
 
 // recordFailure counts a failed call against the server. peerAnswered says that another server of its kind
-// has succeeded since the call began, so that a timeout is the server's own fault.
-func (d *outlierDetector) recordFailure(now time.Duration, outcome Outcome, peerAnswered bool) {
+// has succeeded since the call began, so that a timeout is the server's own fault. It reports whether that
+// has ejected the server.
+func (d *outlierDetector) recordFailure(now time.Duration, outcome Outcome, peerAnswered bool) bool {
 	d.consecutiveFailures++
 	switch {
 	case outcome == Misdirected || outcome == Unreachable || outcome == TimedOut && peerAnswered:
-		d.eject(now, unreachableBaseEjectionTime)
+		return d.eject(now, unreachableBaseEjectionTime)
 	case d.consecutiveFailures >= consecutiveFailuresToEject || d.halfOpen():
-		d.eject(now, baseEjectionTime)
+		return d.eject(now, baseEjectionTime)
 	}
+	return false
 }
 
 // eject ejects the server, unless it is ejected already: calls that were in flight together fail together.
-func (d *outlierDetector) eject(now, base time.Duration) {
+func (d *outlierDetector) eject(now, base time.Duration) bool {
 	if d.ejected(now) {
-		return
+		return false
 	}
 	const maxDoublings = 8 // far beyond maxEjectionTime; bounds the shift
 	d.ejectedUntil = now + min(base<<min(d.ejections, maxDoublings), maxEjectionTime)
 	d.ejections++
+	return true
 }
 
 // available reports whether the server may get a request: it is not ejected, and while it is half-open, the
@@ -93,7 +96,7 @@
 func (s *serverState) stuck(now time.Duration) bool {
 	for _, call := range s.calls {
 		if !call.answered {
-			return now-call.startedAt > max(duration(stuckExpectedFactor*call.expectedMs), minStuckTime)
+			return now-call.startedAt-call.stalled > max(duration(stuckExpectedFactor*call.expectedMs), minStuckTime)
 		}
 	}
 	return false
@@ -115,10 +118,12 @@
 	case Abandoned:
 	case HandleFailed: // the prefill server evicted the prefix, or the decode server's transfers queue up
 		c.state.lateness.add(now, failedTransferLatenessMs, c.expectedMs)
-		if c.prefillServer != nil {
-			c.prefillServer.transferOutliers.recordFailure(now, outcome, false)
+		if c.prefillServer != nil && c.prefillServer.transferOutliers.recordFailure(now, outcome, false) {
+			c.pool.ejections++
 		}
 	default:
-		c.state.outliers.recordFailure(now, outcome, c.pool.peerAnsweredSince(c))
+		if c.state.outliers.recordFailure(now, outcome, c.pool.peerAnsweredSince(c)) {
+			c.pool.ejections++
+		}
 	}
 }
--- a/internal/router/scheduler/outlier_detection_test.go
+++ b/internal/router/scheduler/outlier_detection_test.go
@@ -134,3 +134,31 @@
 	fetch(11*second, Served)
 	c.Check(scheduler.servers["r1"].available(11*second, false), qt.IsTrue)
 }
+
+// A stall of this process makes no server stuck or slow: what a call took beyond it counts, and what the call
+// taught otherwise is not known.
+func TestStallOfThisProcessIsNoFaultOfAServer(t *testing.T) {
+	c := qt.New(t)
+	scheduler := plainScheduler(3)
+	scheduler.Done(second+10*time.Millisecond, callAt(scheduler, second, "a"), Served)
+	server, pool := scheduler.servers["a"], scheduler.pools["plain"]
+	speed, plainTime, lateness := server.speed, pool.plainTime, server.lateness
+
+	call := callAt(scheduler, 2*second, "a")
+	scheduler.RecordStall(minStuckTime)
+	c.Check(server.stuck(2*second+2*minStuckTime), qt.IsFalse)
+	c.Check(server.stuck(2*second+2*minStuckTime+1), qt.IsTrue, qt.Commentf("it ran for that long"))
+	scheduler.Done(2*second+2*minStuckTime, call, Served)
+	c.Check(server.speed, qt.Equals, speed)
+	c.Check(pool.plainTime, qt.Equals, plainTime)
+	c.Check(server.lateness, qt.Equals, lateness)
+
+	// A call that begins later knows nothing of it.
+	call = callAt(scheduler, 9*second, "a")
+	c.Check(server.stuck(9*second+minStuckTime+1), qt.IsTrue)
+	scheduler.Done(9*second+minStuckTime, call, Served)
+	c.Check(pool.plainTime, qt.Not(qt.Equals), plainTime)
+	c.Check(scheduler.Ejections(), qt.Equals, int64(0))
+	scheduler.Done(11*second, callAt(scheduler, 10*second, "b"), Unreachable)
+	c.Check(scheduler.Ejections(), qt.Equals, int64(1))
+}
--- a/internal/router/scheduler/scheduler.go
+++ b/internal/router/scheduler/scheduler.go
@@ -136,6 +136,24 @@
 	}
 }
 
+// RecordStall records that this process has not run for that long until now: what calls in flight took says
+// nothing of their servers.
+func (s *Scheduler) RecordStall(length time.Duration) {
+	for _, server := range s.servers {
+		for _, call := range server.calls {
+			call.stalled += length
+		}
+	}
+}
+
+// Ejections returns how often servers were ejected so far.
+func (s *Scheduler) Ejections() (total int64) {
+	for _, pool := range s.pools {
+		total += pool.ejections
+	}
+	return total
+}
+
 // LastSuccess is the newest call of this proxy that a server served.
 type LastSuccess struct {
 	Exists bool          // the server has served one
@@ -158,6 +176,9 @@
 	}
 	call.answered, call.firstEventAt = true, now
 	call.state.endPrefill(now, call)
+	if call.stalled > 0 {
+		return
+	}
 	tookMs := ms(now - call.startedAt)
 	// A server that has cached less of the prompt than assumed is not late for that.
 	expectedMs := max(call.expectedMs, call.uncachedMs)
--- a/internal/router/scheduler/service_pool.go
+++ b/internal/router/scheduler/service_pool.go
@@ -46,6 +46,8 @@
 
 	directPrefillMs movingMean // that a decode server still has to work on this proxy's own prompts
 	directCalls     movingMean // own calls at a decode server
+
+	ejections int64 // of servers, so far
 }
 
 // newServicePool returns a pool without servers and with the initial estimates.
--- a/internal/simulation/agentsim/machine.go
+++ b/internal/simulation/agentsim/machine.go
@@ -203,6 +203,20 @@
 	}
 }
 
+// Stall has the process not run for a while: nothing that it does takes effect, and what comes waits. Its
+// timers go on, as the clock of the bubble does; its clock of stalls says that they prove nothing.
+func (m *Machine) Stall(d time.Duration) {
+	p := m.process.Load()
+	if p == nil {
+		return
+	}
+	m.fleet.Logf("%s stalls for %v", m.Name, d)
+	thaw := p.network.Freeze()
+	p.node.Clock().Inject(time.Now().Add(d), d)
+	time.Sleep(d)
+	thaw()
+}
+
 // freezeDisk retains the present content of the disk for the next process.
 func (m *Machine) freezeDisk() {
 	if m.HasDisk {
--- a/internal/simulation/simnet/conn.go
+++ b/internal/simulation/simnet/conn.go
@@ -97,6 +97,8 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	c.process.awaitThaw()
+	defer c.process.awaitThaw()
 	for {
 		c.network.mu.Lock()
 		count, err := c.receive(p)
@@ -152,6 +154,7 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
+	c.process.awaitThaw()
 	for {
 		c.network.mu.Lock()
 		err := c.send(p)
--- a/internal/simulation/simnet/process.go
+++ b/internal/simulation/simnet/process.go
@@ -11,7 +11,10 @@
 // Process opens and accepts connections on a host, as the network of an agent (agent.WithNetwork).
 type Process struct {
 	host *Host
-	dead bool // guarded by the network's lock
+
+	// The network's lock guards these.
+	dead   bool
+	frozen chan struct{} // closed at the thaw; nil while the process runs
 }
 
 // NewProcess starts a process on a host.
@@ -36,8 +39,46 @@
 	}
 }
 
+// Freeze keeps all operations of the process from returning until thaw is called. What others send arrives
+// meanwhile and waits, as the system goes on without the process.
+func (p *Process) Freeze() (thaw func()) {
+	n := p.host.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	frozen := make(chan struct{})
+	p.frozen = frozen
+	return func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		close(frozen)
+		if p.frozen == frozen {
+			p.frozen = nil
+		}
+	}
+}
+
+// awaitThaw waits while the process is frozen.
+func (p *Process) awaitThaw() {
+	n := p.host.network
+	for {
+		n.mu.Lock()
+		frozen := p.frozen
+		n.mu.Unlock()
+		if frozen == nil {
+			return
+		}
+		<-frozen
+	}
+}
+
 // Dial opens a connection to an address, within a timeout.
 func (p *Process) Dial(target string, timeout time.Duration) (net.Conn, error) {
+	p.awaitThaw()
+	defer p.awaitThaw()
+	return p.dial(target, timeout)
+}
+
+func (p *Process) dial(target string, timeout time.Duration) (net.Conn, error) {
 	ip, port, err := splitAddress(target)
 	if err != nil {
 		return nil, err
@@ -137,6 +178,8 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	l.process.awaitThaw()
+	defer l.process.awaitThaw()
 	select {
 	case c := <-l.backlog:
 		return c, nil
--- a/internal/testbed/routertrial/soak.go
+++ b/internal/testbed/routertrial/soak.go
@@ -46,6 +46,7 @@
 	Injected map[string]int          `json:"played"` // faults by name
 	Total    routerstandin.KindTally `json:"total"`
 	Reasons  []routerstandin.Reason  `json:"reasons"` // why requests were not served
+	Verdicts ServerVerdicts          `json:"verdicts"`
 	Rules    []routerstandin.Verdict `json:"rules"`
 	Events   []string                `json:"events"`
 }
@@ -115,9 +116,10 @@
 	if err == nil {
 		err = s.checkLeaks(ctx)
 	}
+	verdicts := s.serverVerdicts(ctx)
 	report := &SoakReport{Seed: s.soakOptions.Seed, Seconds: s.elapsed().Seconds(), Injected: s.injected,
-		Total: load.Tally().Total(), Reasons: load.Tally().Reasons(), Rules: s.Observations.Judge(),
-		Events: s.Events()}
+		Total: load.Tally().Total(), Reasons: load.Tally().Reasons(), Verdicts: verdicts,
+		Rules: s.Observations.Judge(), Events: s.Events()}
 	return report, errors.Join(ctx.Err(), err)
 }
 
--- a/internal/testbed/routertrial/soak_faults.go
+++ b/internal/testbed/routertrial/soak_faults.go
@@ -37,6 +37,7 @@
 	{"race", injectConfigRace},
 	{"answers_lost", injectDroppedResponses},
 	{"rude_clients", injectRudeClients},
+	{"stalls", injectStalls},
 }
 
 // SoakFaultNames names the faults that a soak draws.
--- a/internal/testbed/routertrial/soak_machine_faults.go
+++ b/internal/testbed/routertrial/soak_machine_faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"syscall"
 	"time"
 
@@ -61,6 +62,35 @@
 	return nil
 }
 
+// injectStalls stops half of the machines again and again for a short while, as machines do that have too
+// little of their processor.
+func injectStalls(ctx context.Context, s *soak, rng *rand.Rand) error {
+	machines := s.reserveHalf(rng)
+	defer s.release(machines...)
+	end := time.Now().Add(stallsTime)
+	var stalling sync.WaitGroup
+	for _, m := range machines {
+		s.logEvent("%s stalls again and again", m.Name)
+		own := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		stalling.Go(func() {
+			for time.Now().Before(end) && routerstandin.Sleep(ctx, between(own, minStall, maxBetweenStalls)) {
+				m.Freeze(ctx, between(own, minStall, maxStall))
+			}
+		})
+	}
+	stalling.Wait()
+	s.logEvent("nobody stalls any more")
+	return nil
+}
+
+// Stalls last from minStall to maxStall, as long as injectStalls does, which is stallsTime.
+const (
+	minStall         = 100 * time.Millisecond
+	maxStall         = 2 * time.Second
+	maxBetweenStalls = 1500 * time.Millisecond
+	stallsTime       = 8 * time.Second
+)
+
 // injectDiskLoss wipes the disk of a machine, unless another machine has not caught up since its own loss.
 func injectDiskLoss(ctx context.Context, s *soak, rng *rand.Rand) error {
 	if !s.reserveWipe() {
--- a/internal/testbed/routertrial/soak_reservations.go
+++ b/internal/testbed/routertrial/soak_reservations.go
@@ -24,6 +24,17 @@
 	return m
 }
 
+// reserveHalf reserves up to half of the machines, drawn at random, of those with a disk no more than may be
+// lost.
+func (s *soak) reserveHalf(rng *rand.Rand) (half []*Machine) {
+	for range len(s.Machines) / 2 {
+		if m := s.reserveOne(rng, anyMachine); m != nil {
+			half = append(half, m)
+		}
+	}
+	return half
+}
+
 // reserveAll reserves all machines, or none where one is reserved already.
 func (s *soak) reserveAll() bool {
 	s.mu.Lock()
