--- a/internal/cluster/leaseholder/answers_test.go
+++ b/internal/cluster/leaseholder/answers_test.go
@@ -462,8 +462,8 @@
 // answersBetweenFaults is how many points of single answers lie between two that get a fault.
 const answersBetweenFaults = 15
 
-// Each answer that a client got is in the sink once, whatever happens to a process at whichever point, but for
-// those that a process which is killed has in memory alone; and it has told those as such.
+// Each answer that a client got is in the sink once, whatever happens to a process at whichever point, but
+// for those that a process which is killed has in memory alone; and it has told those as such.
 func TestEachAnswerIsExportedOnce(t *testing.T) {
 	var points []string
 	synctest.Test(t, func(t *testing.T) { points, _ = playAnswers(t, faultNone, 0) })
--- a/internal/cluster/leaseholder/takeover_test.go
+++ b/internal/cluster/leaseholder/takeover_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// playTakeover has the holder fail after age, with a group that commits nothing for leaderless from then on. It
-// returns how long it took until another member held the lease.
+// playTakeover has the holder fail after age, with a group that commits nothing for leaderless from then on.
+// It returns how long it took until another member held the lease.
 func playTakeover(t *testing.T, group *outage, age, leaderless time.Duration) time.Duration {
 	t.Helper()
 	group.memoryStore, group.healed = newMemoryStore(t), make(chan struct{})
@@ -128,13 +128,13 @@
 	return took
 }
 
-// A successor holds the lease within the sum of what it has to wait for, whenever the holder fails between two
-// renewals, however long the group has no leader, and whether proposals fail at once or hang meanwhile.
+// A successor holds the lease within the sum of what it has to wait for, whenever the holder fails between
+// two renewals, however long the group has no leader, and whether proposals fail at once or hang meanwhile.
 func TestTakeoverIsBoundedByItsParts(t *testing.T) {
 	renewal := takeoverLease.TTL / 3
 	worst := map[time.Duration]time.Duration{}
-	for _, leaderless := range []time.Duration{0, takeoverLease.ElectionTimeout, 2 * takeoverLease.ElectionTimeout,
-		4 * takeoverLease.ElectionTimeout} {
+	election := takeoverLease.ElectionTimeout
+	for _, leaderless := range []time.Duration{0, election, 2 * election, 4 * election} {
 		limit := takeoverSum(takeoverLease, leaderless)
 		for age := time.Duration(0); age < renewal; age += renewal / 10 {
 			for _, group := range []*outage{{}, {hangs: true}, {keeps: true}, {hangs: true, keeps: true}} {
@@ -152,7 +152,7 @@
 		t.Logf("without a leader for %v: %v at most, the parts are %v", leaderless, worst[leaderless], limit)
 	}
 	// What docs/owner.md demands of a quiet machine is a lease and a second, with one election on the way.
-	if limit := takeoverLease.TTL + time.Second; worst[2*takeoverLease.ElectionTimeout] > limit {
-		t.Errorf("%v with one election, %v at most is wanted", worst[2*takeoverLease.ElectionTimeout], limit)
+	if limit := takeoverLease.TTL + time.Second; worst[2*election] > limit {
+		t.Errorf("%v with one election, %v at most is wanted", worst[2*election], limit)
 	}
 }
--- a/internal/testbed/clusterrig/clients.go
+++ b/internal/testbed/clusterrig/clients.go
@@ -35,7 +35,8 @@
 
 // NewClients returns clients that haven't sent anything yet.
 func NewClients() *Clients {
-	return &Clients{answers: map[ledger.Key]int64{}, unknown: map[ledger.Key]int64{}, byMember: map[string]int64{},
+	return &Clients{answers: map[ledger.Key]int64{}, unknown: map[ledger.Key]int64{},
+		byMember: map[string]int64{},
 		client: http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
