--- a/internal/cluster/leaseholder/page.go
+++ b/internal/cluster/leaseholder/page.go
@@ -9,7 +9,7 @@
 // Page is what /_owner shows. Its JSON names are those of the operators' page.
 type Page struct {
 	Self           string           `json:"self"`
-	Holder         string           `json:"holder"`             // as this member knows; "" if nobody holds the lease
+	Holder         string           `json:"holder"`             // as known here; "" if nobody holds the lease
 	Token          uint64           `json:"token"`              // of the lease
 	Owns           bool             `json:"here"`               // this member holds the lease
 	OwnedFor       int64            `json:"owned_ms,omitempty"` // for how long this member has held the lease
--- a/internal/testbed/clusterrig/clients.go
+++ b/internal/testbed/clusterrig/clients.go
@@ -37,7 +37,7 @@
 func NewClients() *Clients {
 	return &Clients{answers: map[ledger.Key]int64{}, unknown: map[ledger.Key]int64{},
 		byMember: map[string]int64{},
-		client: http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+		client:   http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 }
 
 // clientTimeout is longer than any wait of a proxy, and than a stall of the machine that a test outlasts: a
