Have all fields of a record in the directory's digest, and order records totally

Cause: the digest left out the watcher, which may be set under the same sequence, so that anti-entropy did not find replicas that differ in it; and of two watchers of one sequence each replica kept the first that it had learnt of. ModifiedAt panicked for a record that is not known. Change: the digest is over all fields; of two records of one sequence and state the one with the greater watcher wins, then the greater one in the other fields, so that all replicas end with the same. ModifiedAt tells whether there is a record. As processes of a release before make their digests otherwise, the two differ in each comparison until the upgrade ends: comparisons that bring nothing new become rarer, up to sixteen times.

--- a/internal/router/agent/anti_entropy.go
+++ b/internal/router/agent/anti_entropy.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"slices"
 	"time"
 
 	"cresshub/internal/router/directory"
@@ -16,6 +17,10 @@
 	// initialAntiEntropyInterval is the same for a hub that is not synced yet.
 	initialAntiEntropyInterval = 100 * time.Millisecond
 	antiEntropyTimeout         = time.Second
+	// maxFruitlessDoublings bounds how often the interval doubles after comparisons in which ranges differed and
+	// nothing new came. Processes of releases whose digests are made otherwise differ so until the end of an
+	// upgrade, and would send all their records each time.
+	maxFruitlessDoublings = 4
 	// hubSyncHeartbeats is after how many intervals of heartbeats since its start a hub counts as synced, even
 	// if no other hub is: by then the servers have called.
 	hubSyncHeartbeats = 2
@@ -29,6 +34,8 @@
 	state *state
 	hubs  *hubSet
 	self  *selfRecord
+
+	fruitless int // comparisons in a row with differences of which nothing was new; only run's goroutine uses it
 }
 
 // run compares the directory with those of the hubs, one after the other, until done closes.
@@ -37,10 +44,10 @@
 		select {
 		case <-done:
 			return
-		case <-time.After(e.interval()):
+		case <-time.After(e.interval() << min(e.fruitless, maxFruitlessDoublings)):
 		}
 		if hubs := e.hubs.all(); len(hubs) > 0 {
-			e.reconcileWith(hubs[turn%len(hubs)])
+			e.recordOutcome(e.reconcileWith(hubs[turn%len(hubs)]))
 		}
 		hasHeardServers := e.now() > hubSyncHeartbeats*e.settings.HeartbeatInterval
 		if e.hubs.includesSelf() && (e.settings.FirstStart || hasHeardServers) {
@@ -60,30 +67,49 @@
 	return antiEntropyInterval
 }
 
+// reconciliation is what came of one comparison.
+type reconciliation struct {
+	differed bool // some range
+	changed  bool // this process's directory
+}
+
+// recordOutcome counts comparisons that differed in vain. An equal one, or one that brought something new,
+// ends the count.
+func (e *antiEntropy) recordOutcome(outcome reconciliation) {
+	if outcome.differed && !outcome.changed {
+		e.fruitless++
+		return
+	}
+	e.fruitless = 0
+}
+
 // reconcileWith exchanges the records of the ranges in which the directory and a hub's differ, so that each
 // has the newer ones. A hub is synced once it has done so with a hub that is.
-func (e *antiEntropy) reconcileWith(h *hub) {
+func (e *antiEntropy) reconcileWith(h *hub) (outcome reconciliation) {
 	request := &peerproto.Comparison{Digest: e.digest()}
 	frame, err := h.link.Call(peerproto.KindCompare, peerproto.Encode(request), antiEntropyTimeout)
 	if err != nil {
-		return
+		return outcome
 	}
 	var answer peerproto.Comparison
 	if peerproto.Decode(frame.Body, &answer) != nil {
-		return
+		return outcome
 	}
 	if h.current().hasSnapshot && e.hubs.includesSelf() {
 		defer e.state.setSynced()
 	}
 	if len(answer.Ranges) == 0 {
-		return
+		return outcome
 	}
+	before := e.digest()
 	e.self.mergeRemote(answer.Records)
+	outcome.differed, outcome.changed = true, !slices.Equal(before, e.digest())
 	var own []directory.Record
 	e.state.read(func(d *directory.Directory) { own = copyRecords(d.InRanges(answer.Ranges)) })
 	upsert := peerproto.Encode(&peerproto.Records{Records: own})
 	// What does not arrive is sent again after the next comparison.
 	_, _ = h.link.Call(peerproto.KindUpsert, upsert, antiEntropyTimeout)
+	return outcome
 }
 
 // handleCompare answers with the ranges in which the directory differs from the caller's, and their records.
--- a/internal/router/agent/failure_detector.go
+++ b/internal/router/agent/failure_detector.go
@@ -107,7 +107,11 @@
 // which this process ran.
 func (f *failureDetector) isTimedOut(d *directory.Directory, record *directory.Record,
 	timeout time.Duration) bool {
-	lastSign := max(f.observingSince, d.ModifiedAt(record.ID))
+	modifiedAt, ok := d.ModifiedAt(record.ID)
+	if !ok {
+		return false // it has expired
+	}
+	lastSign := max(f.observingSince, modifiedAt)
 	if lastSeen, ok := f.lastSeen.of(record.ID); ok {
 		lastSign = max(lastSign, lastSeen)
 	}
@@ -142,7 +146,7 @@
 // requests again.
 func (f *failureDetector) expireOrders(now time.Duration, d *directory.Directory) {
 	for _, order := range d.Orders() {
-		if now-d.ModifiedAt(order.ID) > orderExpiry {
+		if given, ok := d.ModifiedAt(order.ID); ok && now-given > orderExpiry {
 			markLost(f.process, now, d, order, "an order took too long")
 		}
 	}
--- a/internal/router/agent/unwatched.go
+++ b/internal/router/agent/unwatched.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	timeout := unwatchedHeartbeats * f.settings.HeartbeatInterval
-	if watcher != nil && f.left(d.ModifiedAt(watcher.ID), timeout) > 0 {
+	if lostAt, ok := d.ModifiedAt(record.Watcher); ok && f.left(lostAt, timeout) > 0 {
 		return false
 	}
 	return f.isTimedOut(d, record, timeout)
--- a/internal/router/directory/digest.go
+++ b/internal/router/directory/digest.go
@@ -20,20 +20,29 @@
 // rangeOf returns the range of an id.
 func rangeOf(id string) int { return int(xxhash.Sum64String(id) % NumRanges) }
 
-// toggle adds a record to the digest, or removes one that was added before. The hash is over the id, the
-// sequence and the state. The watcher of a server, which may be set under the same sequence, is no part of
-// it.
+// toggle adds a record to the digest, or removes one that was added before. The hash is over all fields.
 func (d *Digest) toggle(r *Record) {
 	if r.State == Ended {
 		return
 	}
-	var buffer [2 * uint64Size]byte
-	fields := binary.LittleEndian.AppendUint64(buffer[:0], uint64(r.Sequence))
-	fields = binary.LittleEndian.AppendUint64(fields, uint64(r.State))
-	hash := xxhash.New()
-	hash.WriteString(r.ID)
-	hash.Write(fields)
-	d[rangeOf(r.ID)] ^= hash.Sum64()
+	d[rangeOf(r.ID)] ^= r.hash()
+}
+
+// hash returns a hash of all fields of a record.
+func (r *Record) hash() uint64 {
+	var hash xxhash.Digest
+	hash.Reset()
+	var buffer [uint64Size]byte
+	for _, number := range r.numbers() {
+		binary.LittleEndian.PutUint64(buffer[:], uint64(number))
+		hash.Write(buffer[:])
+	}
+	for _, text := range r.texts() {
+		binary.LittleEndian.PutUint64(buffer[:], uint64(len(text)))
+		hash.Write(buffer[:]) // the lengths tell where one text ends and the next begins
+		hash.WriteString(text)
+	}
+	return hash.Sum64()
 }
 
 // Digest returns the digest of this replica.
--- a/internal/router/directory/queries.go
+++ b/internal/router/directory/queries.go
@@ -16,8 +16,14 @@
 	return nil
 }
 
-// ModifiedAt returns when the record of an id was last changed in this replica. It panics if there is none.
-func (d *Directory) ModifiedAt(id string) time.Duration { return d.entries[id].modifiedAt }
+// ModifiedAt returns when the record of an id was last changed in this replica, false if there is none.
+func (d *Directory) ModifiedAt(id string) (at time.Duration, ok bool) {
+	existing := d.entries[id]
+	if existing == nil {
+		return 0, false
+	}
+	return existing.modifiedAt, true
+}
 
 // Since returns the records that changed after an offset of this replica's feed, in the order of their last
 // changes. Since(0) is a snapshot.
--- a/internal/router/directory/record.go
+++ b/internal/router/directory/record.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -52,7 +53,9 @@
 }
 
 // supersedes reports whether r is to replace existing, a record of the same id. Of two proxies that received
-// the same heartbeat the one that acknowledged it, and so is the watcher, wins.
+// the same heartbeat the one that acknowledged it, and so is the watcher, wins, and of two that did the one
+// with the greater id. Of two records that differ in nothing else the greater one wins, whatever that means:
+// all replicas have to end with the same.
 func (r *Record) supersedes(existing *Record) bool {
 	switch {
 	case existing.State == Ended:
@@ -63,9 +66,22 @@
 		return r.Sequence > existing.Sequence
 	case r.State != existing.State:
 		return r.State > existing.State
-	default:
-		return r.Kind == KindServer && existing.Watcher == "" && r.Watcher != ""
+	case r.Watcher != existing.Watcher:
+		return r.Watcher > existing.Watcher
 	}
+	if order := slices.Compare(r.texts(), existing.texts()); order != 0 {
+		return order > 0
+	}
+	return slices.Compare(r.numbers(), existing.numbers()) > 0
+}
+
+// texts returns the fields that are texts, numbers the others. Between them they have all fields.
+func (r *Record) texts() []string {
+	return []string{r.ID, r.Watcher, r.Service, r.Address, r.Zone, r.Version, r.Role, r.Name, r.Control, r.Member}
+}
+
+func (r *Record) numbers() []int64 {
+	return []int64{int64(r.Kind), r.Sequence, int64(r.State), int64(r.Slots), r.WarmUpMs}
 }
 
 // orderIDPrefix begins the id of an order's record; the id of its server follows.
