--- a/internal/router/directory/record.go
+++ b/internal/router/directory/record.go
@@ -77,7 +77,9 @@
 
 // texts returns the fields that are texts, numbers the others. Between them they have all fields.
 func (r *Record) texts() []string {
-	return []string{r.ID, r.Watcher, r.Service, r.Address, r.Zone, r.Version, r.Role, r.Name, r.Control, r.Member}
+	return []string{
+		r.ID, r.Watcher, r.Service, r.Address, r.Zone, r.Version, r.Role, r.Name, r.Control, r.Member,
+	}
 }
 
 func (r *Record) numbers() []int64 {
