Keep prefixes of delisted servers for the peers, and ignore reports that were overtaken

Cause: a server that left the table, for a moment perhaps, took with it the prefixes that were sent to it and not announced yet: the other processes never learnt of them. A load report that was older than the one known counted that one once more towards the utilization. Change: prefixes to announce are kept by the scheduler; an older report changes nothing. Measured: TestPrefixesOfAServerThatLeftTheTableAreReported and TestOlderReportsChangeNothing; scheduler, dataplane and routersim pass.

--- a/internal/router/scheduler/prefix_exchange.go
+++ b/internal/router/scheduler/prefix_exchange.go
@@ -17,16 +17,25 @@
 	Hashes []uint64
 }
 
+// recordNewPrefix remembers the shared prefix of a call to report it to the peers, where its server prefills
+// it for the first time.
+func (s *Scheduler) recordNewPrefix(call *Call) {
+	shared, ok := call.chain.shared()
+	if ok && call.Role == Prefill && call.cachedBefore < call.chain.length-1 {
+		id := call.Server.ID
+		s.newPrefixes[id] = append(s.newPrefixes[id], shared.hash)
+	}
+}
+
 // TakeNewPrefixes returns the shared prefixes that this proxy has sent to servers for the first time since
-// the last call, for the other proxies. The order of servers is random.
+// the last call, for the other proxies: also those of servers that have left the table since, as they may be
+// missing for a moment only. The order of servers is random.
 func (s *Scheduler) TakeNewPrefixes() []CachedPrefixes {
-	var taken []CachedPrefixes
-	for id, server := range s.servers {
-		if len(server.newPrefixes) > 0 {
-			taken = append(taken, CachedPrefixes{id, server.newPrefixes})
-			server.newPrefixes = nil
-		}
+	taken := make([]CachedPrefixes, 0, len(s.newPrefixes))
+	for id, hashes := range s.newPrefixes {
+		taken = append(taken, CachedPrefixes{id, hashes})
 	}
+	clear(s.newPrefixes)
 	return taken
 }
 
--- a/internal/router/scheduler/prefix_exchange_test.go
+++ b/internal/router/scheduler/prefix_exchange_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"cresshub/internal/router/catalog"
 )
 
 // TestNewPrefixesAreReportedOnce reports a prefix when it is first sent to a server, and not again.
@@ -70,3 +72,15 @@
 	slices.Sort(prefixes[0].Hashes)
 	c.Check(again, qt.DeepEquals, prefixes)
 }
+
+// TestPrefixesOfAServerThatLeftTheTableAreReported: it may be missing for a moment only.
+func TestPrefixesOfAServerThatLeftTheTableAreReported(t *testing.T) {
+	c := qt.New(t)
+	scheduler := warmScheduler(1, 7, 11)
+	call := scheduler.Choose(10*second, promptRequest("a", 1), Prefill, nil)
+	isIts := func(s *catalog.Server) bool { return s.ID == call.Server.ID }
+	scheduler.Update(10*second, catalog.NewTable(slices.DeleteFunc(modelServers(7, 11), isIts)))
+	prefixes := scheduler.TakeNewPrefixes()
+	c.Assert(prefixes, qt.HasLen, 1)
+	c.Check(prefixes[0].Server, qt.Equals, call.Server.ID)
+}
--- a/internal/router/scheduler/scheduler.go
+++ b/internal/router/scheduler/scheduler.go
@@ -16,6 +16,8 @@
 	servers  map[string]*serverState // by id
 	pools    map[string]*servicePool // by name of the service
 	prefixes *prefixIndex
+	// newPrefixes are hashes of shared prefixes that are not yet reported to the peers, by id of their server.
+	newPrefixes map[string][]uint64
 
 	// assumeCachedUntil is until when servers may have cached prefixes that were not reported to this proxy.
 	assumeCachedUntil time.Duration
@@ -32,7 +34,7 @@
 	return &Scheduler{
 		zone: zone, random: rand.New(rand.NewPCG(seed, 1)), table: catalog.NewTable(nil),
 		servers: map[string]*serverState{}, pools: map[string]*servicePool{},
-		prefixes: newPrefixIndex(maxPrefixEntries),
+		prefixes: newPrefixIndex(maxPrefixEntries), newPrefixes: map[string][]uint64{},
 	}
 }
 
@@ -113,7 +115,7 @@
 	server.beginCall(call)
 	if pool.service.Engine != nil {
 		call.cachedBefore = s.prefixes.record(server.hash, chain)
-		server.recordNewPrefix(role, chain, call.cachedBefore)
+		s.recordNewPrefix(call)
 	}
 	return call
 }
@@ -124,13 +126,15 @@
 }
 
 // ObserveLoadAt records the load that a server reported at an earlier time: to another proxy, or in a report
-// of its own. It does not replace a newer report.
+// of its own. A report that is older than one that is known changes nothing.
 func (s *Scheduler) ObserveLoadAt(at time.Duration, id string, load Load) {
 	server := s.servers[id]
 	if server == nil {
 		return
 	}
-	server.recordReport(at, load)
+	if !server.recordReport(at, load) {
+		return
+	}
 	if pool := s.pools[server.Service]; pool != nil {
 		pool.recordUtilization(server)
 	}
--- a/internal/router/scheduler/server_state.go
+++ b/internal/router/scheduler/server_state.go
@@ -44,9 +44,8 @@
 	transferOutliers outlierDetector // by the transfers of its prefix cache to decode servers
 	lateness         lateness
 
-	newPrefixes []uint64 // hashes that are not yet reported to the peers
-	peerBacklog backlog  // prefill work of other proxies, as they report it
-	peerCalls   float64  // calls of other proxies, as they report them
+	peerBacklog backlog // prefill work of other proxies, as they report it
+	peerCalls   float64 // calls of other proxies, as they report them
 }
 
 // serverHash is the identity of a server in rendezvous hashing and in the prefix index.
@@ -68,11 +67,11 @@
 	s.Server = newer
 }
 
-// recordReport records the load that the server reported at a time, unless a newer report is known. What
-// exceeds this proxy's own calls of that time belongs to other proxies.
-func (s *serverState) recordReport(at time.Duration, load Load) {
+// recordReport records the load that the server reported at a time, unless a newer report is known, which it
+// returns. What exceeds this proxy's own calls of that time belongs to other proxies.
+func (s *serverState) recordReport(at time.Duration, load Load) (recorded bool) {
 	if s.hasReport && at < s.reportedAt {
-		return
+		return false
 	}
 	own := 0
 	for _, call := range s.calls {
@@ -83,14 +82,7 @@
 	s.reported, s.reportedAt, s.hasReport = load, at, true
 	s.reportedOthers = max(0, float64(load.Running+load.Waiting-own))
 	s.baselineOthers.add(s.reportedOthers, baselineWindow)
-}
-
-// recordNewPrefix remembers a shared prefix to tell the peers of, where the server prefills it for the first
-// time.
-func (s *serverState) recordNewPrefix(role Role, chain *prefixChain, cachedBefore int) {
-	if shared, ok := chain.shared(); ok && role == Prefill && cachedBefore < chain.length-1 {
-		s.newPrefixes = append(s.newPrefixes, shared.hash)
-	}
+	return true
 }
 
 // beginCall counts a call and its prefill as the server's work.
--- a/internal/router/scheduler/server_state_test.go
+++ b/internal/router/scheduler/server_state_test.go
@@ -69,3 +69,18 @@
 		qt.Check(t, test.s.weight(test.now), isNear, test.want, 1e-6, qt.Commentf(test.name))
 	}
 }
+
+// TestOlderReportsChangeNothing: a report that is overtaken counts neither as the load nor towards the
+// utilization.
+func TestOlderReportsChangeNothing(t *testing.T) {
+	c := qt.New(t)
+	scheduler := warmScheduler(1, 3, 3)
+	scheduler.ObserveLoadAt(9*second, "w1", Load{Running: 8, Slots: 32})
+	pool := scheduler.pools["model"]
+	utilization := pool.serveUtilization
+	scheduler.ObserveLoadAt(8*second, "w1", Load{Running: 32, Slots: 32})
+	c.Check(pool.serveUtilization, qt.Equals, utilization)
+	c.Check(scheduler.servers["w1"].reported.Running, qt.Equals, 8)
+	scheduler.ObserveLoadAt(9*second, "w1", Load{Running: 16, Slots: 32})
+	c.Check(pool.serveUtilization, qt.Not(qt.Equals), utilization)
+}
