Drop a frame that is too long instead of its connection

Cause: WriteFrame did not check the bound for which its receiver closes the connection, so that one message over 16 MiB ended all calls of its connection, and again after each reconnection. Change: it writes nothing and returns the error; the connection goes on, and cresshub_peer_frames_too_long_total counts such frames.

--- a/internal/router/agent/metrics_endpoint.go
+++ b/internal/router/agent/metrics_endpoint.go
@@ -116,6 +116,8 @@
 				metrics.Label{Name: "kind", Value: strconv.Itoa(kind)})
 		}
 	}
+	page.Counter("cresshub_peer_frames_too_long_total", "Frames not sent, as they are longer than others accept.",
+		traffic.TooLong)
 }
 
 func (e *metricsEndpoint) writeProcess(page *metrics.Page) {
--- a/internal/router/peerproto/frame.go
+++ b/internal/router/peerproto/frame.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 )
 
 // MaxBody is the longest body of a frame, in bytes.
@@ -33,7 +34,8 @@
 // Size returns the size of the encoded frame in bytes.
 func (f *Frame) Size() int { return headerSize + len(f.Body) }
 
-// FrameTooLongError means that the other side announced a body longer than MaxBody.
+// FrameTooLongError means that the other side announced a body longer than MaxBody, or that one was to be
+// written.
 type FrameTooLongError struct{ Length uint32 }
 
 // Error implements error.
@@ -42,9 +44,12 @@
 		e.Length, MaxBody)
 }
 
-// WriteFrame writes a frame to w and flushes it. The caller ensures that the body isn't longer than MaxBody;
-// the other side would close the connection.
+// WriteFrame writes a frame to w and flushes it. Of one whose body is longer than MaxBody it writes nothing
+// and returns a *FrameTooLongError: the other side would close the connection, and with it all other calls.
 func WriteFrame(w *bufio.Writer, frame Frame) error {
+	if len(frame.Body) > MaxBody {
+		return &FrameTooLongError{uint32(min(uint64(len(frame.Body)), math.MaxUint32))}
+	}
 	var header [headerSize]byte
 	binary.BigEndian.PutUint32(header[:kindOffset], uint32(len(frame.Body)))
 	header[kindOffset] = byte(frame.Kind)
--- a/internal/router/peerproto/frame_test.go
+++ b/internal/router/peerproto/frame_test.go
@@ -28,3 +28,13 @@
 	_, err := ReadFrame(bufio.NewReader(bytes.NewReader(bytes.Repeat([]byte{0xff}, 64))))
 	qt.Assert(t, err, qt.ErrorMatches, "a frame of .* is beyond .*")
 }
+
+// TestFrameThatIsTooLongIsNotWritten writes nothing of a frame for which the other side would close.
+func TestFrameThatIsTooLongIsNotWritten(t *testing.T) {
+	var buffer bytes.Buffer
+	err := WriteFrame(bufio.NewWriter(&buffer), Frame{Kind: KindUpsert, Body: make([]byte, MaxBody+1)})
+	var tooLong *FrameTooLongError
+	qt.Assert(t, errors.As(err, &tooLong), qt.IsTrue)
+	qt.Assert(t, tooLong.Length, qt.Equals, uint32(MaxBody+1))
+	qt.Assert(t, buffer.Len(), qt.Equals, 0)
+}
--- a/internal/router/transport/conn.go
+++ b/internal/router/transport/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -83,9 +84,14 @@
 		case <-c.closed:
 			return
 		case frame := <-c.queue:
-			c.traffic.sent.count(&frame)
 			c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if err := peerproto.WriteFrame(w, frame); err != nil {
+			err := peerproto.WriteFrame(w, frame)
+			if errors.As(err, new(*peerproto.FrameTooLongError)) {
+				c.traffic.tooLong.Add(1) // nothing of it was written: the connection serves other frames
+				continue
+			}
+			c.traffic.sent.count(&frame)
+			if err != nil {
 				c.Close()
 				return
 			}
--- a/internal/router/transport/traffic.go
+++ b/internal/router/transport/traffic.go
@@ -27,6 +27,7 @@
 type Traffic struct {
 	Sent     [peerproto.NumKinds]Volume
 	Received [peerproto.NumKinds]Volume
+	TooLong  int64 // frames that were not sent, as they are longer than peerproto.MaxBody
 }
 
 // volumeCounter is a Volume that several goroutines may add to.
@@ -46,11 +47,14 @@
 }
 
 // trafficCounters are the counters behind Traffic.
-type trafficCounters struct{ sent, received kindCounters }
+type trafficCounters struct {
+	sent, received kindCounters
+	tooLong        atomic.Int64
+}
 
 // snapshot returns the counters' values, each read by itself.
 func (c *trafficCounters) snapshot() Traffic {
-	var traffic Traffic
+	traffic := Traffic{TooLong: c.tooLong.Load()}
 	for kind := range traffic.Sent {
 		sent, received := &c.sent[kind], &c.received[kind]
 		traffic.Sent[kind] = Volume{sent.frames.Load(), sent.bytes.Load()}
--- a/internal/router/transport/traffic_test.go
+++ b/internal/router/transport/traffic_test.go
@@ -30,3 +30,16 @@
 	c.received.count(&peerproto.Frame{Kind: peerproto.NumKinds + 1})
 	qt.Assert(t, c.snapshot().Received[0].Frames, qt.Equals, int64(1))
 }
+
+// TestFrameThatIsTooLongEndsNoConnection: nothing of it is sent, its call fails, and others go on.
+func TestFrameThatIsTooLongEndsNoConnection(t *testing.T) {
+	_, _, link, states := startEcho(t)
+	qt.Assert(t, <-states, qt.IsTrue)
+	qt.Assert(t, link.Send(peerproto.KindUpsert, make([]byte, peerproto.MaxBody+1)), qt.IsTrue)
+	_, err := link.Call(peerproto.KindUpsert, []byte("body"), time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	traffic := link.endpoint.Traffic()
+	qt.Assert(t, traffic.TooLong, qt.Equals, int64(1))
+	qt.Assert(t, traffic.Sent[peerproto.KindUpsert].Frames, qt.Equals, int64(1))
+	qt.Assert(t, states, qt.HasLen, 0)
+}
