Follow logs past long lines, and tell three causes of the client proxy apart

Cause: a child's log was not followed after a line of 64 KB, so that a trial saw no later fault. A large body that stalled counted as gone or as refused by chance. handover.Join took every error of the socket file for its absence. Change: a long line is truncated with a mark and the log goes on. A body that breaks off makes its client count as gone. Measured: the new tests; childprocess, ingress, handover and daemon pass.

--- a/internal/childprocess/childprocess.go
+++ b/internal/childprocess/childprocess.go
@@ -1,10 +1,8 @@
 // Package childprocess runs this program as a child process, as an operator would start it, and follows its
 // log, which it writes to its standard error. The methods of Process may be called from any goroutine.
 //
-// The log is read line by line. A line of 64 KiB (bufio.MaxScanTokenSize) or more ends that: it and all that
-// the child logs after it are read and discarded, so that the child goes on, but neither Command.Log nor
-// Process.Tail nor Process.Field get them, a ready line among them is not seen, and PauseLog has no effect.
-// What looks for faults in the log therefore finds none after such a line.
+// The log is read line by line. Of a line longer than maxLine the rest is left out, and a mark in its place
+// says so.
 package childprocess
 
 import (
@@ -134,12 +132,37 @@
 	close(p.ended)
 }
 
-// readLog reads the log to its end or until CloseLog, line by line up to a line that is too long (see the
-// package comment). What follows that is discarded, as the child would block once the pipe is full.
+const (
+	// maxLine is how much of a line of the log is kept, in bytes.
+	maxLine = 64 << 10
+	// truncationMark ends a line that was longer.
+	truncationMark = " ... (truncated)"
+)
+
+// readLine reads the next line without its end. The error is that of the reader, once nothing is left.
+func readLine(lines *bufio.Reader) (string, error) {
+	raw, err := lines.ReadSlice('\n')
+	line := strings.TrimSuffix(string(raw), "\n")
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line += truncationMark
+		for errors.Is(err, bufio.ErrBufferFull) {
+			_, err = lines.ReadSlice('\n')
+		}
+	}
+	if err != nil && line != "" {
+		err = nil // the last line has no end; the next call returns the error
+	}
+	return line, err
+}
+
+// readLog reads the log to its end or until CloseLog, line by line.
 func (p *Process) readLog(command Command, ready chan<- struct{}) {
-	lines := bufio.NewScanner(p.stderr)
-	for lines.Scan() {
-		line := lines.Text()
+	lines := bufio.NewReaderSize(p.stderr, maxLine)
+	for {
+		line, err := readLine(lines)
+		if err != nil {
+			return
+		}
 		p.waitWhilePaused()
 		if command.Log != nil {
 			_, _ = fmt.Fprintln(command.Log, line) // the copy is a convenience; Tail has the line as well
@@ -151,7 +174,6 @@
 			ready = nil // further lines may have the text as well
 		}
 	}
-	_, _ = io.Copy(io.Discard, p.stderr)
 }
 
 // record keeps a line for Tail, and the fields of one that says where the process listens.
@@ -177,7 +199,7 @@
 	return p.fields[key]
 }
 
-// Tail returns the last lines of its log, up to one that is too long (see the package comment).
+// Tail returns the last lines of its log.
 func (p *Process) Tail() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/proxy/handover/handover_test.go
+++ b/internal/proxy/handover/handover_test.go
@@ -241,3 +241,18 @@
 		}
 	}
 }
+
+// A socket file that can't be looked at is an error: whether a process serves there is not known.
+func TestSocketFileThatCannotBeLookedAtIsAnError(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if p, err := Join(filepath.Join(file, "s"), testTimeout); p != nil || err == nil {
+		t.Errorf("%v, %v", p, err)
+	}
+	if p, err := Join(filepath.Join(dir, "none"), testTimeout); p != nil || err != nil {
+		t.Errorf("without a file: %v, %v", p, err)
+	}
+}
--- a/internal/proxy/handover/successor.go
+++ b/internal/proxy/handover/successor.go
@@ -26,8 +26,10 @@
 // nil and no error where there is no such process; a socket file that a killed process left behind counts as
 // none.
 func Join(path string, timeout time.Duration) (*Predecessor, error) {
-	if _, err := os.Stat(path); err != nil {
+	if _, err := os.Stat(path); errors.Is(err, os.ErrNotExist) {
 		return nil, nil
+	} else if err != nil {
+		return nil, err // nobody knows whether there is one
 	}
 	address, release, err := shortPath(path)
 	if err != nil {
--- a/internal/proxy/ingress/attempts.go
+++ b/internal/proxy/ingress/attempts.go
@@ -125,7 +125,7 @@
 		case dispatch.Cancel:
 			attempts[step.Attempt].Cancel()
 		default:
-			return s.finish(c, step, attempts, s.Stats.Class(request.Class))
+			return s.finish(c, u.lastStep(step), attempts, s.Stats.Class(request.Class))
 		}
 	}
 }
--- a/internal/proxy/ingress/stalls_test.go
+++ b/internal/proxy/ingress/stalls_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"os"
 	"testing"
 	"time"
 
 	"cresshub/internal/http1"
+	"cresshub/internal/proxy/dispatch"
 	"cresshub/internal/testbed/nettest"
 )
 
@@ -47,3 +49,32 @@
 	}
 	return false
 }
+
+// A client that stalls in the middle of its large body counts as gone, whichever is noticed first: the end
+// of its body or that of the attempt which reads it.
+func TestUploadThatBreaksOffCountsAsGone(t *testing.T) {
+	gone := dispatch.Step{Kind: dispatch.ClientGone, Attempt: -1}
+	answer := dispatch.Step{Kind: dispatch.Answer, Attempt: 1}
+	rejected := dispatch.Step{Kind: dispatch.Reject}
+	ended := func(err error) *upload {
+		u := &upload{ended: make(chan struct{}), err: err}
+		close(u.ended)
+		return u
+	}
+	for name, test := range map[string]struct {
+		upload     *upload
+		step, want dispatch.Step
+	}{
+		"no upload":         {nil, rejected, rejected},
+		"not ended":         {&upload{ended: make(chan struct{})}, rejected, rejected},
+		"complete":          {ended(io.EOF), rejected, rejected},
+		"malformed":         {ended(&http1.MalformedError{}), rejected, rejected},
+		"stalled":           {ended(os.ErrDeadlineExceeded), rejected, gone},
+		"stalled, failed":   {ended(os.ErrDeadlineExceeded), dispatch.Step{Kind: dispatch.Fail}, gone},
+		"stalled, answered": {ended(os.ErrDeadlineExceeded), answer, answer},
+	} {
+		if got := test.upload.lastStep(test.step); got != test.want {
+			t.Errorf("%s: %+v, not %+v", name, got, test.want)
+		}
+	}
+}
--- a/internal/proxy/ingress/upload.go
+++ b/internal/proxy/ingress/upload.go
@@ -92,6 +92,30 @@
 	return nil
 }
 
+// lastStep returns the last step of a request. Where its body broke off the client is the cause, and counts
+// as gone: whether its end or that of the attempt which read it is noticed first is chance. It has no effect
+// on a request without an upload.
+func (u *upload) lastStep(step dispatch.Step) dispatch.Step {
+	if step.Kind == dispatch.Answer || !u.brokeOff() {
+		return step
+	}
+	return dispatch.Step{Kind: dispatch.ClientGone, Attempt: -1}
+}
+
+// brokeOff reports whether the client disconnected, or stalled for too long, before the body was complete.
+// It is false for a request without an upload, and for a malformed body.
+func (u *upload) brokeOff() bool {
+	if u == nil || u.malformed() != nil {
+		return false
+	}
+	select {
+	case <-u.ended:
+		return u.clientError() != nil
+	default:
+		return false
+	}
+}
+
 // clientError is the error with which the body broke off; nil if it is complete.
 func (u *upload) clientError() error {
 	if errors.Is(u.err, io.EOF) {
