Follow the fleet's view while votes are waited for, and name what is unknown

Cause: a Host that waited for votes or a roster, an election timeout for each member, did not follow the view meanwhile. A proposal that was in the log when its replica stopped ended with ErrStopped, which says that it will never be applied. The deadline of a call that was cancelled just as its response came could be set as late as in the next call on the connection, and end that. Change: the view has a goroutine of its own; such proposals end with ErrUnknown; a connection whose call is being cancelled is not used again.

--- a/internal/cluster/raftgroup/bootstrap.go
+++ b/internal/cluster/raftgroup/bootstrap.go
@@ -23,7 +23,7 @@
 // only with the votes of a majority of all known members (of BootstrapExpect, if those are more). A vote is
 // stored and never given to another candidate, so that a group is bootstrapped only once in a fleet. The
 // group begins with this replica, grows from it, and accepts no proposals until it has minVoters. Called by
-// the Host's loop.
+// maintainGroups.
 func (h *Host) bootstrap(name string) {
 	h.mu.Lock()
 	peers, exists := slices.Clone(h.peers), h.groups[name] != nil
--- a/internal/cluster/raftgroup/calls.go
+++ b/internal/cluster/raftgroup/calls.go
@@ -126,15 +126,15 @@
 	}
 }
 
-// failPending ends all calls that wait for an outcome with an error. Entries that were proposed may still be
-// committed: their results find nobody then.
-func (g *group) failPending(err error) {
+// failPending ends all calls that wait for an outcome: reads with an error, proposals with ErrUnknown, as
+// their entries may still be committed. Their results find nobody then.
+func (g *group) failPending(readErr error) {
 	for id, out := range g.proposals {
-		out <- outcome{err: err}
+		out <- outcome{err: ErrUnknown}
 		delete(g.proposals, id)
 	}
 	for id, read := range g.pendingReads {
-		read.out <- outcome{err: err}
+		read.out <- outcome{err: readErr}
 		delete(g.pendingReads, id)
 	}
 }
--- a/internal/cluster/raftgroup/host.go
+++ b/internal/cluster/raftgroup/host.go
@@ -40,7 +40,7 @@
 	leaderHints map[string]string    // member that last led a group, as far as known, by group
 
 	stop       chan struct{}  // closed by Close, with mu held, so that no replica is opened after it
-	goroutines sync.WaitGroup // loop and accept
+	goroutines sync.WaitGroup // followView, maintainGroups and accept
 	once       sync.Once      // of Close
 }
 
@@ -85,7 +85,8 @@
 			return fmt.Errorf("ledger.data: %w", err)
 		}
 	}
-	h.goroutines.Go(h.loop)
+	h.goroutines.Go(h.followView)
+	h.goroutines.Go(h.maintainGroups)
 	h.goroutines.Go(h.net.accept)
 	h.log.Info("ledger: listening", "ledger", h.Address(), "disk", formatDiskID(h.store.id))
 	return nil
@@ -144,30 +145,40 @@
 	return h.groups[name]
 }
 
-// loop follows the view, bootstraps missing groups and removes stale replicas until Close. It waits for other
-// members meanwhile, each time up to ElectionTimeout, in which it does not follow the view. When it next
-// looks for missing groups and stale replicas is drawn, so that members don't do so at once.
-func (h *Host) loop() {
+// followView follows the view until Close.
+func (h *Host) followView() {
 	refresh := time.NewTicker(viewInterval)
 	defer refresh.Stop()
-	bootstrap := time.NewTimer(h.opts.ElectionTimeout)
-	defer bootstrap.Stop()
 	for {
 		select {
 		case <-h.stop:
 			return
 		case <-refresh.C:
 			h.refreshPeers()
-		case <-bootstrap.C:
-			for _, name := range h.opts.Groups {
-				h.bootstrap(name)
-			}
-			h.removeStaleReplicas()
-			bootstrap.Reset(h.opts.ElectionTimeout/2 + rand.N(h.opts.ElectionTimeout))
 		}
 	}
 }
 
+// maintainGroups bootstraps missing groups and removes stale replicas until Close. It waits for other
+// members meanwhile, each time up to ElectionTimeout. When it next looks is drawn, so that members don't do
+// so at once.
+func (h *Host) maintainGroups() {
+	next := time.NewTimer(h.opts.ElectionTimeout)
+	defer next.Stop()
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-next.C:
+		}
+		for _, name := range h.opts.Groups {
+			h.bootstrap(name)
+		}
+		h.removeStaleReplicas()
+		next.Reset(h.opts.ElectionTimeout/2 + rand.N(h.opts.ElectionTimeout))
+	}
+}
+
 func (h *Host) refreshPeers() {
 	peers := h.view()
 	h.mu.Lock()
@@ -220,7 +231,7 @@
 	return err
 }
 
-// stopOpening ends the loop, has no more replicas opened, and returns those that are open.
+// stopOpening ends the Host's own goroutines, has no more replicas opened, and returns those that are open.
 func (h *Host) stopOpening() []*group {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/cluster/raftgroup/roster.go
+++ b/internal/cluster/raftgroup/roster.go
@@ -30,7 +30,7 @@
 
 // removeStaleReplicas removes replicas of this member that left their group while they were unreachable. No
 // leader sends to such a replica any more, so that it never receives the change that removed it. Called by
-// the Host's loop.
+// maintainGroups.
 func (h *Host) removeStaleReplicas() {
 	for _, name := range h.opts.Groups {
 		g := h.group(name)
--- a/internal/cluster/raftgroup/rpc.go
+++ b/internal/cluster/raftgroup/rpc.go
@@ -45,13 +45,14 @@
 	}
 	conn.SetDeadline(deadline)
 	stopWatching := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })
-	defer stopWatching()
-	if err := roundTrip(conn, raw, resp); err != nil {
-		n.closeConn(conn)
-		return err
+	err = roundTrip(conn, raw, resp)
+	if stopped := stopWatching(); err == nil && stopped {
+		n.putIdle(address, conn)
+		return nil
 	}
-	n.putIdle(address, conn)
-	return nil
+	// Where the deadline is being set, it could come as late as in the next call on the connection.
+	n.closeConn(conn)
+	return err
 }
 
 // roundTrip writes an encoded request and reads the response. After an error the connection is of no use.
--- a/internal/router/agent/metrics_endpoint.go
+++ b/internal/router/agent/metrics_endpoint.go
@@ -116,7 +116,7 @@
 				metrics.Label{Name: "kind", Value: strconv.Itoa(kind)})
 		}
 	}
-	page.Counter("cresshub_peer_frames_too_long_total", "Frames not sent, as they are longer than others accept.",
+	page.Counter("cresshub_peer_frames_too_long_total", "Frames that were too long to be sent.",
 		traffic.TooLong)
 }
 
