Give switch_s an effect, and name the keys that are accepted without one

Cause: some keys are checked and read by no decision, which no page said; an order to change a server's role was given up after 9 s however long the service needs for it, so that a service with a longer switch_s would have had its servers back in the old role while they changed. Change: an order may be under way for 9 s, or 6 s and switch_s if that is more. The reference page of the client proxy and the operators' page of the router fleet name the keys without effect, each with the reason. Measured: TestOrdersExpireAfterTheSwitch; agent, fleetconfig and config pass.

--- a/internal/proxy/config/descriptions.go
+++ b/internal/proxy/config/descriptions.go
@@ -142,11 +142,14 @@
 		"connection",
 	"upstream.hold": "a response of unknown length is buffered for this long, and passed on " +
 		"as it comes after it",
-	"upstream.stall":   "an attempt whose body makes no progress for this long is given up",
-	"policy.rank":      "number of this instance among all",
-	"policy.instances": "instances that send to these servers, this one included",
-	"policy.hall":      "hall of this instance, one of halls",
-	"policy.tick":      "granularity of decisions",
+	"upstream.stall": "an attempt whose body makes no progress for this long is given up",
+	"policy.rank": "number of this instance among all. Accepted without effect: no " +
+		"decision depends on which of its peers an instance is",
+	"policy.instances": "instances that send to these servers, this one included. Accepted " +
+		"without effect: load reports of the servers include what the others " +
+		"send",
+	"policy.hall": "hall of this instance, one of halls",
+	"policy.tick": "granularity of decisions",
 	"policy.travel": "a request is answered this long before its deadline, so that the " +
 		"response arrives in time",
 	"policy.attempts": "largest number of attempts for one request",
@@ -162,24 +165,31 @@
 	"policy.report_from": "what carries load reports: probe for the responses to probes, answers " +
 		"for those to requests, none",
 	"policy.over_share_worth": "value of a request beyond its tenant's share, as a fraction of its " +
-		"class's",
+		"class's. Accepted without effect: decisions do not count what a " +
+		"tenant has had",
 	"policy.worth_by": "what the value of a class is for: one request, or one unit of a " +
 		"request's work",
-	"policy.answer_slack": "how long after its deadline a response still counts",
+	"policy.answer_slack": "how long after its deadline a response still counts. Accepted without " +
+		"effect: all responses are sent by the deadline",
 	"drain.grace": "no new request goes to a server later than this after discovery " +
-		"listed it as draining",
+		"listed it as draining. Accepted without effect: none goes there once " +
+		"the list says so",
 	"cold.start":      "fraction of its capacity that a server has at least when it starts",
 	"cold.warm_after": "a server has its full capacity this long after its start",
 	"cold.fall_multiple": "a server that has just started collapses when it gets more than this " +
 		"multiple of its present capacity",
-	"cold.fall_after": "how long it bears that before it collapses",
+	"cold.fall_after": "how long it bears that before it collapses. Accepted without effect: " +
+		"a server that has just started never gets more than fall_multiple",
 	"prices.cross_hall": "fraction of the value offered that it costs when each request crosses " +
 		"halls once",
-	"prices.probe":     "the same for one probe a request",
-	"prices.waste":     "the same for as much work wasted as was asked for",
-	"prices.late_fail": "the same for all requests failing only after their latency target",
-	"log.format":       "form of a record",
-	"log.level":        "lowest level that is logged",
+	"prices.probe": "the same for one probe a request",
+	"prices.waste": "the same for as much work wasted as was asked for. Accepted without " +
+		"effect: a budget that successes fill bounds further attempts",
+	"prices.late_fail": "the same for all requests failing only after their latency target. " +
+		"Accepted without effect: the expected wait decides on a rejection, " +
+		"which comes before any attempt",
+	"log.format": "form of a record",
+	"log.level":  "lowest level that is logged",
 	"log.repeat": "records a second with the same message; the next one has the number " +
 		"of those left out; 0 is no limit",
 	"log.backlog": "bytes kept while nobody reads the log; records beyond are lost and " +
@@ -201,10 +211,12 @@
 		"classes",
 	"class[].late_worth": "fraction of the worth that a response between latency target and " +
 		"deadline earns",
-	"class[].stream":   "the response is a stream",
-	"tenant[].name":    "name of the tenant, as clients give it",
-	"tenant[].share":   "fraction of the service; all shares add up to 1 at most",
-	"tenant[].quota":   "requests a second inside its share, through all instances",
+	"class[].stream": "the response is a stream",
+	"tenant[].name":  "name of the tenant, as clients give it",
+	"tenant[].share": "fraction of the service; all shares add up to 1 at most. Accepted " +
+		"without effect: decisions do not count what a tenant has had",
+	"tenant[].quota": "requests a second inside its share, through all instances. Accepted " +
+		"without effect: the same",
 	"server[].name":    "unique name",
 	"server[].address": "host and port",
 	"server[].hall":    "hall that it stands in, one of halls",
--- a/internal/proxy/config/section_policy.go
+++ b/internal/proxy/config/section_policy.go
@@ -20,10 +20,12 @@
 
 // Policy is what the balancer knows of the deployment and may do; see package balance.
 type Policy struct {
-	// rank: number of this instance among all.
+	// rank: number of this instance among all. Accepted without effect: no decision depends on which of its
+	// peers an instance is.
 	Rank int `key:"rank" default:"0" min:"0" max:"1000000"`
 
-	// instances: instances that send to these servers, this one included.
+	// instances: instances that send to these servers, this one included. Accepted without effect: load reports
+	// of the servers include what the others send.
 	Instances int `key:"instances" default:"1" min:"0" max:"1000000"`
 
 	// hall: hall of this instance, one of halls.
@@ -64,19 +66,22 @@
 	// requests, none.
 	ReportFrom string `key:"report_from" default:"probe" enum:"probe|answers|none"`
 
-	// over_share_worth: value of a request beyond its tenant's share, as a fraction of its class's.
+	// over_share_worth: value of a request beyond its tenant's share, as a fraction of its class's. Accepted
+	// without effect: decisions do not count what a tenant has had.
 	OverQuotaValue float64 `key:"over_share_worth" default:"0.1" min:"0"`
 
 	// worth_by: what the value of a class is for: one request, or one unit of a request's work.
 	ValuedBy string `key:"worth_by" default:"request" enum:"request|work"`
 
-	// answer_slack: how long after its deadline a response still counts.
+	// answer_slack: how long after its deadline a response still counts. Accepted without effect: all responses
+	// are sent by the deadline.
 	ResponseGrace time.Duration `key:"answer_slack" default:"50ms" min:"0s" max:"1m"`
 }
 
 // Drain is the rule on servers that drain.
 type Drain struct {
-	// grace: no new request goes to a server later than this after discovery listed it as draining.
+	// grace: no new request goes to a server later than this after discovery listed it as draining. Accepted
+	// without effect: none goes there once the list says so.
 	Grace time.Duration `key:"grace" default:"1500ms" min:"0s" max:"10m"`
 }
 
@@ -92,7 +97,8 @@
 	// present capacity.
 	CollapseMultiple float64 `key:"fall_multiple" default:"4" min:"0"`
 
-	// fall_after: how long it bears that before it collapses.
+	// fall_after: how long it bears that before it collapses. Accepted without effect: a server that has just
+	// started never gets more than fall_multiple.
 	CollapseAfter time.Duration `key:"fall_after" default:"1500ms" min:"0s" max:"1h"`
 }
 
@@ -104,10 +110,12 @@
 	// probe: the same for one probe a request.
 	Probe float64 `key:"probe" default:"0.01" min:"0"`
 
-	// waste: the same for as much work wasted as was asked for.
+	// waste: the same for as much work wasted as was asked for. Accepted without effect: a budget that successes
+	// fill bounds further attempts.
 	Waste float64 `key:"waste" default:"0.04" min:"0"`
 
-	// late_fail: the same for all requests failing only after their latency target.
+	// late_fail: the same for all requests failing only after their latency target. Accepted without effect: the
+	// expected wait decides on a rejection, which comes before any attempt.
 	LateFail float64 `key:"late_fail" default:"0.033" min:"0"`
 }
 
@@ -151,9 +159,10 @@
 	// name: name of the tenant, as clients give it.
 	Name string `key:"name" form:"name"`
 
-	// share: fraction of the service; all shares add up to 1 at most.
+	// share: fraction of the service; all shares add up to 1 at most. Accepted without effect: decisions do not
+	// count what a tenant has had.
 	Fraction float64 `key:"share" default:"0" min:"0" max:"1"`
 
-	// quota: requests a second inside its share, through all instances.
+	// quota: requests a second inside its share, through all instances. Accepted without effect: the same.
 	Quota float64 `key:"quota" default:"0" min:"0"`
 }
--- a/internal/router/agent/failure_detector.go
+++ b/internal/router/agent/failure_detector.go
@@ -146,12 +146,21 @@
 // requests again.
 func (f *failureDetector) expireOrders(now time.Duration, d *directory.Directory) {
 	for _, order := range d.Orders() {
-		if given, ok := d.ModifiedAt(order.ID); ok && now-given > orderExpiry {
+		if given, ok := d.ModifiedAt(order.ID); ok && now-given > f.orderExpiry(order.Service) {
 			markLost(f.process, now, d, order, "an order took too long")
 		}
 	}
 }
 
+// orderExpiry is how long an order to a server of a service may be under way.
+func (f *failureDetector) orderExpiry(service string) time.Duration {
+	config := f.state.Config()
+	if config == nil || config.Services[service] == nil || config.Services[service].Engine == nil {
+		return minOrderExpiry
+	}
+	return max(minOrderExpiry, beforeSwitch+config.Services[service].Engine.RoleSwitchTime)
+}
+
 // markTimedOutHubs marks the other hubs lost that have not called for hubTimeout.
 func (f *failureDetector) markTimedOutHubs(now time.Duration, d *directory.Directory) {
 	for _, record := range d.Proxies() {
--- a/internal/router/agent/failure_detector_test.go
+++ b/internal/router/agent/failure_detector_test.go
@@ -3,11 +3,14 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
 	"cresshub/internal/router/directory"
+	"cresshub/internal/router/fleetconfig"
 )
 
 // slowLog is a log whose writes take so long that other goroutines run meanwhile.
@@ -49,3 +52,37 @@
 	close(done)
 	probes.Wait()
 }
+
+// TestOrdersExpireAfterTheSwitch: an order is given up once it has been under way for longer than its server
+// needs, by the service's own time for a change of role.
+func TestOrdersExpireAfterTheSwitch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		agent := newTestAgent(t)
+		runClock(t, agent)
+		services := map[string]*fleetconfig.Service{
+			"quick": {Engine: &fleetconfig.Engine{RoleSwitchTime: time.Second}},
+			"slow":  {Engine: &fleetconfig.Engine{RoleSwitchTime: 30 * time.Second}},
+		}
+		agent.state.applyConfig(&fleetconfig.Config{Version: 1, Services: services})
+		for _, service := range []string{"quick", "slow", "unknown"} {
+			agent.state.merge(agent.now(), []directory.Record{{Kind: directory.KindOrder,
+				ID: directory.OrderID(service), Sequence: 1, State: directory.Ready, Service: service}})
+		}
+		underWay := func() (servers []string) {
+			agent.failures.markTimedOut(agent.now(), false)
+			agent.state.read(func(d *directory.Directory) {
+				for _, order := range d.Orders() {
+					servers = append(servers, directory.OrderTarget(order.ID))
+				}
+			})
+			return servers
+		}
+		time.Sleep(minOrderExpiry)
+		c.Check(underWay(), qt.DeepEquals, []string{"quick", "slow", "unknown"})
+		time.Sleep(time.Second)
+		c.Check(underWay(), qt.DeepEquals, []string{"slow"})
+		time.Sleep(beforeSwitch + 30*time.Second)
+		c.Check(underWay(), qt.HasLen, 0)
+	})
+}
--- a/internal/router/agent/role_assigner.go
+++ b/internal/router/agent/role_assigner.go
@@ -23,8 +23,11 @@
 	confirmTimeout  = 300 * time.Millisecond
 	confirmValidity = 500 * time.Millisecond
 	orderTimeout    = 700 * time.Millisecond
-	// orderExpiry is how long an order may be under way; later its server gets requests again.
-	orderExpiry = 9 * time.Second
+	// minOrderExpiry is how long an order may be under way at least; later its server gets requests again.
+	minOrderExpiry = 9 * time.Second
+	// beforeSwitch is how long the requests that a server runs when it takes the order may go on; then it needs
+	// the service's RoleSwitchTime.
+	beforeSwitch = 6 * time.Second
 	// leaseMargin is added to the time in which orders of the previous head may still arrive.
 	leaseMargin = 700 * time.Millisecond
 
--- a/internal/router/fleetconfig/service.go
+++ b/internal/router/fleetconfig/service.go
@@ -26,7 +26,7 @@
 	Slots int
 
 	// KVCacheTokens ("kv_tokens") is the capacity of a server's KV cache in tokens. Defaults to 0. It is
-	// validated only: servers report what they have cached.
+	// validated only: a server rejects a request that is larger, as though it were full, and evicts by itself.
 	KVCacheTokens int
 
 	// KVBytesPerToken ("kv_bytes") is the size of a token in the KV cache, in bytes. With LinkMbps it gives the
@@ -46,9 +46,11 @@
 	HandleTTL time.Duration
 
 	// RoleSwitchTime ("switch_s") is how long a server needs to change between prefill and decode. Defaults to
-	// 0. It is validated only: the role planner follows what servers report.
+	// 0. An order is given up when it has been under way for that long after what the server ran can have ended;
+	// otherwise the role planner follows what servers report.
 	RoleSwitchTime time.Duration
 
-	// Models ("models", by "name") are the models that the servers offer.
+	// Models ("models", by "name") are the models that the servers offer. They are validated only: a request
+	// goes to the service of its route, and a server that lacks its model rejects it.
 	Models []string
 }
