Give the parts of the agent what they need instead of the whole Agent

Cause: peerHandler and four constructors took the whole Agent, so that a reader could not tell what they use. Change: wiring.go puts the parts together, as methods of Agent; peerHandler has its parts as fields, and what a process tells of itself is ownStatus. Files of parts do not name Agent any more.

--- a/internal/router/agent/agent.go
+++ b/internal/router/agent/agent.go
@@ -8,7 +8,6 @@
 	"cresshub/internal/router/agentsettings"
 	"cresshub/internal/router/dataplane"
 	"cresshub/internal/router/directory"
-	"cresshub/internal/router/peerproto"
 	"cresshub/internal/router/transport"
 	"cresshub/internal/stallclock"
 )
@@ -38,6 +37,7 @@
 	// What the process knows.
 	state        *state        // the directory, the configuration in force and the view
 	self         *selfRecord   // its own record in the directory
+	status       *ownStatus    // what it tells others of itself
 	lastSeen     *lastSeen     // when others last called it
 	knownProxies *knownProxies // addresses that outlive the process
 	persister    *persister    // what is saved on disk; runs on a machine with a disk only
@@ -84,57 +84,6 @@
 // Clock returns the clock of this process's stalls.
 func (a *Agent) Clock() *stallclock.Clock { return a.clock }
 
-// createParts creates the parts of the agent, each after those that it calls. None of them runs yet.
-func (a *Agent) createParts() {
-	p := a.process
-	a.state = newState()
-	a.self = newSelfRecord(p, a.state)
-	a.lastSeen = newLastSeen()
-	a.knownProxies = newKnownProxies()
-	a.configSync = &configSync{state: a.state, log: a.log}
-	a.hubs = newHubSet(p, a.state, a.endpoint)
-	a.quorum = newQuorum(p, a.state, a.hubs)
-	a.dataplaneState = &dataplaneState{process: p, state: a.state, hubs: a.hubs}
-	a.createProxy()
-
-	a.persister = &persister{process: p, state: a.state, knownProxies: a.knownProxies, workload: a.workload}
-	a.subscription = &subscription{process: p, state: a.state, hubs: a.hubs, self: a.self,
-		configSync: a.configSync}
-	a.antiEntropy = &antiEntropy{process: p, state: a.state, hubs: a.hubs, self: a.self}
-	a.failures = &failureDetector{process: p, state: a.state, hubs: a.hubs, quorum: a.quorum,
-		lastSeen: a.lastSeen, workload: a.workload, probes: newProbeSet()}
-	a.demand = newDemandTable(p, a.workload)
-	a.load = newLoadTable(p, a.state, a.hubs, a.subscription, a.workload)
-	a.feeds = newFeedServer(p, a.state, a.configSync, a.load)
-	a.hubs.exchange = &hubExchange{process: p, state: a.state, hubs: a.hubs, quorum: a.quorum,
-		subscription: a.subscription, configSync: a.configSync, demand: a.demand, load: a.load}
-	a.configStore = newConfigStore(a)
-	a.peers = &peerHandler{agent: a}
-	a.createEndpoints()
-}
-
-// createProxy creates the data plane, where the role of the process has one.
-func (a *Agent) createProxy() {
-	if a.settings.Front == "" {
-		return
-	}
-	a.proxy = dataplane.New(a.settings, a.dataplaneState, a.clock, a.log)
-	if a.settings.FirstStart {
-		a.proxy.MarkFleetStart()
-	}
-	a.workload, a.assignsRoles = a.proxy, true
-}
-
-// createEndpoints creates the handlers of the calls of operators and servers.
-func (a *Agent) createEndpoints() {
-	p := a.process
-	a.configEndpoint = &configEndpoint{process: p, store: a.configStore, hubs: a.hubs}
-	a.serverEndpoint = &serverEndpoint{process: p, state: a.state, quorum: a.quorum, lastSeen: a.lastSeen}
-	a.listEndpoint = &listEndpoint{process: p, state: a.state}
-	a.metricsEndpoint = &metricsEndpoint{process: p, state: a.state, quorum: a.quorum,
-		configStore: a.configStore, endpoint: a.endpoint, proxy: a.proxy}
-}
-
 // Run serves until stop closes, then shuts down and returns. The error is that of a listener that could not
 // be opened; nothing was started then.
 func (a *Agent) Run(stop <-chan struct{}) error {
@@ -184,16 +133,9 @@
 // startTasks starts the periodic tasks, which run until done closes.
 func (a *Agent) startTasks(done <-chan struct{}) {
 	go a.subscription.run(done)
-	go newViewAnnouncer(a).run(done)
+	go a.newViewAnnouncer().run(done)
 	go a.failures.run(done)
 	go a.antiEntropy.run(done)
 	go a.demand.run(done)
 	go a.load.report(done)
 }
-
-// status returns what this process answers to pings and announcements.
-func (a *Agent) status() *peerproto.Status {
-	v := a.state.currentView()
-	return &peerproto.Status{ID: a.id, Version: a.state.version(), Epoch: v.epoch, Members: v.members,
-		HasSnapshot: a.state.isSynced(), ReachesMajority: a.quorum.reachesFleet()}
-}
--- a/internal/router/agent/chain_leave_test.go
+++ b/internal/router/agent/chain_leave_test.go
@@ -36,7 +36,7 @@
 		agent := newTestAgent(t)
 		disk := &hangingFiles{gate: make(chan struct{})}
 		agent.settings.DataDir, agent.files = t.TempDir(), disk
-		control := newDeferredStore(agent)
+		control := agent.newDeferredStore()
 		done := make(chan struct{})
 		control.start(done)
 		synctest.Wait()
@@ -58,7 +58,7 @@
 		c := qt.New(t)
 		agent := newTestAgent(t)
 		agent.settings.DataDir = t.TempDir()
-		member, err := openChainMember(agent)
+		member, err := agent.openChainMember()
 		c.Assert(err, qt.IsNil)
 		nothing := func(*chain.Node, time.Duration) chain.Effects { return chain.Effects{} }
 		for member.post(nothing) {
--- a/internal/router/agent/chain_open.go
+++ b/internal/router/agent/chain_open.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"fmt"
 	"math/rand"
 
 	"cresshub/internal/router/chain"
@@ -11,35 +10,6 @@
 // majority has to be left when as many machines are lost as the settings tolerate.
 const minMembers = 3
 
-// openChainMember opens the disk, where there is one, and the state machine from the records on it.
-func openChainMember(a *Agent) (*chainMember, error) {
-	m := newChainMember(a)
-	records, err := m.disk.open()
-	if err == nil {
-		err = m.openMachine(records)
-	}
-	if err != nil {
-		m.disk.close()
-		return nil, fmt.Errorf("control state: %w", err)
-	}
-	return m, nil
-}
-
-func newChainMember(a *Agent) *chainMember {
-	m := &chainMember{
-		process: a.process, hubs: a.hubs,
-		events: make(chan chainEvent, chainQueue), ended: make(chan struct{}),
-		links:     newChainLinks(a.process, a.endpoint),
-		published: newChainPublisher(a.process, a.state, a.configSync),
-		disk:      newChainLog(a.process),
-	}
-	m.requests = newChainRequests(a.process, a.state, m.post)
-	if a.isBootstrapper() {
-		m.bootstrap = &bootstrapper{state: a.state, now: a.now}
-	}
-	return m
-}
-
 // openMachine starts the state machine from the records on the disk.
 func (m *chainMember) openMachine(records [][]byte) error {
 	settings := m.settings
--- a/internal/router/agent/config_store.go
+++ b/internal/router/agent/config_store.go
@@ -34,15 +34,6 @@
 	close()
 }
 
-// newConfigStore returns noConfigStore for a machine without a disk, unless it is the one that bootstraps the
-// fleet: that one proposes the first view without being a member of it.
-func newConfigStore(a *Agent) configStore {
-	if a.settings.DataDir == "" && !a.isBootstrapper() {
-		return noConfigStore{}
-	}
-	return newDeferredStore(a)
-}
-
 func unavailableResult(reason string) *peerproto.Result {
 	return &peerproto.Result{Outcome: peerproto.OutcomeUnavailable, Reason: reason}
 }
--- a/internal/router/agent/deferred_store.go
+++ b/internal/router/agent/deferred_store.go
@@ -24,15 +24,6 @@
 	draining atomic.Bool                 // this process is shutting down
 }
 
-func newDeferredStore(a *Agent) *deferredStore {
-	d := &deferredStore{process: a.process, self: a.self, ready: make(chan struct{}),
-		openMember: func() (*chainMember, error) { return openChainMember(a) }}
-	if a.assignsRoles {
-		d.newAssigner = func(member *chainMember) *roleAssigner { return newRoleAssigner(a, member) }
-	}
-	return d
-}
-
 var _ configStore = (*deferredStore)(nil)
 
 func (d *deferredStore) start(done <-chan struct{}) { go d.run(done) }
--- a/internal/router/agent/deferred_store_test.go
+++ b/internal/router/agent/deferred_store_test.go
@@ -19,7 +19,7 @@
 		agent.settings.DataDir = t.TempDir()
 		blocking := filepath.Join(agent.settings.DataDir, "chain")
 		c.Assert(os.WriteFile(blocking, nil, 0o600), qt.IsNil)
-		control := newConfigStore(agent)
+		control := agent.newConfigStore()
 		done := make(chan struct{})
 		control.start(done)
 		time.Sleep(10 * diskRetryInterval)
--- a/internal/router/agent/golden_disk_test.go
+++ b/internal/router/agent/golden_disk_test.go
@@ -103,7 +103,7 @@
 func TestGoldenChainFolderIsRead(t *testing.T) {
 	c := qt.New(t)
 	agent := diskAgent(t, c, true)
-	member, err := openChainMember(agent)
+	member, err := agent.openChainMember()
 	c.Assert(err, qt.IsNil)
 	defer member.disk.close()
 	c.Assert(member.identity, qt.Equals, "m0")
@@ -130,7 +130,7 @@
 	c.Assert(os.Mkdir(folder, 0o700), qt.IsNil)
 	snapshot := readGolden(c, goldenCompacted)
 	c.Assert(os.WriteFile(filepath.Join(folder, goldenCompacted), snapshot, 0o600), qt.IsNil)
-	again, err := openChainMember(compacted)
+	again, err := compacted.openChainMember()
 	c.Assert(err, qt.IsNil)
 	defer again.disk.close()
 	c.Assert(again.machine.View(), qt.DeepEquals, member.machine.View())
--- a/internal/router/agent/golden_test.go
+++ b/internal/router/agent/golden_test.go
@@ -125,7 +125,7 @@
 func TestGoldenDirectoryFramesAreReadAndWrittenByteForByte(t *testing.T) {
 	c := qt.New(t)
 	agent := goldenAgent(t)
-	checkGolden(c, "status.bin", peerproto.Encode(agent.status()))
+	checkGolden(c, "status.bin", peerproto.Encode(agent.status.get()))
 	var status peerproto.Status
 	c.Assert(peerproto.Decode(readGolden(c, "status.bin"), &status), qt.IsNil)
 	c.Assert(status, qt.DeepEquals, peerproto.Status{ID: "proxy-1", Epoch: 7, Members: goldenMembers()})
--- a/internal/router/agent/role_assigner.go
+++ b/internal/router/agent/role_assigner.go
@@ -58,11 +58,6 @@
 	rejectedFence atomic.Uint64
 }
 
-func newRoleAssigner(a *Agent, member *chainMember) *roleAssigner {
-	return &roleAssigner{process: a.process, state: a.state, quorum: a.quorum, demand: a.demand,
-		read: member.read, fence: member.published.fence, holder: member.identity}
-}
-
 // run assigns roles until done closes.
 func (r *roleAssigner) run(done <-chan struct{}) { runEvery(roleAssignInterval, done, r.assignRoles) }
 
--- a/internal/router/agent/view_announcer.go
+++ b/internal/router/agent/view_announcer.go
@@ -57,13 +57,6 @@
 	knowsView bool // the process that answered
 }
 
-func newViewAnnouncer(a *Agent) *viewAnnouncer {
-	return &viewAnnouncer{process: a.process, state: a.state, hubs: a.hubs, endpoint: a.endpoint,
-		knownProxies: a.knownProxies, lastSeen: a.lastSeen, status: a.status,
-		targets: map[string]*announcementTarget{},
-		results: make(chan announcementResult, maxConcurrentAnnouncements)}
-}
-
 // run announces the view, once one is known, until done closes.
 func (v *viewAnnouncer) run(done <-chan struct{}) {
 	ticker := time.NewTicker(announceInterval)
--- a/internal/router/agent/view_announcer_test.go
+++ b/internal/router/agent/view_announcer_test.go
@@ -33,7 +33,7 @@
 		agent.state.merge(agent.now(), []directory.Record{{Kind: directory.KindProxy, ID: "caller", Sequence: 1,
 			State: directory.Ready, Address: "10.0.0.5"}})
 		agent.lastSeen.record("caller", agent.now())
-		announcer := newViewAnnouncer(agent)
+		announcer := agent.newViewAnnouncer()
 		c.Check(announcer.targetIPs(), qt.DeepEquals, []string{"10.0.0.1", "10.0.0.2", "10.0.0.6"})
 
 		agent.state.learnView(2, membersAt("10.9.0.1"))
@@ -49,16 +49,16 @@
 		c := qt.New(t)
 		agent := newTestAgent(t)
 		agent.state.setSynced()
-		c.Check(agent.status().ReachesMajority, qt.IsTrue, qt.Commentf("it is the only member"))
+		c.Check(agent.status.get().ReachesMajority, qt.IsTrue, qt.Commentf("it is the only member"))
 		agent.state.learnView(2, membersAt(agent.settings.IP, "10.9.0.1", "10.9.0.2"))
-		c.Check(agent.status().ReachesMajority, qt.IsFalse)
+		c.Check(agent.status.get().ReachesMajority, qt.IsFalse)
 		answering := &hub{ip: "10.9.0.2", state: hubState{lastSeen: 1}}
 		agent.hubs.links["10.9.0.2"] = answering
-		c.Check(agent.status().ReachesMajority, qt.IsTrue)
+		c.Check(agent.status.get().ReachesMajority, qt.IsTrue)
 		time.Sleep(contactTimeout)
-		c.Check(agent.status().ReachesMajority, qt.IsTrue)
+		c.Check(agent.status.get().ReachesMajority, qt.IsTrue)
 		time.Sleep(time.Second)
-		c.Check(agent.status().ReachesMajority, qt.IsFalse)
+		c.Check(agent.status.get().ReachesMajority, qt.IsFalse)
 	})
 }
 
