--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -20,7 +20,8 @@
 	c.Assert(reported[0], qt.Matches, "invariant fence_rises: fence 1 after 2; .*")
 	c.Assert(Counts()[FenceRises].Violations-before, qt.Equals, int64(1))
 	PanicOnViolation()
-	c.Assert(func() { Assert(false, EnoughReplicas, "too few") }, qt.PanicMatches, ".*enough_replicas: too few.*")
+	violate := func() { Assert(false, EnoughReplicas, "too few") }
+	c.Assert(violate, qt.PanicMatches, ".*enough_replicas: too few.*")
 }
 
 // TestEachCheckHasAName: the names are not empty and differ.
--- a/internal/proxy/cli/owner.go
+++ b/internal/proxy/cli/owner.go
@@ -10,7 +10,8 @@
 )
 
 func newOwner() *cobra.Command {
-	c := &cobra.Command{Use: "owner", Short: "Ask a running proxy who owns the fleet's singleton roles, and their state",
+	c := &cobra.Command{
+		Use: "owner", Short: "Ask a running proxy who owns the fleet's singleton roles, and their state",
 		Example: "  cresshub owner status --door 127.0.0.1:9901"}
 	var adminAddress string
 	var asJSON bool
--- a/internal/proxy/stats/stats_test.go
+++ b/internal/proxy/stats/stats_test.go
@@ -16,8 +16,8 @@
 	s.Probes.Add(0)
 	var out bytes.Buffer
 	s.Log(slog.New(slog.NewTextHandler(&out, nil)), "asked", []string{"good", "bad"})
-	for _, want := range []string{"why=asked", "requests.received=2", "requests.served=1", "requests.client_disconnected=0",
-		"sent.bad=1", "probed.good=1"} {
+	for _, want := range []string{"why=asked", "requests.received=2", "requests.served=1",
+		"requests.client_disconnected=0", "sent.bad=1", "probed.good=1"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("no %s in %s", want, out.String())
 		}
--- a/internal/router/agent/agent_test.go
+++ b/internal/router/agent/agent_test.go
@@ -238,7 +238,7 @@
 	agent := newTestAgent(t)
 	agent.settings.Bounds.Lease = time.Hour
 	var published chainPublisher
-	assigner := &roleAssigner{process: agent.process, fence: published.fence}
+	assigner := &roleAssigner{process: agent.process, fence: published.fence, pending: newPendingOrders()}
 	c.Check(assigner.maySendOrders(), qt.IsFalse)
 	published.headFence.Store(1)
 	c.Check(assigner.maySendOrders(), qt.IsTrue, qt.Commentf("the first epoch has no previous head"))
@@ -249,3 +249,34 @@
 	published.headFence.Store(3)
 	c.Check(assigner.maySendOrders(), qt.IsFalse, qt.Commentf("another one may have been the head meanwhile"))
 }
+
+// TestHeartbeatsAreAnsweredInTime: a server takes an acknowledgement that comes within a second and has at
+// most 4 KiB. It names this proxy for later heartbeats, except in the answer to one that came late.
+func TestHeartbeatsAreAnsweredInTime(t *testing.T) {
+	const acknowledgedWithin, maxAnswerBytes = time.Second, 4 << 10
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		agent := newTestAgent(t)
+		agent.settings.Control = "10.0.0.1:8146"
+		answer := agent.handleCall(heartbeat("ready", "2"))
+		c.Check(answer.Status, qt.Equals, 200)
+		c.Check(string(answer.Body), qt.Equals, `{"forward_to":"10.0.0.1:8146"}`)
+		late := agent.handleCall(heartbeat("ready", "1"))
+		c.Check(late.Status, qt.Equals, 200)
+		c.Check(string(late.Body), qt.Equals, "{}")
+
+		agent.state.learnView(2, membersAt(agent.settings.IP, "10.9.0.1", "10.9.0.2"))
+		for _, ip := range []string{"10.9.0.1", "10.9.0.2"} { // they respond, and replicate nothing
+			agent.hubs.links[ip] = &hub{ip: ip}
+			agent.hubs.links[ip].state.lastSeen = agent.now() + 1
+		}
+		for _, call := range []*controlserver.Call{heartbeat("draining", "3"),
+			{Method: "DELETE", Path: serversPath + "a"}} {
+			began := time.Now()
+			answer := agent.handleCall(call)
+			c.Check(answer.Status, qt.Equals, 503)
+			c.Check(time.Since(began) < acknowledgedWithin, qt.IsTrue)
+			c.Check(len(answer.Body) <= maxAnswerBytes, qt.IsTrue)
+		}
+	})
+}
--- a/internal/router/agent/role_assigner.go
+++ b/internal/router/agent/role_assigner.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +29,11 @@
 	// beforeSwitch is how long the requests that a server runs when it takes the order may go on; then it needs
 	// the service's RoleSwitchTime.
 	beforeSwitch = 6 * time.Second
+	// orderRepeatInterval is how long after an order that was not answered, or conflicts with another one, it is
+	// sent again.
+	orderRepeatInterval = time.Second
+	// unreachableTime is how long a server that an order could not be sent to gets no other one.
+	unreachableTime = 3 * time.Second
 	// leaseMargin is added to the time in which orders of the previous head may still arrive.
 	leaseMargin = 700 * time.Millisecond
 
@@ -52,6 +58,7 @@
 	// State of the goroutine of run.
 	currentFence    uint64        // the fencing token as last read
 	ordersAllowedAt time.Duration // when the orders of the previous head can't arrive any more
+	pending         *pendingOrders
 
 	// rejectedFence is a token that a server rejected, because it had received a higher one. No more orders are
 	// sent with it.
@@ -67,6 +74,7 @@
 		return
 	}
 	r.closeCompletedOrders()
+	r.repeatOrders()
 	for _, service := range config.Services {
 		if service.Engine != nil {
 			r.rebalance(service)
@@ -114,9 +122,46 @@
 		return
 	}
 	r.announceOrders(service, orders)
+	addressed := make([]addressedOrder, 0, len(orders))
+	for _, order := range orders {
+		addressed = append(addressed, addressedOrder{order, addresses[order.Server]})
+	}
+	r.sendOrders(addressed, confirmedAt)
+}
+
+// repeatOrders sends those orders again of which it is not known whether their servers carry them out, and
+// forgets those that are not in force any more.
+func (r *roleAssigner) repeatOrders() {
+	var inForce []addressedOrder
+	for _, order := range r.pending.due(r.now()) {
+		if r.isInForce(order.Order) {
+			inForce = append(inForce, order)
+		} else {
+			r.pending.remove(order.Server)
+		}
+	}
+	if len(inForce) == 0 {
+		return
+	}
+	if confirmedAt := r.now(); r.confirmHead() {
+		r.sendOrders(inForce, confirmedAt)
+	}
+}
+
+// isInForce reports whether the directory has an order of this process.
+func (r *roleAssigner) isInForce(order roleplan.Order) (inForce bool) {
+	r.state.read(func(d *directory.Directory) {
+		record := d.Get(directory.OrderID(order.Server))
+		inForce = record != nil && record.Live() && record.Watcher == r.id && record.Role == string(order.Role)
+	})
+	return inForce
+}
+
+// sendOrders sends orders to their servers at the same time, and waits for the answers.
+func (r *roleAssigner) sendOrders(orders []addressedOrder, confirmedAt time.Duration) {
 	var sending sync.WaitGroup
 	for _, order := range orders {
-		sending.Go(func() { r.sendOrder(order, addresses[order.Server], confirmedAt) })
+		sending.Go(func() { r.sendOrder(order, confirmedAt) })
 	}
 	sending.Wait()
 }
@@ -132,7 +177,7 @@
 				continue
 			}
 			server := roleplan.Server{ID: record.ID, Zone: record.Zone, Role: catalog.Role(record.Role),
-				Slots: record.Slots}
+				Slots: record.Slots, Changing: r.pending.isUnreachable(record.ID, r.now())}
 			if d.ChangingRole(record) {
 				server.Changing, server.Role = true, catalog.Role(d.Get(directory.OrderID(record.ID)).Role)
 			}
@@ -179,32 +224,50 @@
 
 // sendOrder sends an order to its server, unless the confirmation that this process is the head is too old by
 // now.
-func (r *roleAssigner) sendOrder(order roleplan.Order, address string, confirmedAt time.Duration) {
+func (r *roleAssigner) sendOrder(order addressedOrder, confirmedAt time.Duration) {
 	lastFence := r.metrics.lastOrderFence.Load()
 	invariant.Assert(r.currentFence > 0 && r.currentFence >= lastFence, invariant.FenceRises,
 		"an order under fence %d follows one under %d", r.currentFence, lastFence)
 	r.metrics.lastOrderFence.Store(r.currentFence)
 	body, err := json.Marshal(orderBody{"stage", string(order.Role), r.holder, r.currentFence})
 	if err != nil || r.now()-confirmedAt > confirmValidity {
-		r.withdrawOrder(order)
+		r.withdrawOrder(order.Order)
 		return
 	}
 	status := 0
-	answer, err := callServer(r.network, address, &http1.Request{Method: "POST", Target: orderPath, Body: body,
+	request := &http1.Request{Method: "POST", Target: orderPath, Body: body,
 		Header: http1.Header{{Name: "Content-Type", Value: "application/json"},
-			{Name: expectServerHeader, Value: order.Server}}}, orderTimeout)
+			{Name: expectServerHeader, Value: order.Server}}}
+	answer, err := callServer(r.network, order.address, request, orderTimeout)
 	if err == nil {
 		status = answer.Status
 	}
 	r.metrics.countOrder(status)
 	r.log.Info().Err(err).Str("server", order.Server).Str("stage", string(order.Role)).Int("status", status).
 		Uint64("fence", r.currentFence).Msg("roles: order sent")
+	r.handleOrderAnswer(order, status, errors.Is(err, errNotConnected))
+}
+
+// handleOrderAnswer handles the status of an answer to an order, 0 for none. Without an answer, and while the
+// server carries out another order, the order stays in force and is sent again; a server that has it answers
+// that it does. unsent is true if nothing can have reached the server.
+func (r *roleAssigner) handleOrderAnswer(order addressedOrder, status int, unsent bool) {
+	r.pending.remove(order.Server)
 	switch status {
+	case 0:
+		if !unsent {
+			r.pending.add(order, r.now())
+			return
+		}
+		r.pending.addUnreachable(order.Server, r.now())
+		r.withdrawOrder(order.Order)
+	case http1.StatusConflict:
+		r.pending.add(order, r.now())
 	case http1.StatusPreconditionFailed: // the server has received a higher fencing token
 		r.rejectedFence.Store(r.currentFence)
-		r.withdrawOrder(order)
+		r.withdrawOrder(order.Order)
 	case http1.StatusBadRequest, http1.StatusMisdirectedRequest:
-		r.withdrawOrder(order)
+		r.withdrawOrder(order.Order)
 	}
 }
 
--- a/internal/router/agent/server_call.go
+++ b/internal/router/agent/server_call.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -9,6 +11,9 @@
 	"cresshub/internal/router/transport"
 )
 
+// errNotConnected says that nothing of a call was sent, as its server could not be connected to.
+var errNotConnected = errors.New("not connected")
+
 // callServer makes one call to a server on a connection of its own. A failed call resets the connection, so
 // that the kernel does not deliver unsent bytes when a partition heals: an order that was given up must not
 // arrive later.
@@ -17,7 +22,7 @@
 	deadline := time.Now().Add(timeout)
 	conn, err := network.Dial(address, timeout)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNotConnected, err)
 	}
 	defer conn.Close()
 	if err := conn.SetDeadline(deadline); err != nil {
--- a/internal/router/cli/router.go
+++ b/internal/router/cli/router.go
@@ -38,7 +38,7 @@
 // routerCommand runs a process of the fleet.
 type routerCommand struct {
 	LogLevel    string `help:"Least level that is logged: ${enum}." default:"info" enum:"debug,info,warn,error"`
-	MetricsPort int    `help:"Port that serves the metrics at /metrics, besides the control address." default:"0"`
+	MetricsPort int    `help:"Port that serves /metrics, besides the control address." default:"0"`
 }
 
 // Run serves until SIGTERM or SIGINT.
--- a/internal/router/dataplane/prefill_test.go
+++ b/internal/router/dataplane/prefill_test.go
@@ -298,3 +298,17 @@
 	rig.Assert(decoders[0].got(), qt.HasLen, 2) // the second one ran
 	rig.Assert(decoders[1].got(), qt.HasLen, 0)
 }
+
+// TestModelServersGetThePriorityOfTheRoute: the router sets it on each call, whatever a client sent.
+func TestModelServersGetThePriorityOfTheRoute(t *testing.T) {
+	prefillers, decoders := newModelServers(t, respondHandle("h"), inTurn(rejectFull, streamEvents(1, 2, true)))
+	rig := newRig(t, nil, append(prefillers, decoders...)...)
+	rig.route("model").Priority = 3
+	rig.dial().do("POST", "/model/", "a", "prompt", "Priority: 0", "priority: 1")
+	calls := append(allReceived(prefillers), allReceived(decoders)...)
+	rig.Assert(calls, qt.HasLen, 3)
+	for _, call := range calls {
+		rig.Assert(call.Header.Get(priorityHeader), qt.Equals, "3")
+		rig.Assert(call.Header.Repeated(priorityHeader), qt.Equals, "")
+	}
+}
--- a/internal/router/dataplane/stream_test.go
+++ b/internal/router/dataplane/stream_test.go
@@ -311,3 +311,18 @@
 	rig.Assert(err, qt.Equals, io.ErrUnexpectedEOF)
 	rig.Assert(requestsReceived(servers), qt.Equals, 1)
 }
+
+// TestVersionsReachTheClient: the version of a server's weights stays in the head and at the event where it
+// changes. After a switch of servers the head of the first stays.
+func TestVersionsReachTheClient(t *testing.T) {
+	begins := func(req *http1.Request, w io.Writer) bool {
+		io.WriteString(w, responseHead(req, 200, stamp, "Versions: 7", "Content-Type: text/event-stream",
+			"Transfer-Encoding: chunked")+"\r\n"+chunk(eventText(1))+chunk("versions: 8\n"+eventText(2)))
+		return false
+	}
+	servers := newLookupServers(t, inTurn(begins, streamChunks("second", true, eventText(3))))
+	rig := newRig(t, nil, servers...)
+	response := rig.dial().do("POST", "/stream/", "a", "")
+	rig.Assert(response.Header.Get("Versions"), qt.Equals, "7")
+	rig.Assert(string(response.Body), qt.Equals, eventText(1)+"versions: 8\n"+eventText(2)+eventText(3))
+}
--- a/internal/simulation/labcli/rigtrials.go
+++ b/internal/simulation/labcli/rigtrials.go
@@ -68,7 +68,8 @@
 	var o clusterrig.OwnerTrialOptions
 	var rig rigFlags
 	c := &cobra.Command{
-		Use: "owner", Short: "Pause, partition and kill owners of singleton roles; count what former ones still did",
+		Use:     "owner",
+		Short:   "Pause, partition and kill owners of singleton roles; count what former ones still did",
 		Example: "  cresshub rig owner --pauses 50 --cuts 10 --kills 20", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if o.Members < minOwnerMembers || o.Members > maxRigMembers ||
--- a/internal/testbed/routerstandin/judge.go
+++ b/internal/testbed/routerstandin/judge.go
@@ -12,8 +12,6 @@
 	maxLostOnReusedConns = 3
 	// servedOneIn: at least one in so many requests is served after a recovery.
 	servedOneIn = 4
-	// graceMargin is how long beyond the grace period a planned stop may still cost requests.
-	graceMargin = time.Second
 )
 
 // Judge makes the checks that need all observations, once, and returns the verdicts on all rules. No stand-in
@@ -27,6 +25,10 @@
 			o.judgeAttempt(attempt)
 		}
 		o.judgeBudgets()
+		o.judgeDeadlines()
+		o.judgeRouteTimeouts()
+		o.judgeDisconnects()
+		o.judgeLossesBesideChanges()
 		o.judgeRecovery()
 		o.judgeCounts()
 	}
@@ -47,7 +49,7 @@
 	if o.lostOnReusedConn(attempt) {
 		o.lostOnReusedConns++
 	}
-	if attempt.connLost && o.lostToPlannedStop(attempt) {
+	if o.lostToPlannedWork(attempt) {
 		o.verdicts.record(RuleLost,
 			"attempt %s of kind %s was read by %s and its connection ended %v after its last byte", attempt.id,
 			kind.Name, attempt.machine, attempt.endedAt.Sub(attempt.fullySentAt).Round(time.Millisecond))
@@ -90,26 +92,6 @@
 	return maxAttempts
 }
 
-// lostToPlannedStop reports whether a planned stop alone cost an attempt its connection.
-func (o *Observations) lostToPlannedStop(attempt *attempt) bool {
-	if attempt.fullySentAt.IsZero() || attempt.aborted || !attempt.endedAt.Before(attempt.deadline) {
-		return false
-	}
-	if len(attempt.arrivals) == 0 && attempt.endedAt.Sub(attempt.fullySentAt) <= o.bounds.Lost {
-		return false
-	}
-	planned := false
-	for _, fault := range o.faults {
-		over := fault.at.Add(o.bounds.Grace + graceMargin)
-		if fault.planned && fault.machine == attempt.machine && !fault.at.After(attempt.endedAt) &&
-			attempt.sentAt.Before(over) {
-			planned = true
-		}
-	}
-	unplanned := func(fault machineFault) bool { return !fault.planned }
-	return planned && !o.anyFault(attempt.sentAt, attempt.endedAt, unplanned)
-}
-
 // judgeRecovery checks that requests are served again after the loss of all processes; the lock is held.
 func (o *Observations) judgeRecovery() {
 	if o.allRestartedAt.IsZero() {
--- a/internal/testbed/routerstandin/machine_faults.go
+++ b/internal/testbed/routerstandin/machine_faults.go
@@ -6,10 +6,19 @@
 type machineFault struct {
 	machine string // IP
 	replica bool   // it has a disk, and with it a replica of the control state
-	planned bool   // a stop by SIGTERM
+	planned plannedWork
 	at      time.Time
 }
 
+// plannedWork is what an operator does to a machine without a fault.
+type plannedWork int
+
+const (
+	notPlanned         plannedWork = iota
+	plannedTermination             // SIGTERM
+	plannedReload                  // SIGHUP
+)
+
 // RecordFault records that the trial kills, starts, stops, wipes or partitions a machine now. Until the bound
 // Touch has passed, the rules with a time bound do not apply to the machine, and to no machine at all if it
 // holds a replica of the control state.
@@ -24,7 +33,15 @@
 func (o *Observations) RecordTermination(machine string, replica bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.faults = append(o.faults, machineFault{machine: machine, replica: replica, planned: true, at: time.Now()})
+	o.faults = append(o.faults, machineFault{machine: machine, replica: replica, planned: plannedTermination,
+		at: time.Now()})
+}
+
+// RecordReload records that the trial is about to send SIGHUP to a machine. That excuses nothing.
+func (o *Observations) RecordReload(machine string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults = append(o.faults, machineFault{machine: machine, planned: plannedReload, at: time.Now()})
 }
 
 // RecordAllRestarted records that all processes run again after all were lost.
@@ -38,7 +55,7 @@
 // its own or of a replica came in it or within the bound Touch before it; the lock is held.
 func (o *Observations) inTouch(machine string, from, to time.Time) bool {
 	return !o.anyFault(from, to, func(fault machineFault) bool {
-		return fault.replica || fault.machine == machine
+		return fault.planned != plannedReload && (fault.replica || fault.machine == machine)
 	})
 }
 
--- a/internal/testbed/routerstandin/observations.go
+++ b/internal/testbed/routerstandin/observations.go
@@ -9,6 +9,7 @@
 
 	"cresshub/internal/http1"
 	"cresshub/internal/router/agentsettings"
+	"cresshub/internal/stallclock"
 )
 
 // Bounds are the limits that the rules are judged by: those that the router reads from its settings file, and
@@ -41,6 +42,20 @@
 	lostOnReusedConns int
 	allRestartedAt    time.Time // when all processes were back after the loss of all
 	judged            bool
+	// stalls measures the time in which this process did not run; nil for a process that never stalls.
+	stalls *stallclock.Clock
+}
+
+// UseStallClock has bounds on what others do count only time in which this process ran, by a clock that runs.
+func (o *Observations) UseStallClock(clock *stallclock.Clock) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.stalls = clock
+}
+
+// ranBetween returns how much of an interval this process ran; the lock is held.
+func (o *Observations) ranBetween(from, to time.Time) time.Duration {
+	return to.Sub(from) - o.stalls.StalledSince(from) + o.stalls.StalledSince(to)
 }
 
 // NewObservations returns Observations of nothing.
@@ -72,7 +87,8 @@
 	deadline    time.Time // when its client gives up
 	arrivals    []*arrival
 	runs        []*run
-	aborted     bool // a server aborted its work on it
+	aborted     bool      // a server aborted its work on it
+	leftAt      time.Time // when its client closed the connection without a complete answer, zero otherwise
 
 	status   int // of the answer, 0 for none
 	served   bool
@@ -86,7 +102,9 @@
 	server    string
 	service   string
 	at        time.Time
-	uncounted bool // the first prefill of the attempt does not count as a server reached
+	deadline  time.Time // by the deadline that the router passed on, zero for none
+	endedAt   time.Time // when the server did no more work on it, zero while it may
+	uncounted bool      // the first prefill of the attempt does not count as a server reached
 }
 
 // run is the work of a server on an attempt.
@@ -130,6 +148,9 @@
 	}
 	o.checkUnchanged(attempt, request)
 	a := &arrival{attempt: attempt, server: server.ID(), service: server.options.Service, at: time.Now()}
+	if left, err := strconv.Atoi(request.Header.Get(deadlineHeader)); err == nil {
+		a.deadline = a.at.Add(time.Duration(left) * time.Millisecond)
+	}
 	attempt.arrivals = append(attempt.arrivals, a)
 	late := drain.acknowledged() && a.at.Sub(drain.at) > o.bounds.Drain
 	// The acknowledgement applies to all machines in touch, also where the one that gave it was not.
@@ -148,6 +169,12 @@
 		o.verdicts.record(RuleUnasked, "attempt %s reached a server changed: %s %s with %d bytes", attempt.id,
 			request.Method, request.Target, len(request.Body))
 	}
+	sent := expected.message(attempt.id, 0, attempt.resumeAfter).Header
+	for _, name := range []string{modelHeader, tokensHeader, prefixHeader} {
+		if got := request.Header.Get(name); got != sent.Get(name) {
+			o.verdicts.record(RuleUnasked, "attempt %s reached a server with %s %q", attempt.id, name, got)
+		}
+	}
 	resumed, _ := strconv.Atoi(request.Header.Get(lastEventHeader))
 	if resumed < attempt.resumeAfter || resumed != attempt.resumeAfter && !expected.Kind.idempotent() {
 		o.verdicts.record(RuleOrder, "attempt %s reached a server with Last-Event-Id %d", attempt.id, resumed)
@@ -208,6 +235,16 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	attempt.status, attempt.endedAt = status, time.Now()
+	if status == 0 {
+		attempt.leftAt = attempt.endedAt
+	}
+}
+
+// recordWorkEnded records that a server does no more work on an arrival.
+func (o *Observations) recordWorkEnded(a *arrival) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.endedAt = time.Now()
 }
 
 // recordProxyFailure records the end of an attempt with a failure that the proxy itself answered.
--- a/internal/testbed/routerstandin/rules.go
+++ b/internal/testbed/routerstandin/rules.go
@@ -22,6 +22,7 @@
 	RuleOne      Rule = "ONE"     // two owners give orders to one server
 	RuleAttempts Rule = "TRIES"   // a client's attempt is sent to more servers than its route allows
 	RuleAcks     Rule = "ACKS"    // a valid change or drain is not acknowledged in time
+	RuleGone     Rule = "GONE"    // servers get or do work for clients that have disconnected
 	RuleFault    Rule = "FAULT"   // a process of the fleet ended by itself
 	// RuleInvariant is violated where a process of the fleet reports a broken invariant.
 	RuleInvariant Rule = "INVARIANT"
@@ -31,7 +32,7 @@
 var Rules = []Rule{
 	RuleMixed, RuleUnasked, RuleTwice, RuleRefused, RuleDenied, RuleRoute, RuleDrain, RuleLost, RuleConfig,
 	RuleBudget, RuleOrder, RuleRecover, RuleOne, RuleAttempts, RuleAcks,
-	RuleFault, RuleInvariant,
+	RuleGone, RuleFault, RuleInvariant,
 }
 
 // maxDetails is how many violations of a rule are described.
--- a/internal/testbed/routerstandin/server.go
+++ b/internal/testbed/routerstandin/server.go
@@ -292,6 +292,7 @@
 		x.reject(400, reasonUnknownID)
 		return
 	}
+	defer x.server.options.Observations.recordWorkEnded(x.arrival)
 	if x.server.engine != nil {
 		x.runModel()
 		return
--- a/internal/testbed/routertrial/fleet.go
+++ b/internal/testbed/routertrial/fleet.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"cresshub/internal/stallclock"
 	"cresshub/internal/testbed/routerstandin"
 )
 
@@ -97,6 +98,9 @@
 func StartFleet(ctx context.Context, options Options) (*Fleet, error) {
 	background, stop := context.WithCancel(context.Background())
 	f := &Fleet{options: options, stop: stop, Observations: routerstandin.NewObservations(bounds)}
+	stalls := stallclock.New(nil)
+	f.background.Go(func() { stalls.Run(background.Done()) })
+	f.Observations.UseStallClock(stalls)
 	if err := f.start(ctx, background); err != nil {
 		f.Close()
 		return nil, err
--- a/internal/testbed/routertrial/machine.go
+++ b/internal/testbed/routertrial/machine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,8 +15,12 @@
 	"cresshub/internal/testbed/routerstandin"
 )
 
-// startTimeout bounds how long a process may take until it listens.
-const startTimeout = 15 * time.Second
+const (
+	// startTimeout bounds how long a process may take until it listens.
+	startTimeout = 15 * time.Second
+	// unreadyWithin is how long after SIGTERM a process that runs on may still be given clients.
+	unreadyWithin = 4 * time.Second
+)
 
 // Machine is a machine of the fleet: a loopback IP, a folder, and a process of the router.
 type Machine struct {
@@ -137,11 +142,35 @@
 	m.fleet.Observations.RecordTermination(m.IP, m.HasDisk)
 	stopWatching := context.AfterFunc(ctx, process.Kill)
 	defer stopWatching()
+	readiness := time.AfterFunc(unreadyWithin, func() { m.checkUnready(process) })
+	defer readiness.Stop()
 	if err := process.Stop(bounds.Grace); err != nil && ctx.Err() == nil {
 		m.fleet.Observations.RecordViolation(routerstandin.RuleFault, "%s after SIGTERM: %v", m.Name, err)
 	}
 }
 
+// checkUnready records a violation if the entry still gives clients to a process that got SIGTERM
+// unreadyWithin ago and has not ended.
+func (m *Machine) checkUnready(process *childprocess.Process) {
+	select {
+	case <-process.Ended():
+		return
+	default:
+	}
+	if m.fleet.Entry != nil && slices.Contains(m.fleet.Entry.Ready(), m.proxy()) {
+		m.fleet.Observations.RecordViolation(routerstandin.RuleDrain, "%s gets clients %v after SIGTERM", m.Name,
+			unreadyWithin)
+	}
+}
+
+// Reload sends SIGHUP to the process, so that it reads its settings again.
+func (m *Machine) Reload() {
+	if process := m.running(); process != nil {
+		m.fleet.Observations.RecordReload(m.IP)
+		_ = process.Signal(syscall.SIGHUP) // fails only where the process has just ended
+	}
+}
+
 // Freeze stops the process (SIGSTOP) for a while.
 func (m *Machine) Freeze(ctx context.Context, d time.Duration) {
 	m.mu.Lock()
--- a/internal/testbed/routertrial/soak_machine_faults.go
+++ b/internal/testbed/routertrial/soak_machine_faults.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"cresshub/internal/testbed/faultinject"
@@ -230,9 +229,7 @@
 			return err
 		}
 		for range rng.IntN(3) {
-			if process := m.running(); process != nil {
-				_ = process.Signal(syscall.SIGHUP)
-			}
+			m.Reload()
 			routerstandin.Sleep(ctx, between(rng, time.Millisecond, 30*time.Millisecond))
 		}
 	}
--- a/internal/testbed/routertrial/trial_test.go
+++ b/internal/testbed/routertrial/trial_test.go
@@ -133,6 +133,24 @@
 	r.Assert(total.Rejected, qt.Equals, 0)
 }
 
+// A process that gets SIGHUP, with other settings or the same, answers what it reads.
+func TestReloadLosesNothing(t *testing.T) {
+	skipIfShort(t)
+	r := newRig(t)
+	r.calm()
+	for i, machine := range r.Machines {
+		if i%2 == 0 {
+			r.seedMachines = r.WithDisk(i%4 == 0)
+			r.Assert(machine.writeSettings(false), qt.IsNil)
+		}
+		machine.Reload()
+		r.serve(10)
+	}
+	total := r.finish()
+	r.Assert(total.Failed, qt.Equals, 0)
+	r.Assert(total.Rejected, qt.Equals, 0)
+}
+
 // Nothing reaches a server that leaves once the bound has passed, and nothing is lost by its departure.
 func TestDrainingServersGetNoMoreRequests(t *testing.T) {
 	skipIfShort(t)
