Hold late calls until their successor acts, and judge time by what this process ran

Other trials judged others by wall time. A prefix index read back from disk or a peer had its order of use turned round, and a full one was never saved again. The faulty router dropped all faults after a wrong command.

Change: a call is held until the trial removes the fault, by then the successor has called the sink. Waits of clusterrig, routertrial, the stand-ins and faultnet count the time in which the judging process ran, and failures say for how long it did not; the same limits. The prefix index keeps its order, and is saved after 10 s if only that changed. A wrong command ends the faulty router. labcli spells names out.

--- a/internal/cluster/leaseholder/faults.go
+++ b/internal/cluster/leaseholder/faults.go
@@ -1,7 +1,7 @@
 package leaseholder
 
 import (
-	"encoding/json"
+	"bytes"
 	"os"
 	"time"
 )
@@ -12,28 +12,31 @@
 	BeforeCall()
 }
 
-// FileFaults stalls calls as a file says: {"call_delay_ms": 50}. While a call is stalled, a file beside it
-// with StalledSuffix behind its name says so. A file that is missing or doesn't decode stalls nothing.
+// FileFaults holds calls while a file exists. Once a call is held, a file beside it with HeldSuffix behind
+// its name has the same content, which tells the call from one that was held for an earlier fault.
 type FileFaults struct{ Path string }
 
-// StalledSuffix ends the name of the file that says that a call is stalled.
-const StalledSuffix = ".standing"
+// HeldSuffix ends the name of the file that says that a call is held.
+const HeldSuffix = ".held"
 
-// maxCallDelay bounds how long a call is stalled.
-const maxCallDelay = 10 * time.Second
+const (
+	// maxHold bounds how long a call is held.
+	maxHold = 30 * time.Second
+	// holdCheckInterval is how often a call that is held looks whether it may go on.
+	holdCheckInterval = 5 * time.Millisecond
+)
 
-// BeforeCall stalls as the file says.
+// BeforeCall waits until the file that is there now is removed or has another content.
 func (f FileFaults) BeforeCall() {
-	raw, err := os.ReadFile(f.Path)
-	if err != nil {
+	fault, err := os.ReadFile(f.Path)
+	if err != nil || len(fault) == 0 { // a file that is just being written is seen by the next call
 		return
 	}
-	var spec struct {
-		DelayMS int64 `json:"call_delay_ms"`
-	}
-	if json.Unmarshal(raw, &spec) != nil || spec.DelayMS <= 0 {
-		return
+	_ = os.WriteFile(f.Path+HeldSuffix, fault, 0o600) // a test that misses the file fails by itself
+	for began := time.Now(); time.Since(began) < maxHold; time.Sleep(holdCheckInterval) {
+		current, err := os.ReadFile(f.Path)
+		if err != nil || !bytes.Equal(current, fault) {
+			return
+		}
 	}
-	_ = os.WriteFile(f.Path+StalledSuffix, nil, 0o600) // a test that misses the file fails by itself
-	time.Sleep(min(time.Duration(spec.DelayMS)*time.Millisecond, maxCallDelay))
 }
--- a/internal/router/agent/persister.go
+++ b/internal/router/agent/persister.go
@@ -5,6 +5,8 @@
 	"io/fs"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cresshub/internal/router/directory"
 	"cresshub/internal/router/peerproto"
 )
@@ -20,6 +22,9 @@
 	promptsFile = "prompts" // the prefix index
 	// saveInterval is how often the files are saved whose content has changed.
 	saveInterval = time.Second
+	// prefixOrderSaveInterval is how often the prefix index is saved where only the order of use, or which
+	// prefixes they are, has changed, but not their number.
+	prefixOrderSaveInterval = 10 * time.Second
 )
 
 // persister loads the saved state at the start and saves its changes. Its methods belong to the goroutine of
@@ -28,10 +33,17 @@
 // concurrent use, so it has no lock.
 type persister struct {
 	*process
-	state            *state
-	knownProxies     *knownProxies
-	workload         Workload // has the prefix index
-	savedPrefixCount int      // how many cached prefixes were last saved
+	state         *state
+	knownProxies  *knownProxies
+	workload      Workload // has the prefix index
+	savedPrefixes savedPrefixIndex
+}
+
+// savedPrefixIndex describes the prefix index that was last saved.
+type savedPrefixIndex struct {
+	count    int
+	checksum uint64
+	at       time.Duration
 }
 
 func (p *persister) saved() savedFiles { return savedFiles{p.files, p.settings.DataDir} }
@@ -144,19 +156,24 @@
 	p.workload.SyncPrefixes(decodePrefixes(index.Prefixes))
 }
 
-// savePrefixIndex saves which prefixes are known to be cached at which servers, where their number has
-// changed.
+// savePrefixIndex saves which prefixes are known to be cached at which servers, where that has changed: at
+// once if their number has, as while the index is not full, and else after prefixOrderSaveInterval.
 func (p *persister) savePrefixIndex() {
 	known := p.workload.KnownPrefixes()
 	count := 0
 	for _, at := range known {
 		count += len(at.Hashes)
 	}
-	if count == p.savedPrefixCount {
+	now := p.now()
+	if count == p.savedPrefixes.count && now-p.savedPrefixes.at < prefixOrderSaveInterval {
 		return
 	}
 	body := peerproto.Encode(&peerproto.LoadReport{FullIndex: true, Prefixes: encodePrefixes(known)})
+	checksum := xxhash.Sum64(body)
+	if checksum == p.savedPrefixes.checksum {
+		return
+	}
 	if p.saved().write(promptsFile, body) == nil {
-		p.savedPrefixCount = count
+		p.savedPrefixes = savedPrefixIndex{count: count, checksum: checksum, at: now}
 	}
 }
--- a/internal/router/cli/faultyrouter.go
+++ b/internal/router/cli/faultyrouter.go
@@ -3,6 +3,7 @@
 package cli
 
 import (
+	"fmt"
 	"os"
 
 	"cresshub/internal/router/agent"
@@ -24,7 +25,12 @@
 			return &exitError{exitUsage, err}
 		}
 	}
-	go func() { _ = injector.Obey(os.Stdin) }() // a wrong command ends it, as does the parent
+	go func() {
+		if err := injector.Obey(os.Stdin); err != nil {
+			_, _ = fmt.Fprintf(out.stderr, "faults: %v\n", err) // the exit code says so too
+			os.Exit(exitUsage)                                  // a trial whose faults aren't injected must not seem to pass
+		}
+	}()
 	return c.serve(out, func(settings *agentsettings.Settings) []agent.Option {
 		return []agent.Option{
 			agent.WithNetwork(injector.Network(settings.IP, settings.Front)), agent.WithFiles(injector.Files()),
--- a/internal/router/scheduler/prefix_exchange.go
+++ b/internal/router/scheduler/prefix_exchange.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// bootstrapGrace is how long proxies that start together may take to discover each other.
@@ -39,7 +43,8 @@
 	return taken
 }
 
-// AddCachedPrefixes records prefixes that other proxies have sent to servers.
+// AddCachedPrefixes records prefixes that other proxies have sent to servers, those of each server with the
+// oldest first.
 func (s *Scheduler) AddCachedPrefixes(added []CachedPrefixes) {
 	for _, cached := range added {
 		server := serverHash(cached.Server)
@@ -50,21 +55,22 @@
 }
 
 // KnownPrefixes returns the prefixes that listed servers are known to have cached: the most recent ones, at
-// most limit. It includes those that other proxies reported. The order of servers is random.
+// most limit. It includes those that other proxies reported. Servers are in the order of their ids, and the
+// prefixes of each in that of their use, the oldest first, so that AddCachedPrefixes restores it.
 func (s *Scheduler) KnownPrefixes(limit int) []CachedPrefixes {
 	ids := map[uint64]string{}
 	for server := range s.table.All() {
 		ids[serverHash(server.ID)] = server.ID
 	}
 	hashes := map[string][]uint64{}
-	for _, key := range s.prefixes.newest(limit) {
+	for _, key := range slices.Backward(s.prefixes.newest(limit)) {
 		if id := ids[key.server]; id != "" {
 			hashes[id] = append(hashes[id], key.prefix)
 		}
 	}
 	known := make([]CachedPrefixes, 0, len(hashes))
-	for id, ofServer := range hashes {
-		known = append(known, CachedPrefixes{id, ofServer})
+	for _, id := range slices.Sorted(maps.Keys(hashes)) {
+		known = append(known, CachedPrefixes{id, hashes[id]})
 	}
 	return known
 }
--- a/internal/simulation/labcli/compare.go
+++ b/internal/simulation/labcli/compare.go
@@ -18,11 +18,11 @@
 func newCompare() *cobra.Command {
 	var flags playFlags
 	var metrics []string
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "compare FILE", Short: "Tell whether two policies differ on the same days",
 		Example: "  cresshub-lab compare snowy-evening --policy module,two-choices --repeat 12",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+		RunE: func(command *cobra.Command, args []string) error {
 			header, err := flags.header(args[0])
 			if err != nil {
 				return err
@@ -35,17 +35,17 @@
 					return err
 				}
 			}
-			store, err := flags.play(c, header)
+			store, err := flags.play(command, header)
 			if err != nil {
 				return err
 			}
-			return printCompare(c.OutOrStdout(), store, metrics, flags.json)
+			return printCompare(command.OutOrStdout(), store, metrics, flags.json)
 		},
 	}
-	flags.add(c)
-	c.Flags().StringSliceVar(&metrics, "metric", []string{"service", "mean_ms", "p99_ms", "refused"},
+	flags.add(command)
+	command.Flags().StringSliceVar(&metrics, "metric", []string{"service", "mean_ms", "p99_ms", "refused"},
 		"what is compared")
-	return c
+	return command
 }
 
 // checkMetric returns what is wrong with a value of --metric.
@@ -59,12 +59,12 @@
 // newDifference is the command difference.
 func newDifference() *cobra.Command {
 	var metric string
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "difference A B", Short: "Tell how the same days differ between two result files, B less A",
 		Long:    "For two builds of the program: the days are paired by their keys, policy and seed.",
 		Example: "  cresshub-lab difference before.jsonl after.jsonl --metric service",
 		Args:    cobra.ExactArgs(2),
-		RunE: func(c *cobra.Command, args []string) error {
+		RunE: func(command *cobra.Command, args []string) error {
 			if err := checkMetric(metric); err != nil {
 				return err
 			}
@@ -81,13 +81,13 @@
 			if difference.Noise {
 				verdict = "noise"
 			}
-			_, err = fmt.Fprintf(c.OutOrStdout(), "%+.4f ±%.4f over %d days: %s\n", difference.Mean,
+			_, err = fmt.Fprintf(command.OutOrStdout(), "%+.4f ±%.4f over %d days: %s\n", difference.Mean,
 				difference.Half, difference.N, verdict)
 			return err
 		},
 	}
-	c.Flags().StringVar(&metric, "metric", "service", "what is compared")
-	return c
+	command.Flags().StringVar(&metric, "metric", "service", "what is compared")
+	return command
 }
 
 // comparison is the paired difference of a policy from the first one, in one metric.
--- a/internal/simulation/labcli/sweep.go
+++ b/internal/simulation/labcli/sweep.go
@@ -15,14 +15,14 @@
 func newSweep() *cobra.Command {
 	var flags playFlags
 	var over []string
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "sweep FILE", Short: "Play a scenario over one or two keys",
 		Long: "Plays every policy at every value, or pair of values. With --out, each day is written as it\n" +
 			"ends, and the same call after an interrupt goes on with those that are missing.",
 		Example: "  cresshub-lab sweep queues --over reports.delay=0.1,1,10,40 --set reports.model=periodic \\\n" +
 			"    --policy random,two-choices,basic-li -o age.jsonl",
 		Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+		RunE: func(command *cobra.Command, args []string) error {
 			header, err := flags.header(args[0])
 			if err != nil {
 				return err
@@ -33,21 +33,21 @@
 			if err := checkJobs(header); err != nil {
 				return err
 			}
-			store, err := flags.play(c, header)
+			store, err := flags.play(command, header)
 			if err != nil {
 				return err
 			}
 			if flags.json {
 				report := sweepReport{Header: store.Header}
 				report.Head, report.Rows = store.Table(experiment.MetricNames())
-				return json.NewEncoder(c.OutOrStdout()).Encode(report)
+				return json.NewEncoder(command.OutOrStdout()).Encode(report)
 			}
-			return printTable(c.OutOrStdout(), store)
+			return printTable(command.OutOrStdout(), store)
 		},
 	}
-	flags.add(c)
-	c.Flags().StringArrayVar(&over, "over", nil, "KEY=VALUE,VALUE,...; may be given twice")
-	return c
+	flags.add(command)
+	command.Flags().StringArrayVar(&over, "over", nil, "KEY=VALUE,VALUE,...; may be given twice")
+	return command
 }
 
 // sweepReport is what sweep prints as JSON: the experiment, and a table of all metrics.
--- a/internal/simulation/labcli/trace.go
+++ b/internal/simulation/labcli/trace.go
@@ -15,11 +15,11 @@
 func newTrace() *cobra.Command {
 	var flags playFlags
 	var request int
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "trace FILE", Short: "Tell one request's life",
 		Example: "  cresshub-lab trace hall-loss --request 3200 --seed 2",
 		Args:    cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) error {
+		RunE: func(command *cobra.Command, args []string) error {
 			header, err := flags.header(args[0])
 			if err != nil {
 				return err
@@ -35,11 +35,11 @@
 			if len(day.Result.Trace) == 0 {
 				return fmt.Errorf("there is no request %d on that day", request)
 			}
-			_, err = fmt.Fprintln(c.OutOrStdout(), strings.Join(day.Result.Trace, "\n"))
+			_, err = fmt.Fprintln(command.OutOrStdout(), strings.Join(day.Result.Trace, "\n"))
 			return err
 		},
 	}
-	flags.add(c)
-	c.Flags().IntVar(&request, "request", 1, "its number in order of arrival, from 1")
-	return c
+	flags.add(command)
+	command.Flags().IntVar(&request, "request", 1, "its number in order of arrival, from 1")
+	return command
 }
--- a/internal/simulation/labcli/virtual.go
+++ b/internal/simulation/labcli/virtual.go
@@ -29,18 +29,18 @@
 // newSwim is the command swim.
 func newSwim() *cobra.Command {
 	var s swimFlags
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "swim", Short: "Play the fleet view's gossip in virtual time, at sizes that processes don't reach",
 		Long: "Trials: " + strings.Join(proxysim.SWIMTrialNames, ", ") + ". The settings are those of\n" +
 			"`cresshub rig`, whose scenarios of the same names play them with real processes.",
 		Example: "  cresshub-lab swim --members 5,10,30,300 --trial kill,partition --repeat 20",
 		Args:    cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+		RunE: func(command *cobra.Command, _ []string) error {
 			rows, err := s.run()
 			if err != nil {
 				return err
 			}
-			return printRows(c, s.json, rows, "trial\tmembers\trepeat\tmedian\tworst\theal median\theal worst\t"+
+			return printRows(command, s.json, rows, "trial\tmembers\trepeat\tmedian\tworst\theal median\theal worst\t"+
 				"missed\tbytes/member/s\tpackets/member/s\tfalse deaths\t",
 				func(t *table, r proxysim.SWIMTrialResult) {
 					t.row("%s\t%d\t%d\t%.0f ms\t%.0f ms\t%.0f ms\t%.0f ms\t%d\t%.0f\t%.1f\t%d\t", r.Trial, r.Members,
@@ -48,7 +48,7 @@
 				})
 		},
 	}
-	f, o := c.Flags(), &s.options
+	f, o := command.Flags(), &s.options
 	f.IntSliceVar(&s.members, "members", []int{5, 10, 30}, "sizes of the fleet")
 	f.StringSliceVar(&s.trials, "trial", proxysim.SWIMTrialNames, "which to play")
 	f.IntSliceVar(&s.repeat, "repeat", []int{20}, "times, each with a seed of its own; one count or one a size")
@@ -67,7 +67,7 @@
 	f.IntVar(&o.MetaBytes, "meta-bytes", 58, "of a member's metadata")
 	f.Uint64Var(&o.Seed, "seed", 1, "of the first repeat")
 	f.BoolVar(&s.json, "json", false, "print one JSON array")
-	return c
+	return command
 }
 
 // run runs all trials at all sizes.
@@ -105,15 +105,15 @@
 // newLists is the command lists.
 func newLists() *cobra.Command {
 	var l listFlags
-	c := &cobra.Command{
+	command := &cobra.Command{
 		Use: "lists", Short: "Count calls on discovery in virtual time, at sizes that processes don't reach",
 		Example: "  cresshub-lab lists --members 300,3000 --trial rolling", Args: cobra.NoArgs,
-		RunE: func(c *cobra.Command, _ []string) error {
+		RunE: func(command *cobra.Command, _ []string) error {
 			rows, err := l.run()
 			if err != nil {
 				return err
 			}
-			return printRows(c, l.json, rows,
+			return printRows(command, l.json, rows,
 				"trial\tmembers\towner\tcalls a minute\tworst second\tasked alone\twatches\tno list\t",
 				func(t *table, r proxysim.ListTrialResult) {
 					t.row("%s\t%d\t%v\t%d\t%d\t%d\t%d\t%d\t", r.Trial, r.Proxies, r.Owner, r.Calls, r.Peak,
@@ -121,7 +121,7 @@
 				})
 		},
 	}
-	f, o := c.Flags(), &l.options
+	f, o := command.Flags(), &l.options
 	f.IntSliceVar(&l.members, "members", []int{5, 10, 30, 300, 3000}, "sizes of the fleet")
 	f.StringSliceVar(&l.trials, "trial", proxysim.ListTrialNames, "which to play")
 	f.DurationVar(&o.MaxAge, "list-max-age", 4*time.Second, "owner.list_max_age")
@@ -129,7 +129,7 @@
 	f.DurationVar(&o.Lease, "lease", 2*time.Second, "owner.lease")
 	f.Uint64Var(&o.Seed, "seed", 1, "of all that is drawn")
 	f.BoolVar(&l.json, "json", false, "print one JSON array")
-	return c
+	return command
 }
 
 // run runs all trials at all sizes, without an owner and with one.
--- a/internal/testbed/clusterrig/wait.go
+++ b/internal/testbed/clusterrig/wait.go
@@ -9,17 +9,6 @@
 // pollInterval is how often a condition is checked.
 const pollInterval = 15 * time.Millisecond
 
-// poll calls check every interval until it returns nil. If it hasn't after limit, or once ctx ends, poll
-// returns its last error.
-func poll(ctx context.Context, limit, interval time.Duration, check func() error) error {
-	for end := time.Now().Add(limit); ; time.Sleep(interval) {
-		err := check()
-		if err == nil || time.Now().After(end) || ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
 // sleep sleeps for d; it returns ctx's error if ctx ends first.
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
--- a/internal/testbed/faultinject/faults.go
+++ b/internal/testbed/faultinject/faults.go
@@ -17,6 +17,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -51,6 +52,8 @@
 	DiskSlow DiskMode = "slow"
 )
 
+var diskModes = []DiskMode{DiskOK, DiskFull, DiskHang, DiskSlow}
+
 const (
 	// pollInterval is how often an operation that is held up checks whether it may go on.
 	pollInterval = 5 * time.Millisecond
@@ -98,15 +101,26 @@
 	return lines.Err()
 }
 
+// commandNumber returns the number that a command has, 0 for one that takes none.
+func commandNumber(words []string) (int, error) {
+	if words[0] != CommandRefuse && words[0] != CommandEnd {
+		return 0, nil
+	}
+	if len(words) != 2 {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.Atoi(words[1])
+}
+
 // Do executes one command; an empty line is none. The error is an *UnknownCommandError.
 func (f *Faults) Do(line string) error {
 	words := strings.Fields(line)
 	if len(words) == 0 {
 		return nil
 	}
-	number := 0
-	if len(words) > 1 {
-		number, _ = strconv.Atoi(words[1])
+	number, err := commandNumber(words)
+	if err != nil {
+		return &UnknownCommandError{line}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -122,7 +136,11 @@
 	case CommandHeal:
 		f.heal()
 	case CommandDisk:
-		f.disk = DiskMode(strings.Join(words[1:], " "))
+		mode := DiskMode(strings.Join(words[1:], " "))
+		if !slices.Contains(diskModes, mode) {
+			return &UnknownCommandError{line}
+		}
+		f.disk = mode
 	case CommandRefuse:
 		f.refusals = number
 	case CommandEnd:
--- a/internal/testbed/faultinject/faults_test.go
+++ b/internal/testbed/faultinject/faults_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -144,3 +145,14 @@
 	}
 	c.Assert(New().Do("nonsense"), qt.ErrorAs, new(*UnknownCommandError))
 }
+
+// TestWrongCommandsAreRejected: none is passed over, as a trial would miss its fault.
+func TestWrongCommandsAreRejected(t *testing.T) {
+	c := qt.New(t)
+	for _, line := range []string{"rain", "disk", "disk broken", "refuse", "refuse some", "end 1 2"} {
+		var unknown *UnknownCommandError
+		c.Check(New().Obey(strings.NewReader("hear\n\n"+line+"\ndeaf 10.0.0.1\n")), qt.ErrorAs, &unknown)
+		c.Check(unknown.Line, qt.Equals, line)
+	}
+	c.Check(New().Obey(strings.NewReader("disk full\nrefuse 3\nend 0\nmute 10.0.0.1 10.0.0.2\nhear")), qt.IsNil)
+}
--- a/internal/testbed/faultnet/faultnet.go
+++ b/internal/testbed/faultnet/faultnet.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"cresshub/internal/stallclock"
 )
 
 // Fault is the fault of a link, in one direction.
@@ -56,6 +58,7 @@
 	udp      *net.UDPConn // forwards datagrams to their receivers
 	closed   chan struct{}
 	done     sync.WaitGroup
+	stalls   *stallclock.Clock // handshakes count the time in which this process runs
 }
 
 // New returns a network without faults. Losses and jitter are drawn from seed.
@@ -64,9 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Net{links: map[linkKey]*link{}, memberAt: map[netip.AddrPort]string{}, relays: map[string]*relay{},
+	n := &Net{links: map[linkKey]*link{}, memberAt: map[netip.AddrPort]string{}, relays: map[string]*relay{},
 		changed: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1)), udp: out,
-		closed: make(chan struct{})}, nil
+		closed: make(chan struct{}), stalls: stallclock.New(nil)}
+	n.done.Go(func() { n.stalls.Run(n.closed) })
+	return n, nil
 }
 
 // Relay returns the address of the relay that the named member sends through, and opens it on the first call.
--- a/internal/testbed/faultnet/relay.go
+++ b/internal/testbed/faultnet/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -133,18 +134,19 @@
 func (r *relay) serveStream(c net.Conn) {
 	defer r.net.done.Done()
 	defer r.closeConn(c)
-	c.SetDeadline(time.Now().Add(handshakeTimeout))
-	in := bufio.NewReader(c)
-	to, err := readConnect(in, c)
+	handshake := r.net.stalls.Wrap(c)
+	handshake.SetDeadline(time.Now().Add(handshakeTimeout))
+	in := bufio.NewReader(handshake)
+	to, err := readConnect(in, handshake)
 	if err != nil {
 		return
 	}
-	c.SetDeadline(time.Time{})
+	handshake.SetDeadline(time.Time{})
 	path := r.net.awaitHandshake(r.name, to)
 	if path == nil {
 		return
 	}
-	upstream, err := net.DialTimeout("tcp4", to.String(), handshakeTimeout)
+	upstream, err := r.net.dial(to)
 	if err != nil {
 		_, _ = c.Write(replyRefused) // the stream ends in any case
 		return
@@ -162,6 +164,14 @@
 	both.Wait()
 }
 
+// dial connects to a member, within handshakeTimeout.
+func (n *Net) dial(to netip.AddrPort) (net.Conn, error) {
+	ctx, cancel := n.stalls.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp4", to.String())
+}
+
 // The numbers of SOCKS5 (RFC 1928, sections 3 to 6).
 const (
 	socksVersion       = 5
--- a/internal/testbed/routerstandin/client.go
+++ b/internal/testbed/routerstandin/client.go
@@ -166,7 +166,7 @@
 // connect returns an idle connection or a new one; retries always open a new one.
 func (p *pendingRequest) connect(ctx context.Context) (*clientConn, error) {
 	if p.proxy != nil {
-		return dialProxy(ctx, *p.proxy)
+		return dialProxy(ctx, p.client.observations.stallClock(), *p.proxy)
 	}
 	if p.attempts == 1 {
 		if conn := p.client.takeIdle(); conn != nil {
@@ -174,7 +174,7 @@
 		}
 	}
 	proxy := p.client.entry.Choose(p.client.Zone, p.client.Number, p.attempts-1)
-	return dialProxy(ctx, proxy)
+	return dialProxy(ctx, p.client.observations.stallClock(), proxy)
 }
 
 func newAttemptID() string {
--- a/internal/testbed/routertrial/soak.go
+++ b/internal/testbed/routertrial/soak.go
@@ -193,7 +193,7 @@
 		return err
 	}
 	before := load.Tally().Total()
-	return await(ctx, "requests are served", readyTimeout, func() string {
+	return s.await(ctx, "requests are served", readyTimeout, func() string {
 		now := load.Tally().Total()
 		if served := now.Served() - before.Served(); served < minServedAfterFaults {
 			return fmt.Sprintf("%d served, %d rejected, %d failed", served, now.Rejected-before.Rejected,
