--- a/internal/router/cli/faultyrouter.go
+++ b/internal/router/cli/faultyrouter.go
@@ -28,7 +28,8 @@
 	go func() {
 		if err := injector.Obey(os.Stdin); err != nil {
 			_, _ = fmt.Fprintf(out.stderr, "faults: %v\n", err) // the exit code says so too
-			os.Exit(exitUsage)                                  // a trial whose faults aren't injected must not seem to pass
+			// A trial whose faults aren't injected must not seem to pass.
+			os.Exit(exitUsage)
 		}
 	}()
 	return c.serve(out, func(settings *agentsettings.Settings) []agent.Option {
