Count a frame as sent before it is written

Cause: TestFrameThatIsTooLongEndsNoConnection failed once beside a full run of the packages: the frame was counted after its write, and the answer to it can be back before that. TestTrafficIsCountedByKind relied on the same order.

Change: the length is checked and the frame counted first, then it is written, as calls on connections of their own do already.

--- a/internal/router/peerproto/frame.go
+++ b/internal/router/peerproto/frame.go
@@ -44,11 +44,19 @@
 		e.Length, MaxBody)
 }
 
+// CheckLength returns a *FrameTooLongError for a frame that no reader takes.
+func (f *Frame) CheckLength() error {
+	if len(f.Body) <= MaxBody {
+		return nil
+	}
+	return &FrameTooLongError{uint32(min(uint64(len(f.Body)), math.MaxUint32))}
+}
+
 // WriteFrame writes a frame to w and flushes it. Of one whose body is longer than MaxBody it writes nothing
 // and returns a *FrameTooLongError: the other side would close the connection, and with it all other calls.
 func WriteFrame(w *bufio.Writer, frame Frame) error {
-	if len(frame.Body) > MaxBody {
-		return &FrameTooLongError{uint32(min(uint64(len(frame.Body)), math.MaxUint32))}
+	if err := frame.CheckLength(); err != nil {
+		return err
 	}
 	var header [headerSize]byte
 	binary.BigEndian.PutUint32(header[:kindOffset], uint32(len(frame.Body)))
--- a/internal/router/transport/conn.go
+++ b/internal/router/transport/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"sync"
 	"time"
@@ -84,14 +83,13 @@
 		case <-c.closed:
 			return
 		case frame := <-c.queue:
-			c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			err := peerproto.WriteFrame(w, frame)
-			if errors.As(err, new(*peerproto.FrameTooLongError)) {
-				c.traffic.tooLong.Add(1) // nothing of it was written: the connection serves other frames
+			if frame.CheckLength() != nil {
+				c.traffic.tooLong.Add(1) // nothing of it is written: the connection serves other frames
 				continue
 			}
-			c.traffic.sent.count(&frame)
-			if err != nil {
+			c.traffic.sent.count(&frame) // before the write, so that who has the answer finds it counted
+			c.netConn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if err := peerproto.WriteFrame(w, frame); err != nil {
 				c.Close()
 				return
 			}
