--- a/internal/simulation/routersim/load_ramp_test.go
+++ b/internal/simulation/routersim/load_ramp_test.go
@@ -101,5 +101,4 @@
 	curve := ramp.Play(Scheduler())
 	qt.Check(t, curve.Hysteresis() < maxHysteresis, qt.IsTrue, qt.Commentf("%v: %+v", curve.Hysteresis(), curve))
 	qt.Check(t, curve[1].Rising.Earned > minEarnedBefore, qt.IsTrue, qt.Commentf("%+v", curve))
-
 }
