--- a/internal/cluster/leaseholder/faults.go
+++ b/internal/cluster/leaseholder/faults.go
@@ -12,18 +12,18 @@
 	BeforeCall()
 }
 
-// FileFaults holds calls while a file exists. Once a call is held, a file beside it with HeldSuffix behind
-// its name has the same content, which tells the call from one that was held for an earlier fault.
+// FileFaults blocks calls while a file exists. Once a call is blocked, a file beside it with BlockedSuffix
+// behind its name has the same content, which tells the call from one that was blocked for an earlier fault.
 type FileFaults struct{ Path string }
 
-// HeldSuffix ends the name of the file that says that a call is held.
-const HeldSuffix = ".held"
+// BlockedSuffix ends the name of the file that says that a call is blocked.
+const BlockedSuffix = ".blocked"
 
 const (
-	// maxHold bounds how long a call is held.
-	maxHold = 30 * time.Second
-	// holdCheckInterval is how often a call that is held looks whether it may go on.
-	holdCheckInterval = 5 * time.Millisecond
+	// maxBlocked bounds how long a call is blocked.
+	maxBlocked = 30 * time.Second
+	// blockedCheckInterval is how often a call that is blocked looks whether it may go on.
+	blockedCheckInterval = 5 * time.Millisecond
 )
 
 // BeforeCall waits until the file that is there now is removed or has another content.
@@ -32,8 +32,8 @@
 	if err != nil || len(fault) == 0 { // a file that is just being written is seen by the next call
 		return
 	}
-	_ = os.WriteFile(f.Path+HeldSuffix, fault, 0o600) // a test that misses the file fails by itself
-	for began := time.Now(); time.Since(began) < maxHold; time.Sleep(holdCheckInterval) {
+	_ = os.WriteFile(f.Path+BlockedSuffix, fault, 0o600) // a test that misses the file fails by itself
+	for began := time.Now(); time.Since(began) < maxBlocked; time.Sleep(blockedCheckInterval) {
 		current, err := os.ReadFile(f.Path)
 		if err != nil || !bytes.Equal(current, fault) {
 			return
--- a/internal/cluster/leaseholder/faults_test.go
+++ b/internal/cluster/leaseholder/faults_test.go
@@ -22,7 +22,7 @@
 			faults.BeforeCall()
 		}()
 		for end := time.Now().Add(20 * time.Second); ; runtime.Gosched() {
-			if held, err := os.ReadFile(faults.Path + HeldSuffix); err == nil && string(held) == fault {
+			if blocked, err := os.ReadFile(faults.Path + BlockedSuffix); err == nil && string(blocked) == fault {
 				break
 			}
 			if time.Now().After(end) {
--- a/internal/simulation/labcli/overload.go
+++ b/internal/simulation/labcli/overload.go
@@ -16,19 +16,19 @@
 const (
 	maxOverloadRepeat = 100
 	maxClientRetries  = 10
-	minHold           = time.Second
-	maxHold           = 10 * time.Minute
+	minStepLength     = time.Second
+	maxStepLength     = 10 * time.Minute
 )
 
 // overloadFlags are the flags of the command overload.
 type overloadFlags struct {
-	policies []string
-	loads    []float64
-	hold     time.Duration
-	retries  int
-	repeat   int
-	json     bool
-	out      string
+	policies   []string
+	loads      []float64
+	stepLength time.Duration
+	retries    int
+	repeat     int
+	json       bool
+	out        string
 }
 
 // overloadRun is what one policy did.
@@ -69,7 +69,7 @@
 	f.StringArrayVar(&o.policies, "policy", []string{routersim.Scheduler().Name},
 		"which to play; may be repeated")
 	f.Float64SliceVar(&o.loads, "loads", []float64{0.5, 0.75, 1, 1.25, 1.5, 1.75, 2}, "of capacity, rising")
-	f.DurationVar(&o.hold, "hold", 10*time.Second, "how long each load lasts")
+	f.DurationVar(&o.stepLength, "step", 10*time.Second, "how long each load lasts")
 	f.IntVar(&o.retries, "client-retries", 1, "how often a client sends a request again")
 	f.IntVar(&o.repeat, "repeat", 4, "runs of each policy, of different seeds")
 	f.BoolVar(&o.json, "json", false, "print one JSON array")
@@ -94,8 +94,9 @@
 	if len(o.loads) < 2 || o.loads[0] <= 0 || !slices.IsSorted(o.loads) {
 		return cli.UsageErrorf("--loads takes two or more rising numbers above 0")
 	}
-	if o.hold < minHold || o.hold > maxHold {
-		return cli.UsageErrorf("--hold %v is out of range, %v to %v is allowed", o.hold, minHold, maxHold)
+	if o.stepLength < minStepLength || o.stepLength > maxStepLength {
+		return cli.UsageErrorf("--step %v is out of range, %v to %v is allowed", o.stepLength, minStepLength,
+			maxStepLength)
 	}
 	if o.retries < 0 || o.retries > maxClientRetries {
 		return cli.UsageErrorf("--client-retries %d is out of range, 0 to %d is allowed", o.retries,
@@ -107,13 +108,15 @@
 	return nil
 }
 
-// run plays the ramp with each policy.
+// run plays the cycle with each policy.
 func (o *overloadFlags) run() ([]overloadRun, error) {
 	if err := o.check(); err != nil {
 		return nil, err
 	}
 	all := overloadPolicies()
-	ramp := routersim.LoadRamp{Scenario: o.scenario, Loads: o.loads, Hold: o.hold, Seeds: uint64(o.repeat)}
+	cycle := routersim.LoadCycle{
+		Scenario: o.scenario, Loads: o.loads, StepLength: o.stepLength, Seeds: uint64(o.repeat),
+	}
 	var runs []overloadRun
 	for _, name := range o.policies {
 		at := slices.IndexFunc(all, func(p routersim.PolicyFactory) bool { return p.Name == name })
@@ -121,7 +124,7 @@
 			return nil, cli.UsageErrorf("--policy %q is none of %s", name,
 				strings.Join(overloadPolicyNames(), "; "))
 		}
-		curve := ramp.Play(all[at])
+		curve := cycle.Play(all[at])
 		runs = append(runs, overloadRun{name, curve.Hysteresis(), curve})
 	}
 	return runs, nil
--- a/internal/simulation/labcli/overload_plot.go
+++ b/internal/simulation/labcli/overload_plot.go
@@ -31,10 +31,10 @@
 			rising = append(rising, plotter.XY{X: point.Load, Y: point.Rising.Earned})
 			falling = append(falling, plotter.XY{X: point.Load, Y: point.Falling.Earned})
 		}
-		if err := addLoadLine(p, run.Policy+", rising", i, 0, rising); err != nil {
+		if err := addCurve(p, run.Policy+", rising", i, 0, rising); err != nil {
 			return nil, err
 		}
-		if err := addLoadLine(p, run.Policy+", falling", i, overloadDashes, falling); err != nil {
+		if err := addCurve(p, run.Policy+", falling", i, overloadDashes, falling); err != nil {
 			return nil, err
 		}
 	}
@@ -47,8 +47,8 @@
 	return b.Bytes(), err
 }
 
-// addLoadLine adds a line and its legend.
-func addLoadLine(p *plot.Plot, name string, color, dashes int, points plotter.XYs) error {
+// addCurve adds a line and its legend.
+func addCurve(p *plot.Plot, name string, color, dashes int, points plotter.XYs) error {
 	line, err := plotter.NewLine(points)
 	if err != nil {
 		return err
--- a/internal/simulation/routersim/client.go
+++ b/internal/simulation/routersim/client.go
@@ -11,18 +11,18 @@
 
 // clientRequest is a request as its client sees it: one attempt or more, each at a proxy of its own.
 type clientRequest struct {
-	fleet    *fleet
-	kind     *Kind
-	step     int                // of the load, in which it arrived
-	prompt   *scheduler.Request // as each attempt begins
-	sentAt   time.Duration      // when the first attempt began
-	attempts int
+	fleet          *fleet
+	kind           *Kind
+	step           int                // of the load, in which it arrived
+	prompt         *scheduler.Request // as each attempt begins
+	firstAttemptAt time.Duration      // when the first attempt began
+	attempts       int
 }
 
 // begin makes the first attempt.
 func (r *clientRequest) begin(p *proxy) {
 	f := r.fleet
-	r.sentAt = f.clock.now
+	r.firstAttemptAt = f.clock.now
 	f.counts.addRequest(r)
 	r.attempt(p)
 }
@@ -37,7 +37,7 @@
 
 // answered takes the first token of an answer.
 func (r *clientRequest) answered() {
-	r.fleet.counts.addAnswer(r, r.fleet.clock.now-r.sentAt)
+	r.fleet.counts.addAnswer(r, r.fleet.clock.now-r.firstAttemptAt)
 }
 
 // failed takes the end of an attempt without an answer.
--- a/internal/simulation/routersim/doc.go
+++ b/internal/simulation/routersim/doc.go
@@ -15,7 +15,7 @@
 //
 // Run plays one Scenario with one policy. It is single-threaded: it has no input, output or goroutine. The
 // clock is a time.Duration from the start of the run, which only events advance; all events run in its order,
-// and the same scenario and seed give the same result everywhere. Several runs may go on at once. LoadRamp
+// and the same scenario and seed give the same result everywhere. Several runs may go on at once. LoadCycle
 // plays a scenario while its load rises over the capacity and falls again; `cresshub-lab overload` draws what
 // it returns. The other runs are those of its own tests; with -v they print the tables of
 // docs/design/routing.md and docs/experiments/long-prompts.md.
--- a/internal/simulation/routersim/load_ramp.go
+++ b/internal/simulation/routersim/load_cycle.go
@@ -2,12 +2,12 @@
 
 import "time"
 
-// LoadRamp plays a scenario while its load rises step by step and falls again over the same loads.
-type LoadRamp struct {
-	Scenario func(seed uint64) Scenario // at its capacity
-	Loads    []float64                  // as multiples of that capacity, rising
-	Hold     time.Duration              // for each load
-	Seeds    uint64                     // runs, with seeds from 1
+// LoadCycle plays a scenario while its load rises step by step and falls again over the same loads.
+type LoadCycle struct {
+	Scenario   func(seed uint64) Scenario // at its capacity
+	Loads      []float64                  // as multiples of that capacity, rising
+	StepLength time.Duration              // for each load
+	Seeds      uint64                     // runs, with seeds from 1
 }
 
 // LoadPoint is what a fleet did at one load, once while the load rose and once while it fell.
@@ -24,36 +24,36 @@
 	Prefilled float64 `json:"prefilled"` // fraction of shared prefixes that no cache held
 }
 
-// LoadCurve has a point for each load of a ramp, in rising order.
+// LoadCurve has a point for each load of a cycle, in rising order.
 type LoadCurve []LoadPoint
 
-// Play plays the ramp with a policy.
-func (r *LoadRamp) Play(policy PolicyFactory) LoadCurve {
+// Play plays the cycle with a policy.
+func (l *LoadCycle) Play(policy PolicyFactory) LoadCurve {
 	var sum Result
-	for seed := range r.Seeds {
-		scenario := r.Scenario(seed + 1)
-		scenario.LoadSteps = r.steps()
+	for seed := range l.Seeds {
+		scenario := l.Scenario(seed + 1)
+		scenario.LoadSteps = l.steps()
 		sum.Merge(Run(scenario, policy))
 	}
-	atCapacity := r.Scenario(1)
-	return r.curve(sum.Steps, atCapacity.valuePerSecond()*r.Hold.Seconds()*float64(r.Seeds))
+	atCapacity := l.Scenario(1)
+	return l.curve(sum.Steps, atCapacity.valuePerSecond()*l.StepLength.Seconds()*float64(l.Seeds))
 }
 
 // steps returns the load steps: the lowest load once more before all others, in which caches fill, the rising
 // loads, and all but the highest again in falling order.
-func (r *LoadRamp) steps() []LoadStep {
-	steps := []LoadStep{{Length: r.Hold, Factor: r.Loads[0]}}
-	for _, load := range r.Loads {
-		steps = append(steps, LoadStep{Length: r.Hold, Factor: load})
+func (l *LoadCycle) steps() []LoadStep {
+	steps := []LoadStep{{Length: l.StepLength, Factor: l.Loads[0]}}
+	for _, load := range l.Loads {
+		steps = append(steps, LoadStep{Length: l.StepLength, Factor: load})
 	}
-	for i := len(r.Loads) - 2; i >= 0; i-- {
-		steps = append(steps, LoadStep{Length: r.Hold, Factor: r.Loads[i]})
+	for i := len(l.Loads) - 2; i >= 0; i-- {
+		steps = append(steps, LoadStep{Length: l.StepLength, Factor: l.Loads[i]})
 	}
 	return steps
 }
 
 // curve returns the curve of the counts of all steps; value is what one step offers at the capacity.
-func (r *LoadRamp) curve(counts []StepCounts, value float64) LoadCurve {
+func (l *LoadCycle) curve(counts []StepCounts, value float64) LoadCurve {
 	outcome := func(step StepCounts) LoadOutcome {
 		return LoadOutcome{
 			Earned: step.EarnedValue / value, Failed: float64(step.Failed) / max(float64(step.Requests), 1),
@@ -61,7 +61,7 @@
 		}
 	}
 	var curve LoadCurve
-	for i, load := range r.Loads {
+	for i, load := range l.Loads {
 		rising, falling := counts[1+i], counts[len(counts)-1-i]
 		curve = append(curve, LoadPoint{load, outcome(rising), outcome(falling)})
 	}
--- a/internal/simulation/routersim/load_ramp_test.go
+++ b/internal/simulation/routersim/load_cycle_test.go
@@ -63,10 +63,10 @@
 	qt.Check(t, result.ClientAttempts, qt.Equals, 4*result.Requests)
 }
 
-func TestLoadRampHasEachLoadUpAndDown(t *testing.T) {
-	ramp := LoadRamp{Loads: []float64{0.5, 1, 2}, Hold: time.Second}
+func TestLoadCycleHasEachLoadUpAndDown(t *testing.T) {
+	cycle := LoadCycle{Loads: []float64{0.5, 1, 2}, StepLength: time.Second}
 	var factors []float64
-	for _, step := range ramp.steps() {
+	for _, step := range cycle.steps() {
 		factors = append(factors, step.Factor)
 	}
 	qt.Assert(t, factors, qt.DeepEquals, []float64{0.5, 0.5, 1, 2, 1, 0.5})
@@ -77,7 +77,7 @@
 		}
 	}
 	outcome := func(step float64) LoadOutcome { return LoadOutcome{step / 2, step / 10, step / 100} }
-	qt.Assert(t, ramp.curve(counts, 2), qt.DeepEquals, LoadCurve{
+	qt.Assert(t, cycle.curve(counts, 2), qt.DeepEquals, LoadCurve{
 		{0.5, outcome(1), outcome(5)}, {1, outcome(2), outcome(4)}, {2, outcome(3), outcome(3)},
 	})
 }
@@ -95,10 +95,10 @@
 // decisions reach today (docs/experiments/overload.md), which is poor; it falls with each that mends a part.
 func TestOverloadIsSurvived(t *testing.T) {
 	const maxHysteresis, minEarnedBefore = 0.65, 0.9
-	ramp := LoadRamp{
-		Scenario: Overload, Loads: []float64{0.75, 1, 1.5, 2}, Hold: 10 * time.Second, Seeds: 4,
+	cycle := LoadCycle{
+		Scenario: Overload, Loads: []float64{0.75, 1, 1.5, 2}, StepLength: 10 * time.Second, Seeds: 4,
 	}
-	curve := ramp.Play(Scheduler())
+	curve := cycle.Play(Scheduler())
 	qt.Check(t, curve.Hysteresis() < maxHysteresis, qt.IsTrue, qt.Commentf("%v: %+v", curve.Hysteresis(), curve))
 	qt.Check(t, curve[1].Rising.Earned > minEarnedBefore, qt.IsTrue, qt.Commentf("%+v", curve))
 }
--- a/internal/testbed/clusterrig/owner_test.go
+++ b/internal/testbed/clusterrig/owner_test.go
@@ -166,7 +166,7 @@
 	must(t, err)
 	must(t, rig.Resume(former.Member))
 	must(t, rig.waitStepDown(testContext(t), former))
-	if err := holdCalls(testContext(t), former); !errors.Is(err, errOwnerBeforeFault) {
+	if err := blockCalls(testContext(t), former); !errors.Is(err, errOwnerBeforeFault) {
 		t.Errorf("the fault of %s, which owns nothing: %v", former.Name, err)
 	}
 	if _, err := os.Stat(callFaults(former.Member)); !errors.Is(err, os.ErrNotExist) {
--- a/internal/testbed/clusterrig/ownerfaults.go
+++ b/internal/testbed/clusterrig/ownerfaults.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := holdCalls(ctx, old); err != nil {
+	if err := blockCalls(ctx, old); err != nil {
 		return 0, err
 	}
 	if err := r.isolate(old.Member, pause); err != nil {
@@ -187,22 +187,22 @@
 	return err == nil && (!page.Owns || page.Token != o.Token)
 }
 
-// errOwnerBeforeFault is returned if an owner lost its lease before a call of it was held.
+// errOwnerBeforeFault is returned if an owner lost its lease before a call of it was blocked.
 var errOwnerBeforeFault = errors.New("the owner lost its lease before the fault")
 
-// holdCalls holds an owner's calls after their check of the lease, until the file of the faults is removed,
-// and waits until a call is held. It returns errOwnerBeforeFault, and leaves no fault, if the owner has lost
-// its lease meanwhile.
-func holdCalls(ctx context.Context, owner Ownership) error {
+// blockCalls blocks an owner's calls after their check of the lease, until the file of the faults is removed,
+// and waits until a call is blocked. It returns errOwnerBeforeFault, and leaves no fault, if the owner has
+// lost its lease meanwhile.
+func blockCalls(ctx context.Context, owner Ownership) error {
 	fault := fmt.Appendf(nil, "%s, token %d, %d", owner.Name, owner.Token, time.Now().UnixNano())
 	if err := os.WriteFile(callFaults(owner.Member), fault, 0o600); err != nil {
 		return err
 	}
-	held := callFaults(owner.Member) + leaseholder.HeldSuffix
+	blocked := callFaults(owner.Member) + leaseholder.BlockedSuffix
 	lost := false
 	nextOwnerCheck := time.Now().Add(ownerCheckInterval)
 	err := poll(ctx, ownerTimeout, time.Millisecond, func() error {
-		if content, err := os.ReadFile(held); err == nil && bytes.Equal(content, fault) {
+		if content, err := os.ReadFile(blocked); err == nil && bytes.Equal(content, fault) {
 			return nil
 		}
 		if time.Now().After(nextOwnerCheck) {
