Check the bounds of overload's loads, and test that frames are counted before they go

Change: loads rise and are at most 10; TestFramesAreCountedBeforeTheyAreWritten, a test of StartsWithin; the test TestFileFaultsHoldCallsUntilTheFileChanges is called TestFileFaultsBlockCallsUntilTheFileChanges, its checks are unchanged.

--- a/internal/cluster/leaseholder/faults_test.go
+++ b/internal/cluster/leaseholder/faults_test.go
@@ -9,7 +9,7 @@
 )
 
 // A call is held while the file of the faults is the one that it found, and what is beside it names that one.
-func TestFileFaultsHoldCallsUntilTheFileChanges(t *testing.T) {
+func TestFileFaultsBlockCallsUntilTheFileChanges(t *testing.T) {
 	faults := FileFaults{filepath.Join(t.TempDir(), "calls")}
 	faults.BeforeCall() // no file holds nothing
 	for _, fault := range []string{"first", "second"} {
--- a/internal/router/scheduler/queue_delay_test.go
+++ b/internal/router/scheduler/queue_delay_test.go
@@ -86,3 +86,18 @@
 	qt.Check(t, delay.HasFreeSlot, qt.IsFalse)
 	qt.Check(t, ms(delay.Wait), isNear, 80.0*4/4, 1e-3, qt.Commentf("three before it and its own turn"))
 }
+
+func TestRequestStartsWithinADelay(t *testing.T) {
+	for _, test := range []struct {
+		delay SlotDelay
+		left  time.Duration
+		want  bool
+	}{
+		{SlotDelay{Wait: time.Second}, 2 * time.Second, true},
+		{SlotDelay{Wait: time.Second}, time.Second, false},
+		{SlotDelay{Wait: time.Minute, HasFreeSlot: true}, time.Second, true},
+		{SlotDelay{}, -time.Second, false},
+	} {
+		qt.Check(t, test.delay.StartsWithin(test.left), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
--- a/internal/router/transport/traffic_test.go
+++ b/internal/router/transport/traffic_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -43,3 +44,28 @@
 	qt.Assert(t, traffic.Sent[peerproto.KindUpsert].Frames, qt.Equals, int64(1))
 	qt.Assert(t, states, qt.HasLen, 0)
 }
+
+// writeObserver is a connection that calls a function before each write.
+type writeObserver struct {
+	net.Conn
+	beforeWrite func()
+}
+
+func (o *writeObserver) Write(b []byte) (int, error) {
+	o.beforeWrite()
+	return o.Conn.Write(b)
+}
+
+// TestFramesAreCountedBeforeTheyAreWritten: whoever has the answer to a frame finds the frame counted.
+func TestFramesAreCountedBeforeTheyAreWritten(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	var counters trafficCounters
+	counted := make(chan int64, 1)
+	conn := newConn(&writeObserver{near, func() {
+		counted <- counters.snapshot().Sent[peerproto.KindUpsert].Frames
+	}}, &counters)
+	defer conn.Close()
+	qt.Assert(t, conn.Send(peerproto.Frame{Kind: peerproto.KindUpsert, Body: []byte("body")}), qt.IsTrue)
+	qt.Assert(t, <-counted, qt.Equals, int64(1))
+}
--- a/internal/simulation/labcli/overload.go
+++ b/internal/simulation/labcli/overload.go
@@ -14,6 +14,7 @@
 
 // Bounds of the flags of overload.
 const (
+	maxLoad           = 10
 	maxOverloadRepeat = 100
 	maxClientRetries  = 10
 	minStepLength     = time.Second
@@ -91,8 +92,8 @@
 
 // check returns what is wrong with the flags.
 func (o *overloadFlags) check() error {
-	if len(o.loads) < 2 || o.loads[0] <= 0 || !slices.IsSorted(o.loads) {
-		return cli.UsageErrorf("--loads takes two or more rising numbers above 0")
+	if !o.loadsRise() {
+		return cli.UsageErrorf("--loads takes two or more rising numbers above 0, %d at most", maxLoad)
 	}
 	if o.stepLength < minStepLength || o.stepLength > maxStepLength {
 		return cli.UsageErrorf("--step %v is out of range, %v to %v is allowed", o.stepLength, minStepLength,
@@ -108,6 +109,18 @@
 	return nil
 }
 
+// loadsRise reports whether there are two loads or more, each above the one before and none out of bounds.
+func (o *overloadFlags) loadsRise() bool {
+	previous := 0.0
+	for _, load := range o.loads {
+		if !(load > previous && load <= maxLoad) { // false for NaN too
+			return false
+		}
+		previous = load
+	}
+	return len(o.loads) >= 2
+}
+
 // run plays the cycle with each policy.
 func (o *overloadFlags) run() ([]overloadRun, error) {
 	if err := o.check(); err != nil {
