--- a/review/1/case.py
+++ b/review/1/case.py
@@ -69,13 +69,19 @@
     leaving.end()
     record.say("%s ended" % leaving.name)
     time.sleep(1)
-    broken = []
+    broken, by_machine = [], {}
     for at, try_id, status in leaving.arrivals:
-        if at > bound and status != 421 and try_id in clients.sent:
-            sent_at, machine = clients.sent[try_id]
+        if status == 421 or try_id not in clients.sent:
+            continue
+        sent_at, machine = clients.sent[try_id]
+        if at > bound and (sent_at > bound or not trouble):
+            by_machine[machine.name] = by_machine.get(machine.name, 0) + 1
             broken.append("DRAIN: request %s, sent to %s at %.3f, reached %s at %.3f, %.1f s after the "
                           "acknowledgement" % (try_id, machine.name, sent_at, leaving.name, at,
                                                at - acknowledged))
+    after = sum(1 for at, _, status in leaving.arrivals if at > acknowledged and status != 421)
+    record.say("%d requests reached %s after the acknowledgement; later than the bound, by machine: %s" % (
+        after, leaving.name, sorted(by_machine.items())))
     served = sum(1 for outcome in clients.answers.values() if outcome == 200)
     record.say("%d requests sent, %d answered 200" % (len(clients.sent), served))
     return broken
